--- /dev/null
+++ b/assignment.go
@@ -0,0 +1,120 @@
+package fescuebank
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ShardCount is the number of shards of a region's assignment.
+const ShardCount = 256
+
+// ShardOf returns the shard of a team, job or endpoint id.
+func ShardOf(id string) ShardID {
+	return ShardID(xxhash.Sum64String(id) % ShardCount)
+}
+
+// Holder is one run of an instance.
+type Holder struct {
+	ID          InstanceID  `json:"id"`
+	Incarnation Incarnation `json:"incarnation"`
+}
+
+// Member is an instance that may own shards and be a home.
+type Member struct {
+	Instance
+	Incarnation Incarnation `json:"incarnation"`
+}
+
+// Holder returns the run of the instance that is a member.
+func (m Member) Holder() Holder {
+	return Holder{ID: m.ID, Incarnation: m.Incarnation}
+}
+
+// Home is one of the home slots of a shard. The holder may use the slot's
+// floor once none of Former can use it any more.
+type Home struct {
+	// Holder is empty while there are fewer members than slots.
+	Holder Holder `json:"holder,omitzero"`
+	// Since is the version of the assignment that named Holder.
+	Since FencingNumber `json:"since"`
+	// Former are earlier holders that had not acknowledged Since.
+	Former []Holder `json:"former,omitempty"`
+}
+
+// Ownership is the state of one shard.
+type Ownership struct {
+	// Owner may act once no run in Waiting can act any more.
+	Owner Holder `json:"owner"`
+	// Since is the version of the assignment that named Owner; it is the
+	// owner's fencing number.
+	Since FencingNumber `json:"since"`
+	// Waiting are former owners that had neither acknowledged Since nor lost
+	// their lease when the assignment was written.
+	Waiting []Holder `json:"waiting,omitempty"`
+	// Homes are the home slots; their number stays the same.
+	Homes []Home `json:"homes"`
+}
+
+// Assignment maps shards to owners and homes for one region. It is written by
+// conditional write only; Version is one more than that of the one it replaces.
+type Assignment struct {
+	// Version is the newest fencing number given out.
+	Version FencingNumber `json:"version"`
+	// Members are the instances that may be homes and owners, by id.
+	Members []Member `json:"members"`
+	// Shards has ShardCount entries, or none before the first assignment.
+	Shards []Ownership `json:"shards"`
+}
+
+// Member returns the member named id.
+func (a *Assignment) Member(id InstanceID) (Member, bool) {
+	i, found := slices.BinarySearchFunc(a.Members, id, func(m Member, id InstanceID) int {
+		return cmpID(m.ID, id)
+	})
+	if !found {
+		return Member{}, false
+	}
+	return a.Members[i], true
+}
+
+func cmpID(a, b InstanceID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Shard returns the state of a shard, or false before the first assignment.
+func (a *Assignment) Shard(s ShardID) (Ownership, bool) {
+	if int(s) >= len(a.Shards) {
+		return Ownership{}, false
+	}
+	return a.Shards[s], true
+}
+
+// ControlPrefix is the store prefix of everything that each instance follows.
+const ControlPrefix = "control/"
+
+// AssignmentKey returns the store key of a region's assignment.
+func AssignmentKey(r Region) string {
+	return ControlPrefix + "assignments/" + string(r)
+}
+
+// Directory tells who owns and serves the shards, as this instance knows it.
+type Directory interface {
+	// Acts reports whether this instance may act as the owner of s at this
+	// moment, and its fencing number.
+	Acts(s ShardID) (FencingNumber, bool)
+	// Owner returns the instance that the assignment names as owner of s.
+	Owner(s ShardID) (Instance, bool)
+	// Homes returns the home instances of s, those suspected last.
+	Homes(s ShardID) []Instance
+	// Instances returns the members that are neither leaving nor suspected.
+	Instances() []Instance
+	// Self returns this instance.
+	Self() Instance
+}
--- /dev/null
+++ b/clock.go
@@ -0,0 +1,28 @@
+package fescuebank
+
+import (
+	"context"
+	"time"
+)
+
+// Clock is the source of time for everything that waits or measures. Now
+// carries a monotonic reading where the system has one.
+type Clock interface {
+	// Now returns the current time.
+	Now() time.Time
+	// After delivers the time once d has passed.
+	After(d time.Duration) <-chan time.Time
+}
+
+// Sleep waits for d on c. It returns the context's error if that ends first.
+func Sleep(ctx context.Context, c Clock, d time.Duration) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	select {
+	case <-c.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/decode.go
@@ -0,0 +1,22 @@
+package fescuebank
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+)
+
+// strictUnmarshal decodes one JSON value and rejects unknown fields and anything
+// that follows.
+func strictUnmarshal(b []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("want one JSON value and nothing after it")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/applier/applier.go
@@ -0,0 +1,118 @@
+// Package applier puts generations of the desired state in force on this
+// instance.
+package applier
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/config/publisher"
+	"fescuebank/internal/config/segmenter"
+)
+
+const (
+	// retryMin and retryMax bound the wait before segments are read again.
+	retryMin = 200 * time.Millisecond
+	retryMax = 5 * time.Second
+)
+
+// Applier is the fescuebank.ConfigSource of a running daemon. It applies whole
+// generations only and never goes back.
+type Applier struct {
+	store     fescuebank.ObjectStore
+	segmenter *segmenter.Segmenter
+	clock     fescuebank.Clock
+	log       hclog.Logger
+	// newest holds the newest manifest heard of.
+	newest  atomic.Pointer[fescuebank.Manifest]
+	wake    chan struct{}
+	current atomic.Pointer[fescuebank.Snapshot]
+	// values are the segments of the current generation, used by Run alone.
+	values  map[string][]byte
+	changed []func(*fescuebank.Snapshot)
+}
+
+// New returns an applier with an empty state in force.
+func New(store fescuebank.ObjectStore, s *segmenter.Segmenter, clock fescuebank.Clock, log hclog.Logger) *Applier {
+	a := &Applier{store: store, segmenter: s, clock: clock, log: log, wake: make(chan struct{}, 1)}
+	a.current.Store(fescuebank.NewSnapshot(&fescuebank.DesiredState{}))
+	return a
+}
+
+// OnChange calls f with each new generation. Call it before Run.
+func (a *Applier) OnChange(f func(*fescuebank.Snapshot)) {
+	a.changed = append(a.changed, f)
+}
+
+// Current returns the generation in force.
+func (a *Applier) Current() *fescuebank.Snapshot {
+	return a.current.Load()
+}
+
+// Hear takes in a manifest object.
+func (a *Applier) Hear(o fescuebank.Object) {
+	var m fescuebank.Manifest
+	if o.Key != fescuebank.ManifestKey || json.Unmarshal(o.Value, &m) != nil {
+		return
+	}
+	for {
+		old := a.newest.Load()
+		if old != nil && old.Generation >= m.Generation {
+			return
+		}
+		if a.newest.CompareAndSwap(old, &m) {
+			break
+		}
+	}
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run applies what is heard until ctx ends.
+func (a *Applier) Run(ctx context.Context) {
+	wait := retryMin
+	for ctx.Err() == nil {
+		m := a.newest.Load()
+		if m == nil || m.Generation <= a.Current().State.Generation {
+			select {
+			case <-a.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if err := a.apply(ctx, *m); err != nil {
+			a.log.Warn("Generation not applied.", "generation", uint64(m.Generation), "err", err)
+			_ = fescuebank.Sleep(ctx, a.clock, wait/2+rand.N(wait))
+			wait = min(2*wait, retryMax)
+			continue
+		}
+		wait = retryMin
+	}
+}
+
+func (a *Applier) apply(ctx context.Context, m fescuebank.Manifest) error {
+	values, err := publisher.Fetch(ctx, a.store, segmenter.Names(m), a.values)
+	if err != nil {
+		return err
+	}
+	state, err := a.segmenter.Join(m, values)
+	if err != nil {
+		return err
+	}
+	a.values = values
+	next := fescuebank.NewSnapshot(state)
+	a.current.Store(next)
+	a.log.Info("Generation in force.", "generation", uint64(m.Generation), "teams", len(state.Teams))
+	for _, f := range a.changed {
+		f(next)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/publisher/publisher.go
@@ -0,0 +1,241 @@
+// Package publisher writes desired states to the store.
+package publisher
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"fescuebank"
+	"fescuebank/internal/config/segmenter"
+)
+
+// editAttempts bounds how often an edit is tried against racing operators.
+const editAttempts = 8
+
+// ConflictError says that another desired state is in force than the one a
+// document was made from.
+type ConflictError struct {
+	// Based is the generation the document was made from.
+	Based fescuebank.Generation
+	// Current is the generation in force.
+	Current fescuebank.Generation
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("the document was made from generation %d, but generation %d is in force", e.Based, e.Current)
+}
+
+// Publisher publishes whole generations.
+type Publisher struct {
+	store     fescuebank.ObjectStore
+	segmenter *segmenter.Segmenter
+	log       hclog.Logger
+	// deliver hands the new manifest to this instance's own watcher.
+	deliver func([]fescuebank.Object)
+}
+
+// New returns a publisher.
+func New(store fescuebank.ObjectStore, s *segmenter.Segmenter, deliver func([]fescuebank.Object), log hclog.Logger) *Publisher {
+	return &Publisher{store: store, segmenter: s, deliver: deliver, log: log}
+}
+
+// Current returns the newest state in the store; its generation is 0 if there
+// is none.
+func (p *Publisher) Current(ctx context.Context) (*fescuebank.DesiredState, error) {
+	state, _, _, err := p.read(ctx)
+	return state, err
+}
+
+func (p *Publisher) read(ctx context.Context) (*fescuebank.DesiredState, fescuebank.Manifest, fescuebank.StoreVersion, error) {
+	var m fescuebank.Manifest
+	o, err := p.store.Get(ctx, fescuebank.ManifestKey)
+	if errors.Is(err, fescuebank.ErrAbsent) {
+		return &fescuebank.DesiredState{}, m, fescuebank.Absent, nil
+	}
+	if err != nil {
+		return nil, m, 0, eris.Wrap(err, "Publisher.read")
+	}
+	if err := json.Unmarshal(o.Value, &m); err != nil {
+		return nil, m, 0, eris.Wrap(err, "Publisher.read")
+	}
+	values, err := Fetch(ctx, p.store, segmenter.Names(m), nil)
+	if err != nil {
+		return nil, m, 0, eris.Wrap(err, "Publisher.read")
+	}
+	state, err := p.segmenter.Join(m, values)
+	return state, m, o.Version, err
+}
+
+// listThreshold is the number of segments from which one list call is cheaper
+// than reading them one by one.
+const listThreshold = 16
+
+// Fetch reads segments by name. Those in have are not read again.
+func Fetch(ctx context.Context, store fescuebank.ObjectStore, names []string, have map[string][]byte) (map[string][]byte, error) {
+	values := make(map[string][]byte, len(names))
+	var missing []string
+	for _, name := range names {
+		if value, ok := have[name]; ok {
+			values[name] = value
+			continue
+		}
+		missing = append(missing, name)
+	}
+	if len(missing) >= listThreshold {
+		objects, _, err := store.List(ctx, fescuebank.SegmentPrefix)
+		if err != nil {
+			return nil, err
+		}
+		for _, o := range objects {
+			values[o.Key[len(fescuebank.SegmentPrefix):]] = o.Value
+		}
+		return values, nil
+	}
+	for _, name := range missing {
+		o, err := store.Get(ctx, fescuebank.SegmentPrefix+name)
+		if err != nil {
+			return nil, err
+		}
+		values[name] = o.Value
+	}
+	return values, nil
+}
+
+// Apply publishes d as the next generation and returns its number. It returns
+// *fescuebank.Faults for an invalid document and *ConflictError if another
+// state is in force than d.Generation.
+func (p *Publisher) Apply(ctx context.Context, d *fescuebank.DesiredState) (fescuebank.Generation, error) {
+	current, manifest, version, err := p.read(ctx)
+	if err != nil {
+		return 0, eris.Wrap(err, "Publisher.Apply")
+	}
+	if d.Generation != current.Generation {
+		return 0, &ConflictError{Based: d.Generation, Current: current.Generation}
+	}
+	return p.put(ctx, d, manifest, version)
+}
+
+// Edit changes the newest state and publishes it. It tries again when another
+// operator was faster.
+func (p *Publisher) Edit(ctx context.Context, change func(*fescuebank.DesiredState) error) (fescuebank.Generation, error) {
+	for range editAttempts {
+		d, manifest, version, err := p.read(ctx)
+		if err != nil {
+			return 0, eris.Wrap(err, "Publisher.Edit")
+		}
+		if err := change(d); err != nil {
+			return 0, err
+		}
+		g, err := p.put(ctx, d, manifest, version)
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			return g, err
+		}
+	}
+	return 0, eris.New("Publisher.Edit: other operators were faster each time")
+}
+
+// put writes the segments that the store lacks, then the manifest.
+func (p *Publisher) put(ctx context.Context, d *fescuebank.DesiredState, old fescuebank.Manifest, version fescuebank.StoreVersion) (fescuebank.Generation, error) {
+	d.Defaults()
+	if err := d.Validate(); err != nil {
+		return 0, err
+	}
+	next := *d
+	next.Generation = old.Generation + 1
+	manifest, segments, err := p.segmenter.Split(&next)
+	if err != nil {
+		return 0, err
+	}
+	manifest.Nonce = fescuebank.NewRandomID("")
+	present := segmenter.Names(old)
+	for _, s := range segments {
+		if slices.Contains(present, s.Name) {
+			continue
+		}
+		if err := p.putSegment(ctx, s); err != nil {
+			return 0, err
+		}
+	}
+	if err := p.putManifest(ctx, manifest, version); err != nil {
+		return 0, err
+	}
+	p.log.Info("Desired state published.", "generation", uint64(manifest.Generation))
+	p.sweep(ctx, old, manifest)
+	return manifest.Generation, nil
+}
+
+// putSegment writes a segment. One that exists has the same content.
+func (p *Publisher) putSegment(ctx context.Context, s segmenter.Segment) error {
+	_, err := p.store.Put(ctx, fescuebank.SegmentPrefix+s.Name, s.Value, fescuebank.Absent)
+	if errors.Is(err, fescuebank.ErrVersion) {
+		return nil
+	}
+	if errors.Is(err, fescuebank.ErrOutcomeUnknown) {
+		_, err = p.store.Get(ctx, fescuebank.SegmentPrefix+s.Name)
+	}
+	return eris.Wrap(err, "Publisher.putSegment")
+}
+
+func (p *Publisher) putManifest(ctx context.Context, m fescuebank.Manifest, version fescuebank.StoreVersion) error {
+	value, err := json.Marshal(m)
+	if err != nil {
+		return eris.Wrap(err, "Publisher.putManifest")
+	}
+	written, err := p.store.Put(ctx, fescuebank.ManifestKey, value, version)
+	if errors.Is(err, fescuebank.ErrOutcomeUnknown) || errors.Is(err, fescuebank.ErrVersion) {
+		return p.readBack(ctx, m)
+	}
+	if err != nil {
+		return eris.Wrap(err, "Publisher.putManifest")
+	}
+	p.deliver([]fescuebank.Object{{Key: fescuebank.ManifestKey, Value: value, Version: written}})
+	return nil
+}
+
+// readBack finds out whether the manifest in the store is the one just written.
+func (p *Publisher) readBack(ctx context.Context, m fescuebank.Manifest) error {
+	o, err := p.store.Get(ctx, fescuebank.ManifestKey)
+	if err != nil {
+		return eris.Wrap(fescuebank.ErrOutcomeUnknown, "Publisher.readBack")
+	}
+	var found fescuebank.Manifest
+	if err := json.Unmarshal(o.Value, &found); err != nil {
+		return eris.Wrap(err, "Publisher.readBack")
+	}
+	if found.Nonce == m.Nonce {
+		p.deliver([]fescuebank.Object{o})
+		return nil
+	}
+	if found.Generation > m.Generation {
+		// A later state may stand on ours; only its absence could be told.
+		return eris.Wrap(fescuebank.ErrOutcomeUnknown, "Publisher.readBack")
+	}
+	return &ConflictError{Based: m.Generation - 1, Current: found.Generation}
+}
+
+// sweep deletes segments that neither the new nor the former manifest names.
+// A segment that a racing operator is about to name may go too; its manifest
+// write then fails, since this one came first.
+func (p *Publisher) sweep(ctx context.Context, old, next fescuebank.Manifest) {
+	const sweepEvery = 64
+	if next.Generation%sweepEvery != 0 {
+		return
+	}
+	objects, _, err := p.store.List(ctx, fescuebank.SegmentPrefix)
+	if err != nil {
+		return
+	}
+	keep := append(segmenter.Names(old), segmenter.Names(next)...)
+	for _, o := range objects {
+		if !slices.Contains(keep, o.Key[len(fescuebank.SegmentPrefix):]) {
+			_ = p.store.Delete(ctx, o.Key, o.Version)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/segmenter/segmenter.go
@@ -0,0 +1,150 @@
+// Package segmenter splits a desired state into values that the store takes.
+package segmenter
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/klauspost/compress/zstd"
+	"github.com/rotisserie/eris"
+
+	"fescuebank"
+)
+
+const (
+	// teamSegments is the number of segments that teams are spread over.
+	teamSegments = 256
+	// nameBytes is the length of a segment's content hash.
+	nameBytes = 16
+	// maxSegmentBytes bounds a segment once decompressed.
+	maxSegmentBytes = 64 << 20
+)
+
+// Segmenter turns desired states into segments and back.
+type Segmenter struct {
+	encoder *zstd.Encoder
+	decoder *zstd.Decoder
+}
+
+// New returns a segmenter.
+func New() (*Segmenter, error) {
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return nil, eris.Wrap(err, "segmenter.New")
+	}
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maxSegmentBytes), zstd.WithDecoderConcurrency(1))
+	if err != nil {
+		return nil, eris.Wrap(err, "segmenter.New")
+	}
+	return &Segmenter{encoder: encoder, decoder: decoder}, nil
+}
+
+// base is the content of the segment with everything but teams.
+type base struct {
+	Models     []fescuebank.Model        `json:"models"`
+	Endpoints  []fescuebank.EndpointSpec `json:"endpoints"`
+	Services   []fescuebank.Service      `json:"services"`
+	Objectives fescuebank.Objectives     `json:"objectives"`
+}
+
+// Segment is one stored part of a desired state.
+type Segment struct {
+	// Name is the hash of Value.
+	Name string
+	// Value is compressed JSON.
+	Value []byte
+}
+
+// Split returns the segments of d and a manifest that names them.
+func (s *Segmenter) Split(d *fescuebank.DesiredState) (fescuebank.Manifest, []Segment, error) {
+	manifest := fescuebank.Manifest{Generation: d.Generation, Teams: make([]string, teamSegments)}
+	first, err := s.encode(base{Models: d.Models, Endpoints: d.Endpoints, Services: d.Services, Objectives: d.Objectives})
+	if err != nil {
+		return manifest, nil, err
+	}
+	manifest.Base = first.Name
+	segments := []Segment{first}
+	var parts [teamSegments][]fescuebank.Team
+	for _, t := range d.Teams {
+		n := xxhash.Sum64String(string(t.ID)) % teamSegments
+		parts[n] = append(parts[n], t)
+	}
+	for n, teams := range parts {
+		if len(teams) == 0 {
+			continue
+		}
+		slices.SortFunc(teams, func(a, b fescuebank.Team) int { return strings.Compare(string(a.ID), string(b.ID)) })
+		segment, err := s.encode(teams)
+		if err != nil {
+			return manifest, nil, err
+		}
+		manifest.Teams[n] = segment.Name
+		segments = append(segments, segment)
+	}
+	return manifest, segments, nil
+}
+
+func (s *Segmenter) encode(content any) (Segment, error) {
+	text, err := json.Marshal(content)
+	if err != nil {
+		return Segment{}, eris.Wrap(err, "Segmenter.encode")
+	}
+	value := s.encoder.EncodeAll(text, nil)
+	return Segment{Name: nameOf(value), Value: value}, nil
+}
+
+func nameOf(value []byte) string {
+	sum := sha256.Sum256(value)
+	return hex.EncodeToString(sum[:nameBytes])
+}
+
+// Names returns the names of the segments of m, without empty ones.
+func Names(m fescuebank.Manifest) []string {
+	names := []string{m.Base}
+	for _, name := range m.Teams {
+		if name != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Join returns the desired state of m, whose segments are given by name.
+func (s *Segmenter) Join(m fescuebank.Manifest, values map[string][]byte) (*fescuebank.DesiredState, error) {
+	var first base
+	if err := s.decode(m.Base, values, &first); err != nil {
+		return nil, err
+	}
+	d := &fescuebank.DesiredState{
+		Generation: m.Generation, Models: first.Models, Endpoints: first.Endpoints,
+		Services: first.Services, Objectives: first.Objectives,
+	}
+	for _, name := range m.Teams {
+		if name == "" {
+			continue
+		}
+		var teams []fescuebank.Team
+		if err := s.decode(name, values, &teams); err != nil {
+			return nil, err
+		}
+		d.Teams = append(d.Teams, teams...)
+	}
+	slices.SortFunc(d.Teams, func(a, b fescuebank.Team) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return d, nil
+}
+
+func (s *Segmenter) decode(name string, values map[string][]byte, into any) error {
+	value, ok := values[name]
+	if !ok || nameOf(value) != name {
+		return eris.Errorf("Segmenter.Join: segment %s is missing or damaged", name)
+	}
+	text, err := s.decoder.DecodeAll(value, nil)
+	if err != nil {
+		return eris.Wrap(err, "Segmenter.Join")
+	}
+	return eris.Wrap(json.Unmarshal(text, into), "Segmenter.Join")
+}
--- /dev/null
+++ b/internal/entry/router/router.go
@@ -0,0 +1,250 @@
+// Package router carries an online completion through attempts at endpoints.
+package router
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/config/withdrawer"
+	"fescuebank/internal/endpoint/balancer"
+	"fescuebank/internal/entry/scheduler"
+)
+
+const (
+	// backoffMin is the first wait before a retry; it doubles each time.
+	backoffMin = 20 * time.Millisecond
+	backoffMax = 500 * time.Millisecond
+	// maxPrefixes bounds the remembered prompt prefixes.
+	maxPrefixes = 8192
+)
+
+// Router serves completions on endpoints.
+type Router struct {
+	scheduler *scheduler.Scheduler
+	balancer  *balancer.Balancer
+	clock     fescuebank.Clock
+	log       hclog.Logger
+	attempts  int
+	budget    *retryBudget
+	// endpoint returns the connection to an endpoint.
+	endpoint func(fescuebank.EndpointID) (fescuebank.Endpoint, bool)
+	guard    Guard
+	observe  Observer
+
+	mu sync.Mutex
+	// prefixes remembers where prompts with the same start went.
+	prefixes map[uint64]fescuebank.EndpointID
+}
+
+// Guard keeps requests that crash endpoints away from them.
+type Guard interface {
+	// Enter returns a refusal if the request is quarantined, or waits until the
+	// request may run at the endpoint. The returned function ends the attempt.
+	Enter(ctx context.Context, c *fescuebank.Completion, id fescuebank.EndpointID) (func(lost bool), error)
+}
+
+// Observer is told what happens to requests.
+type Observer interface {
+	// FirstToken reports the time from arrival to the first token.
+	FirstToken(team fescuebank.TeamID, d time.Duration)
+	// Retry reports one more attempt.
+	Retry()
+}
+
+// Config is what a router works with.
+type Config struct {
+	Scheduler *scheduler.Scheduler
+	Balancer  *balancer.Balancer
+	Clock     fescuebank.Clock
+	Log       hclog.Logger
+	// Attempts bounds how often one request is tried.
+	Attempts int
+	// Endpoint returns the connection to an endpoint.
+	Endpoint func(fescuebank.EndpointID) (fescuebank.Endpoint, bool)
+	Guard    Guard
+	Observer Observer
+}
+
+// New returns a router.
+func New(c Config) *Router {
+	return &Router{
+		scheduler: c.Scheduler, balancer: c.Balancer, clock: c.Clock, log: c.Log, attempts: c.Attempts,
+		endpoint: c.Endpoint, guard: c.Guard, observe: c.Observer,
+		budget:   newRetryBudget(),
+		prefixes: make(map[uint64]fescuebank.EndpointID),
+	}
+}
+
+// progress is how far the answer to a request has come over its attempts.
+type progress struct {
+	partial fescuebank.Partial
+	arrived time.Time
+	// avoid lists endpoints that failed the request.
+	avoid []fescuebank.EndpointID
+	// offered is set once an endpoint may have run the request.
+	offered bool
+}
+
+// Complete streams the answer to emit, each token once over all attempts.
+// weight is the team's share. The error is a *fescuebank.Refusal or an error
+// of emit.
+func (r *Router) Complete(ctx context.Context, c *fescuebank.Completion, weight float64, emit func(fescuebank.Delta) error) error {
+	p := &progress{arrived: r.clock.Now()}
+	var last error
+	for attempt := range r.attempts {
+		if attempt > 0 {
+			if !r.budget.spend() {
+				break
+			}
+			r.observe.Retry()
+			if err := r.backoff(ctx, attempt); err != nil {
+				return r.ended(ctx, p)
+			}
+		}
+		err := r.attempt(ctx, c, weight, p, emit)
+		if err == nil {
+			r.budget.earn()
+			return nil
+		}
+		if ctx.Err() != nil {
+			return r.ended(ctx, p)
+		}
+		last = err
+		if !isRetryable(err) {
+			break
+		}
+		r.log.Debug("Attempt failed.", "request", string(c.Request), "attempt", attempt, "err", err)
+	}
+	return r.failure(last, p)
+}
+
+// attempt runs the request once on one endpoint.
+func (r *Router) attempt(ctx context.Context, c *fescuebank.Completion, weight float64, p *progress, emit func(fescuebank.Delta) error) error {
+	c.Resume = p.partial
+	request := &scheduler.Request{Completion: c, Weight: weight, Prefer: r.holder(c.PrefixHash), Avoid: p.avoid}
+	target, err := r.scheduler.Acquire(ctx, request)
+	if err != nil {
+		return err
+	}
+	started := r.clock.Now()
+	before := p.partial.Tokens
+	err = r.run(ctx, c, target, p, emit)
+	used := c.PromptTokens + p.partial.Tokens - before
+	r.scheduler.Done(target, request, used-c.Cost())
+	r.account(target, c, err, r.clock.Now().Sub(started), p)
+	return err
+}
+
+// run offers the request to the endpoint and keeps what it generates.
+func (r *Router) run(ctx context.Context, c *fescuebank.Completion, target *balancer.Target, p *progress, emit func(fescuebank.Delta) error) error {
+	endpoint, ok := r.endpoint(target.ID())
+	if !ok {
+		return &fescuebank.EndpointError{Endpoint: target.ID(), Kind: fescuebank.EndpointUnreached, Cause: errors.New("endpoint was taken out")}
+	}
+	leave, err := r.guard.Enter(ctx, c, target.ID())
+	if err != nil {
+		return err
+	}
+	err = endpoint.Complete(ctx, c, func(d fescuebank.Delta) error {
+		if p.partial.Tokens == 0 && d.Index == 0 {
+			r.observe.FirstToken(c.Team, r.clock.Now().Sub(p.arrived))
+		}
+		p.offered = true
+		p.partial.Text += d.Text
+		p.partial.Tokens = d.Index + 1
+		return emit(d)
+	})
+	var failed *fescuebank.EndpointError
+	broken := errors.As(err, &failed) && failed.Kind == fescuebank.EndpointBroken
+	p.offered = p.offered || broken
+	leave(broken && ctx.Err() == nil)
+	return err
+}
+
+// account takes in how an attempt went.
+func (r *Router) account(t *balancer.Target, c *fescuebank.Completion, err error, took time.Duration, p *progress) {
+	var failed *fescuebank.EndpointError
+	switch {
+	case err == nil:
+		t.Succeeded()
+		r.scheduler.Observe(c.Model, took)
+		r.remember(c.PrefixHash, t.ID())
+	case errors.As(err, &failed) && failed.Kind != fescuebank.EndpointRejected:
+		p.avoid = append(p.avoid, t.ID())
+		if failed.Kind != fescuebank.EndpointRefused {
+			r.balancer.Failed(t)
+		}
+	}
+}
+
+func isRetryable(err error) bool {
+	var failed *fescuebank.EndpointError
+	return errors.As(err, &failed) && failed.Kind != fescuebank.EndpointRejected
+}
+
+func (r *Router) backoff(ctx context.Context, attempt int) error {
+	d := min(backoffMin<<(attempt-1), backoffMax)
+	return fescuebank.Sleep(ctx, r.clock, d/2+rand.N(d/2))
+}
+
+// ended is the refusal of a request whose context ended.
+func (r *Router) ended(ctx context.Context, p *progress) error {
+	cause := context.Cause(ctx)
+	refusal := fescuebank.Refuse(http.StatusGatewayTimeout, fescuebank.CodeDeadline, "the request met its deadline")
+	if errors.Is(cause, withdrawer.ErrWithdrawn) {
+		refusal = fescuebank.Refuse(http.StatusUnauthorized, fescuebank.CodeKeyWithdrawn, "the key was withdrawn")
+	}
+	return refusal.WithState(p.state())
+}
+
+func (p *progress) state() fescuebank.RunState {
+	if p.offered {
+		return fescuebank.MayHaveRun
+	}
+	return fescuebank.NotRun
+}
+
+// failure is the final answer after the last attempt.
+func (r *Router) failure(err error, p *progress) error {
+	var failed *fescuebank.EndpointError
+	if !errors.As(err, &failed) {
+		return err
+	}
+	if failed.Kind == fescuebank.EndpointRejected {
+		return fescuebank.Refuse(failed.Status, fescuebank.CodeEndpointError, "the endpoint rejected the request: %v", failed.Cause)
+	}
+	return fescuebank.Refuse(http.StatusBadGateway, fescuebank.CodeEndpointLost,
+		"no endpoint gave a whole answer").WithState(p.state()).After(time.Second)
+}
+
+func (r *Router) holder(prefix uint64) fescuebank.EndpointID {
+	if prefix == 0 {
+		return ""
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.prefixes[prefix]
+}
+
+// remember notes where a prefix went. At the bound some other one is dropped.
+func (r *Router) remember(prefix uint64, id fescuebank.EndpointID) {
+	if prefix == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.prefixes[prefix]; !known && len(r.prefixes) >= maxPrefixes {
+		for old := range r.prefixes {
+			delete(r.prefixes, old)
+			break
+		}
+	}
+	r.prefixes[prefix] = id
+}
--- /dev/null
+++ b/internal/fleet/assigner/assigner.go
@@ -0,0 +1,201 @@
+// Package assigner decides which instances own and serve the shards.
+package assigner
+
+import (
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuebank"
+)
+
+// Assigner rewrites assignments. It is pure: the same input gives the same output.
+type Assigner struct {
+	// homes is the number of home slots of a shard.
+	homes int
+}
+
+// New returns an assigner with that many home slots a shard.
+func New(homes int) *Assigner {
+	return &Assigner{homes: homes}
+}
+
+// Evidence is what the assigner knows of the instances.
+type Evidence struct {
+	// Leases holds the lease of each instance.
+	Leases map[fescuebank.InstanceID]fescuebank.Lease
+	// Gone holds the instances that the platform has taken away.
+	Gone map[fescuebank.InstanceID]bool
+}
+
+// Stopped reports whether h can't act as an owner named before since.
+func (e Evidence) Stopped(h fescuebank.Holder, since fescuebank.FencingNumber) bool {
+	l, ok := e.Leases[h.ID]
+	return !ok || l.HasStopped(h, since)
+}
+
+// LeftFloor reports whether h can't use a floor that it held before since.
+func (e Evidence) LeftFloor(h fescuebank.Holder, since fescuebank.FencingNumber) bool {
+	if e.Gone[h.ID] {
+		return true
+	}
+	l, ok := e.Leases[h.ID]
+	return ok && l.HasLeftFloor(h, since)
+}
+
+// Rewrite returns the assignment that should follow current, and false if
+// current is right already.
+func (a *Assigner) Rewrite(current *fescuebank.Assignment, e Evidence) (*fescuebank.Assignment, bool) {
+	members := liveMembers(e)
+	if len(members) == 0 {
+		return nil, false
+	}
+	if len(current.Shards) == fescuebank.ShardCount && slices.Equal(members, current.Members) {
+		return nil, false
+	}
+	next := &fescuebank.Assignment{
+		Version: current.Version + 1,
+		Members: members,
+		Shards:  make([]fescuebank.Ownership, fescuebank.ShardCount),
+	}
+	for i := range next.Shards {
+		old, _ := current.Shard(fescuebank.ShardID(i))
+		ranked := rank(fescuebank.ShardID(i), members, a.homes)
+		next.Shards[i] = a.shard(old, ranked, next.Version, e)
+	}
+	return next, true
+}
+
+func liveMembers(e Evidence) []fescuebank.Member {
+	var members []fescuebank.Member
+	for _, l := range e.Leases {
+		if !l.Ended && !l.Leaving {
+			members = append(members, fescuebank.Member{Instance: l.Holder, Incarnation: l.Incarnation})
+		}
+	}
+	slices.SortFunc(members, func(x, y fescuebank.Member) int {
+		if x.ID < y.ID {
+			return -1
+		}
+		return 1
+	})
+	return members
+}
+
+// shard decides one shard, given the members that should be its homes in order.
+func (a *Assigner) shard(old fescuebank.Ownership, ranked []fescuebank.Member, version fescuebank.FencingNumber, e Evidence) fescuebank.Ownership {
+	next := fescuebank.Ownership{Homes: a.slots(old.Homes, ranked, version, e)}
+	owner := ranked[0].Holder()
+	next.Owner = owner
+	waiting := unstopped(old.Waiting, old.Since, e)
+	if old.Owner == owner {
+		next.Since, next.Waiting = old.Since, waiting
+		return next
+	}
+	next.Since = version
+	if old.Owner.ID != "" && !e.Stopped(old.Owner, version) {
+		waiting = append(waiting, old.Owner)
+	}
+	next.Waiting = slices.DeleteFunc(waiting, func(h fescuebank.Holder) bool { return h == owner })
+	return next
+}
+
+func unstopped(list []fescuebank.Holder, since fescuebank.FencingNumber, e Evidence) []fescuebank.Holder {
+	var left []fescuebank.Holder
+	for _, h := range list {
+		if !e.Stopped(h, since) {
+			left = append(left, h)
+		}
+	}
+	return left
+}
+
+// slots keeps each home in its slot and fills freed slots with newcomers.
+func (a *Assigner) slots(old []fescuebank.Home, ranked []fescuebank.Member, version fescuebank.FencingNumber, e Evidence) []fescuebank.Home {
+	next := make([]fescuebank.Home, a.homes)
+	wanted := make([]fescuebank.Holder, 0, len(ranked))
+	for _, m := range ranked {
+		wanted = append(wanted, m.Holder())
+	}
+	for i := range next {
+		if i < len(old) {
+			next[i] = pruneFormer(old[i], e)
+		}
+		if n := slices.Index(wanted, next[i].Holder); n >= 0 {
+			wanted = slices.Delete(wanted, n, n+1)
+			continue
+		}
+		next[i] = vacate(next[i], version, e)
+	}
+	for i := range next {
+		if next[i].Holder == (fescuebank.Holder{}) && len(wanted) > 0 {
+			next[i].Holder, next[i].Since = wanted[0], version
+			wanted = wanted[1:]
+		}
+	}
+	return next
+}
+
+func pruneFormer(h fescuebank.Home, e Evidence) fescuebank.Home {
+	var former []fescuebank.Holder
+	for _, f := range h.Former {
+		if !e.LeftFloor(f, h.Since) {
+			former = append(former, f)
+		}
+	}
+	h.Former = former
+	return h
+}
+
+// vacate empties a slot; its holder stays among Former while it may use the floor.
+func vacate(h fescuebank.Home, version fescuebank.FencingNumber, e Evidence) fescuebank.Home {
+	if h.Holder != (fescuebank.Holder{}) && !e.LeftFloor(h.Holder, version) {
+		h.Former = append(h.Former, h.Holder)
+	}
+	h.Holder = fescuebank.Holder{}
+	h.Since = version
+	return h
+}
+
+// rank returns up to count members for a shard by weighted rendezvous hashing,
+// at first one from each availability zone.
+func rank(s fescuebank.ShardID, members []fescuebank.Member, count int) []fescuebank.Member {
+	scored := make([]scoredMember, 0, len(members))
+	for _, m := range members {
+		scored = append(scored, scoredMember{member: m, score: score(s, m)})
+	}
+	slices.SortFunc(scored, func(x, y scoredMember) int {
+		if x.score > y.score {
+			return -1
+		}
+		return 1
+	})
+	var ranked []fescuebank.Member
+	for len(ranked) < count && len(scored) > 0 {
+		zones := map[fescuebank.Zone]bool{}
+		scored = slices.DeleteFunc(scored, func(c scoredMember) bool {
+			if zones[c.member.Zone] || len(ranked) == count {
+				return false
+			}
+			zones[c.member.Zone] = true
+			ranked = append(ranked, c.member)
+			return true
+		})
+	}
+	return ranked
+}
+
+type scoredMember struct {
+	member fescuebank.Member
+	score  float64
+}
+
+// score is the weighted rendezvous score: the weight over an exponential variate.
+func score(s fescuebank.ShardID, m fescuebank.Member) float64 {
+	h := xxhash.Sum64String(strconv.Itoa(int(s)) + "/" + string(m.ID))
+	const mantissaBits = 53
+	uniform := (float64(h>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+	return m.Weight / -math.Log(uniform)
+}
--- /dev/null
+++ b/internal/fleet/leaser/leaser.go
@@ -0,0 +1,281 @@
+// Package leaser keeps the lease of this instance.
+package leaser
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"fescuebank"
+)
+
+// errHeld means that another run of this instance still holds the lease.
+var errHeld = errors.New("lease held by another run")
+
+// Leaser acquires and renews one lease. It is fresh from before a renewal was
+// sent until TTL less margin later, on both the monotonic and the wall clock.
+type Leaser struct {
+	store  fescuebank.ObjectStore
+	clock  fescuebank.Clock
+	log    hclog.Logger
+	timing fescuebank.TimingSettings
+	// refresh reads the assignment and returns its version. A new incarnation
+	// calls it before its first lease.
+	refresh func(ctx context.Context) (fescuebank.FencingNumber, error)
+	wake    chan struct{}
+
+	mu sync.Mutex
+	// lease is the value last written or about to be written.
+	lease fescuebank.Lease
+	// version is that of lease in the store, or Absent.
+	version fescuebank.StoreVersion
+	// held is set while lease is ours in the store as far as known.
+	held bool
+	// started is when the newest successful renewal was about to be sent.
+	started time.Time
+	// other is a foreign run's lease and when it was first seen so.
+	other     fescuebank.Lease
+	otherSeen time.Time
+}
+
+// New returns a leaser of self. refresh reads the assignment from the store.
+func New(self fescuebank.Instance, store fescuebank.ObjectStore, clock fescuebank.Clock, timing fescuebank.TimingSettings,
+	refresh func(ctx context.Context) (fescuebank.FencingNumber, error), log hclog.Logger) *Leaser {
+	return &Leaser{
+		store: store, clock: clock, log: log, timing: timing, refresh: refresh,
+		wake:  make(chan struct{}, 1),
+		lease: fescuebank.Lease{Holder: self, Incarnation: newIncarnation()},
+	}
+}
+
+func newIncarnation() fescuebank.Incarnation {
+	return fescuebank.Incarnation(fescuebank.NewRandomID(""))
+}
+
+// Holder returns the current run.
+func (l *Leaser) Holder() fescuebank.Holder {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return fescuebank.Holder{ID: l.lease.Holder.ID, Incarnation: l.lease.Incarnation}
+}
+
+// Fresh reports whether the lease still holds at this moment.
+func (l *Leaser) Fresh() bool {
+	return l.Remaining() > 0
+}
+
+// Remaining returns how long the lease still holds, or 0.
+func (l *Leaser) Remaining() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.held {
+		return 0
+	}
+	now := l.clock.Now()
+	elapsed := now.Sub(l.started)
+	// The monotonic clock stands still while the machine is suspended.
+	if wall := now.Round(0).Sub(l.started.Round(0)); wall > elapsed {
+		elapsed = wall
+	}
+	return max(0, l.timing.LeaseTTL-l.timing.LeaseMargin-elapsed)
+}
+
+// Acknowledge records that this instance acts by assignment version v and no
+// older one. With urgent the lease is renewed at once.
+func (l *Leaser) Acknowledge(v fescuebank.FencingNumber, urgent bool) {
+	l.mu.Lock()
+	if v > l.lease.Acknowledged {
+		l.lease.Acknowledged = v
+	}
+	l.mu.Unlock()
+	if urgent {
+		l.Wake()
+	}
+}
+
+// Wake renews the lease at once.
+func (l *Leaser) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// SetLeaving announces that this instance takes no new ownership.
+func (l *Leaser) SetLeaving() {
+	l.mu.Lock()
+	l.lease.Leaving = true
+	l.mu.Unlock()
+	l.Wake()
+}
+
+// Release ends the lease and promises that this run never acts again.
+func (l *Leaser) Release(ctx context.Context) error {
+	l.mu.Lock()
+	l.lease.Released = true
+	l.lease.Ended = true
+	held := l.held
+	l.held = false
+	l.mu.Unlock()
+	if !held {
+		return nil
+	}
+	return eris.Wrap(l.write(ctx), "Leaser.Release")
+}
+
+// Run acquires and renews the lease until ctx ends.
+func (l *Leaser) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := l.step(ctx); err != nil {
+			l.log.Warn("Lease not renewed.", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-l.wake:
+		case <-l.clock.After(l.interval()):
+		}
+	}
+}
+
+// interval is shorter while the lease is not held.
+func (l *Leaser) interval() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held {
+		return l.timing.LeaseRenew
+	}
+	return min(time.Second, l.timing.LeaseRenew)
+}
+
+func (l *Leaser) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, l.timing.LeaseTTL)
+	defer cancel()
+	l.mu.Lock()
+	held := l.held
+	l.mu.Unlock()
+	if held {
+		return l.renew(ctx)
+	}
+	return l.acquire(ctx)
+}
+
+// acquire starts a new incarnation. A lease of another run is taken over only
+// once it ended or stayed unchanged for its whole length.
+func (l *Leaser) acquire(ctx context.Context) error {
+	o, err := l.store.Get(ctx, fescuebank.LeaseKey(l.lease.Holder.ID))
+	switch {
+	case errors.Is(err, fescuebank.ErrAbsent):
+		l.version = fescuebank.Absent
+	case err != nil:
+		return eris.Wrap(err, "Leaser.acquire")
+	default:
+		if err := l.checkOther(o); err != nil {
+			return err
+		}
+		l.version = o.Version
+	}
+	seen, err := l.refresh(ctx)
+	if err != nil {
+		return eris.Wrap(err, "Leaser.acquire")
+	}
+	l.mu.Lock()
+	l.lease.Incarnation = newIncarnation()
+	l.lease.Acknowledged = max(l.lease.Acknowledged, seen)
+	l.lease.Renewals = 0
+	l.lease.Ended = false
+	l.mu.Unlock()
+	return l.renew(ctx)
+}
+
+// checkOther returns errHeld while the run that wrote o may still be acting.
+func (l *Leaser) checkOther(o fescuebank.Object) error {
+	var other fescuebank.Lease
+	if err := json.Unmarshal(o.Value, &other); err != nil {
+		return nil // Nobody can act by a lease that can't be read.
+	}
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if other.Ended || other.Incarnation == l.lease.Incarnation {
+		return nil
+	}
+	if other.Incarnation != l.other.Incarnation || other.Renewals != l.other.Renewals {
+		l.other, l.otherSeen = other, now
+	}
+	if now.Sub(l.otherSeen) < l.timing.LeaseTTL+l.timing.LeaseMargin {
+		return errHeld
+	}
+	return nil
+}
+
+func (l *Leaser) renew(ctx context.Context) error {
+	started := l.clock.Now()
+	err := l.write(ctx)
+	if errors.Is(err, fescuebank.ErrOutcomeUnknown) || errors.Is(err, fescuebank.ErrVersion) {
+		err = l.readBack(ctx)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.held = true
+		l.started = started
+		return nil
+	case errors.Is(err, fescuebank.ErrVersion):
+		l.held = false
+		return eris.New("lease was ended by another instance")
+	}
+	// The renewal's outcome stays open; the lease runs out by itself.
+	return err
+}
+
+// write puts the next renewal.
+func (l *Leaser) write(ctx context.Context) error {
+	l.mu.Lock()
+	l.lease.Renewals++
+	value, err := json.Marshal(l.lease)
+	expected := l.version
+	l.mu.Unlock()
+	if err != nil {
+		return eris.Wrap(err, "Leaser.write")
+	}
+	version, err := l.store.Put(ctx, fescuebank.LeaseKey(l.lease.Holder.ID), value, expected)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.version = version
+	l.mu.Unlock()
+	return nil
+}
+
+// readBack finds out whether the newest write of this run took effect. An
+// older write of this run leaves the lease ours, but not renewed.
+func (l *Leaser) readBack(ctx context.Context) error {
+	o, err := l.store.Get(ctx, fescuebank.LeaseKey(l.lease.Holder.ID))
+	if errors.Is(err, fescuebank.ErrAbsent) {
+		return fescuebank.ErrVersion
+	}
+	if err != nil {
+		return err
+	}
+	var found fescuebank.Lease
+	if err := json.Unmarshal(o.Value, &found); err != nil {
+		return fescuebank.ErrVersion
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if found.Incarnation != l.lease.Incarnation || (found.Ended && !l.lease.Ended) {
+		return fescuebank.ErrVersion
+	}
+	l.version = o.Version
+	if found.Renewals == l.lease.Renewals {
+		return nil
+	}
+	return fescuebank.ErrOutcomeUnknown
+}
--- /dev/null
+++ b/internal/fleet/registrar/registrar.go
@@ -0,0 +1,442 @@
+// Package registrar follows the assignment and takes part in rewriting it.
+package registrar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"fescuebank"
+	"fescuebank/internal/fleet/assigner"
+	"fescuebank/internal/fleet/detector"
+	"fescuebank/internal/fleet/leaser"
+)
+
+const (
+	// candidates is how many instances watch over the leases at a time.
+	candidates = 3
+	// clearInterval is how often the leases of former owners are read.
+	clearInterval = 300 * time.Millisecond
+	// goneAfter is how long an instance must be off the platform's list.
+	goneAfter = 30 * time.Second
+)
+
+// Registrar is the fescuebank.Directory of a running daemon.
+type Registrar struct {
+	self     fescuebank.Instance
+	region   fescuebank.Region
+	store    fescuebank.ObjectStore
+	clock    fescuebank.Clock
+	log      hclog.Logger
+	timing   fescuebank.TimingSettings
+	leaser   *leaser.Leaser
+	assigner *assigner.Assigner
+	detector *detector.Detector
+	listed   func() []fescuebank.ListedInstance
+
+	current atomic.Pointer[fescuebank.Assignment]
+
+	mu sync.Mutex
+	// cleared holds former owners and homes that can't act any more, by the
+	// assignment version that they were waited for.
+	cleared map[clearance]bool
+	// unchanged is when each lease was first seen as it is.
+	unchanged map[fescuebank.InstanceID]observation
+	// unlisted is when each instance was first seen off the platform's list.
+	unlisted map[fescuebank.InstanceID]time.Time
+	// changed is called after a new assignment was applied.
+	changed []func()
+}
+
+// clearance is one run that can't act under versions before since. Floors and
+// ownership end at different moments.
+type clearance struct {
+	holder fescuebank.Holder
+	since  fescuebank.FencingNumber
+	floor  bool
+}
+
+// observation is a lease and when it was first seen unchanged.
+type observation struct {
+	incarnation fescuebank.Incarnation
+	renewals    uint64
+	since       time.Time
+}
+
+// Config is what a registrar works with.
+type Config struct {
+	Self     fescuebank.Instance
+	Region   fescuebank.Region
+	Store    fescuebank.ObjectStore
+	Clock    fescuebank.Clock
+	Log      hclog.Logger
+	Timing   fescuebank.TimingSettings
+	Homes    int
+	Detector *detector.Detector
+	// Listed returns the platform's list as last read.
+	Listed func() []fescuebank.ListedInstance
+}
+
+// New returns a registrar and the leaser that it uses.
+func New(c Config) (*Registrar, *leaser.Leaser) {
+	r := &Registrar{
+		self: c.Self, region: c.Region, store: c.Store, clock: c.Clock, log: c.Log, timing: c.Timing,
+		assigner: assigner.New(c.Homes), detector: c.Detector, listed: c.Listed,
+		cleared:   make(map[clearance]bool),
+		unchanged: make(map[fescuebank.InstanceID]observation),
+		unlisted:  make(map[fescuebank.InstanceID]time.Time),
+	}
+	r.current.Store(&fescuebank.Assignment{})
+	r.leaser = leaser.New(c.Self, c.Store, c.Clock, c.Timing, r.refresh, c.Log)
+	return r, r.leaser
+}
+
+// OnChange calls f after each new assignment. Call it before Run.
+func (r *Registrar) OnChange(f func()) {
+	r.changed = append(r.changed, f)
+}
+
+// Current returns the newest assignment applied. It must not be changed.
+func (r *Registrar) Current() *fescuebank.Assignment {
+	return r.current.Load()
+}
+
+// Self returns this instance.
+func (r *Registrar) Self() fescuebank.Instance {
+	return r.self
+}
+
+// refresh reads the assignment from the store and applies it.
+func (r *Registrar) refresh(ctx context.Context) (fescuebank.FencingNumber, error) {
+	o, err := r.store.Get(ctx, fescuebank.AssignmentKey(r.region))
+	if errors.Is(err, fescuebank.ErrAbsent) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, eris.Wrap(err, "Registrar.refresh")
+	}
+	r.Apply(o)
+	return r.Current().Version, nil
+}
+
+// Apply takes in an assignment object, if it is newer.
+func (r *Registrar) Apply(o fescuebank.Object) {
+	var next fescuebank.Assignment
+	if o.Key != fescuebank.AssignmentKey(r.region) || json.Unmarshal(o.Value, &next) != nil {
+		return
+	}
+	r.mu.Lock()
+	old := r.current.Load()
+	if next.Version <= old.Version {
+		r.mu.Unlock()
+		return
+	}
+	r.current.Store(&next)
+	for c := range r.cleared {
+		if c.since+maxClearedAge < next.Version {
+			delete(r.cleared, c)
+		}
+	}
+	r.mu.Unlock()
+	r.log.Info("Assignment applied.", "version", uint64(next.Version), "members", len(next.Members))
+	// What acted by the old assignment stops before this is acknowledged.
+	for _, f := range r.changed {
+		f()
+	}
+	r.leaser.Acknowledge(next.Version, r.isFormer(&next))
+}
+
+// maxClearedAge is how many versions back clearances are remembered.
+const maxClearedAge = 1000
+
+// isFormer reports whether somebody waits for this instance's acknowledgement.
+func (r *Registrar) isFormer(a *fescuebank.Assignment) bool {
+	me := r.leaser.Holder()
+	for i := range a.Shards {
+		if slices.Contains(a.Shards[i].Waiting, me) {
+			return true
+		}
+		for j := range a.Shards[i].Homes {
+			if slices.Contains(a.Shards[i].Homes[j].Former, me) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Acts reports whether this instance may act as the owner of s.
+func (r *Registrar) Acts(s fescuebank.ShardID) (fescuebank.FencingNumber, bool) {
+	shard, ok := r.Current().Shard(s)
+	if !ok || shard.Owner != r.leaser.Holder() || !r.leaser.Fresh() {
+		return 0, false
+	}
+	if len(shard.Waiting) > 0 && !r.allCleared(shard.Waiting, shard.Since, false) {
+		return 0, false
+	}
+	return shard.Since, true
+}
+
+// FloorOpen reports whether the former holders of a home slot are surely off
+// its floor.
+func (r *Registrar) FloorOpen(h fescuebank.Home) bool {
+	return len(h.Former) == 0 || r.allCleared(h.Former, h.Since, true)
+}
+
+func (r *Registrar) allCleared(list []fescuebank.Holder, since fescuebank.FencingNumber, floor bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range list {
+		if !r.cleared[clearance{holder: h, since: since, floor: floor}] {
+			return false
+		}
+	}
+	return true
+}
+
+// Owner returns the instance that the assignment names as owner of s.
+func (r *Registrar) Owner(s fescuebank.ShardID) (fescuebank.Instance, bool) {
+	a := r.Current()
+	shard, ok := a.Shard(s)
+	if !ok {
+		return fescuebank.Instance{}, false
+	}
+	m, ok := a.Member(shard.Owner.ID)
+	return m.Instance, ok
+}
+
+// Homes returns the home instances of s, suspected and leaving ones last.
+func (r *Registrar) Homes(s fescuebank.ShardID) []fescuebank.Instance {
+	a := r.Current()
+	shard, _ := a.Shard(s)
+	var homes []fescuebank.Instance
+	for _, h := range shard.Homes {
+		if m, ok := a.Member(h.Holder.ID); ok {
+			homes = append(homes, m.Instance)
+		}
+	}
+	slices.SortStableFunc(homes, func(x, y fescuebank.Instance) int {
+		return int(r.detector.Health(x.ID)) - int(r.detector.Health(y.ID))
+	})
+	return homes
+}
+
+// Instances returns the members that are neither leaving nor suspected.
+func (r *Registrar) Instances() []fescuebank.Instance {
+	var live []fescuebank.Instance
+	for _, m := range r.Current().Members {
+		if r.detector.Health(m.ID) == fescuebank.Alive {
+			live = append(live, m.Instance)
+		}
+	}
+	return live
+}
+
+// Run keeps the assignment until ctx ends.
+func (r *Registrar) Run(ctx context.Context) {
+	go r.clearLoop(ctx)
+	for ctx.Err() == nil {
+		if r.isCandidate() {
+			if err := r.tend(ctx); err != nil && ctx.Err() == nil {
+				r.log.Warn("Assignment not tended.", "err", err)
+			}
+		}
+		wait := r.timing.LeaseRenew / 3
+		_ = fescuebank.Sleep(ctx, r.clock, wait/2+rand.N(wait))
+	}
+}
+
+// isCandidate reports whether this instance is among the first few unsuspected
+// ones by hash. Views may differ; the conditional write keeps that harmless.
+func (r *Registrar) isCandidate() bool {
+	mine := r.candidateRank(r.self.ID)
+	better := 0
+	for _, i := range r.listed() {
+		if i.ID != r.self.ID && !i.Leaving && r.detector.Health(i.ID) == fescuebank.Alive && r.candidateRank(i.ID) < mine {
+			better++
+		}
+	}
+	return better < candidates
+}
+
+func (r *Registrar) candidateRank(id fescuebank.InstanceID) uint64 {
+	return xxhash.Sum64String(string(r.region) + "/" + string(id))
+}
+
+// tend ends the leases of dead instances and rewrites the assignment.
+func (r *Registrar) tend(ctx context.Context) error {
+	objects, _, err := r.store.List(ctx, fescuebank.LeasePrefix)
+	if err != nil {
+		return eris.Wrap(err, "Registrar.tend")
+	}
+	evidence := assigner.Evidence{Leases: make(map[fescuebank.InstanceID]fescuebank.Lease), Gone: make(map[fescuebank.InstanceID]bool)}
+	for _, o := range objects {
+		var l fescuebank.Lease
+		if json.Unmarshal(o.Value, &l) != nil {
+			continue
+		}
+		if r.hasLapsed(l) && r.endLease(ctx, o, &l) != nil {
+			continue
+		}
+		evidence.Leases[l.Holder.ID] = l
+		evidence.Gone[l.Holder.ID] = r.isGone(l.Holder.ID)
+	}
+	return r.rewrite(ctx, evidence)
+}
+
+// hasLapsed reports whether a lease stayed unchanged for longer than its
+// holder may act by it.
+func (r *Registrar) hasLapsed(l fescuebank.Lease) bool {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen, ok := r.unchanged[l.Holder.ID]
+	if !ok || seen.incarnation != l.Incarnation || seen.renewals != l.Renewals {
+		r.unchanged[l.Holder.ID] = observation{incarnation: l.Incarnation, renewals: l.Renewals, since: now}
+		return false
+	}
+	return !l.Ended && now.Sub(seen.since) >= r.timing.LeaseTTL+r.timing.LeaseMargin
+}
+
+// endLease marks a lapsed lease as ended, so that its holder's next renewal fails.
+func (r *Registrar) endLease(ctx context.Context, o fescuebank.Object, l *fescuebank.Lease) error {
+	l.Ended = true
+	value, err := json.Marshal(l)
+	if err != nil {
+		return eris.Wrap(err, "Registrar.endLease")
+	}
+	if _, err := r.store.Put(ctx, o.Key, value, o.Version); err != nil {
+		return eris.Wrap(err, "Registrar.endLease")
+	}
+	r.log.Info("Lapsed lease ended.", "instance", string(l.Holder.ID))
+	return nil
+}
+
+// isGone reports whether the platform has not listed id for long enough.
+func (r *Registrar) isGone(id fescuebank.InstanceID) bool {
+	list := r.listed()
+	if len(list) == 0 {
+		return false // An unread list says nothing.
+	}
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if slices.ContainsFunc(list, func(i fescuebank.ListedInstance) bool { return i.ID == id }) {
+		delete(r.unlisted, id)
+		return false
+	}
+	if _, ok := r.unlisted[id]; !ok {
+		r.unlisted[id] = now
+	}
+	return now.Sub(r.unlisted[id]) >= goneAfter
+}
+
+func (r *Registrar) rewrite(ctx context.Context, evidence assigner.Evidence) error {
+	o, err := r.store.Get(ctx, fescuebank.AssignmentKey(r.region))
+	if err != nil && !errors.Is(err, fescuebank.ErrAbsent) {
+		return eris.Wrap(err, "Registrar.rewrite")
+	}
+	var current fescuebank.Assignment
+	if err == nil {
+		if err := json.Unmarshal(o.Value, &current); err != nil {
+			return eris.Wrap(err, "Registrar.rewrite")
+		}
+		r.Apply(o)
+	}
+	next, changed := r.assigner.Rewrite(&current, evidence)
+	if !changed {
+		return nil
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return eris.Wrap(err, "Registrar.rewrite")
+	}
+	version, err := r.store.Put(ctx, fescuebank.AssignmentKey(r.region), value, o.Version)
+	if errors.Is(err, fescuebank.ErrVersion) {
+		return nil // Another instance was faster.
+	}
+	if err != nil {
+		return eris.Wrap(err, "Registrar.rewrite")
+	}
+	r.Apply(fescuebank.Object{Key: fescuebank.AssignmentKey(r.region), Value: value, Version: version})
+	return nil
+}
+
+// clearLoop finds out whether those that this instance waits for have stopped.
+func (r *Registrar) clearLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, c := range r.uncleared() {
+			r.tryClear(ctx, c)
+		}
+		_ = fescuebank.Sleep(ctx, r.clock, clearInterval/2+rand.N(clearInterval))
+	}
+}
+
+// uncleared returns the runs that this instance has to wait for.
+func (r *Registrar) uncleared() []clearance {
+	a := r.Current()
+	me := r.leaser.Holder()
+	var list []clearance
+	add := func(holders []fescuebank.Holder, since fescuebank.FencingNumber, floor bool) {
+		for _, h := range holders {
+			c := clearance{holder: h, since: since, floor: floor}
+			if !r.allCleared([]fescuebank.Holder{h}, since, floor) && !slices.Contains(list, c) {
+				list = append(list, c)
+			}
+		}
+	}
+	for i := range a.Shards {
+		s := &a.Shards[i]
+		isHome := slices.ContainsFunc(s.Homes, func(h fescuebank.Home) bool { return h.Holder == me })
+		if s.Owner == me {
+			add(s.Waiting, s.Since, false)
+		}
+		if s.Owner != me && !isHome {
+			continue
+		}
+		for _, h := range s.Homes {
+			add(h.Former, h.Since, true)
+		}
+	}
+	return list
+}
+
+func (r *Registrar) tryClear(ctx context.Context, c clearance) {
+	stopped, err := r.hasStopped(ctx, c)
+	if err != nil || !stopped {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cleared[c] = true
+}
+
+func (r *Registrar) hasStopped(ctx context.Context, c clearance) (bool, error) {
+	if c.floor && r.isGone(c.holder.ID) {
+		return true, nil
+	}
+	o, err := r.store.Get(ctx, fescuebank.LeaseKey(c.holder.ID))
+	if errors.Is(err, fescuebank.ErrAbsent) {
+		return !c.floor, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	var l fescuebank.Lease
+	if err := json.Unmarshal(o.Value, &l); err != nil {
+		return false, err
+	}
+	if c.floor {
+		return l.HasLeftFloor(c.holder, c.since), nil
+	}
+	return l.HasStopped(c.holder, c.since), nil
+}
--- /dev/null
+++ b/internal/limit/admitter/admitter.go
@@ -0,0 +1,419 @@
+// Package admitter holds each team to its fleet-wide rate and burst.
+package admitter
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/limit/borrower"
+	"fescuebank/internal/limit/granter"
+)
+
+const (
+	// tokenLife is how long a prepaid token is good.
+	tokenLife = time.Second
+	// pledge is how long a home stays off its floor after the owner's answer.
+	pledge = 1500 * time.Millisecond
+	// exchangeInterval is how often each shard in use talks to its owner.
+	exchangeInterval = 400 * time.Millisecond
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 400 * time.Millisecond
+	// maxHold is how long a request waits when nobody can say whether the team
+	// is within its rate: until the floor opens.
+	maxHold = 4 * time.Second
+	// shortWait is how long a request waits for a token that is about to accrue.
+	shortWait = 100 * time.Millisecond
+	// pollInterval is how often a waiting request looks again.
+	pollInterval = 50 * time.Millisecond
+)
+
+// Ownerships is what the admitter needs to know of the assignment.
+type Ownerships interface {
+	fescuebank.Directory
+	// Current returns the assignment applied on this instance.
+	Current() *fescuebank.Assignment
+	// FloorOpen reports whether former holders of a slot are off its floor.
+	FloorOpen(h fescuebank.Home) bool
+}
+
+// Admitter lets requests through. Its state is in shards, each under its own lock.
+type Admitter struct {
+	directory Ownerships
+	holder    func() fescuebank.Holder
+	peer      fescuebank.Peer
+	config    fescuebank.ConfigSource
+	clock     fescuebank.Clock
+	log       hclog.Logger
+	timing    fescuebank.TokenTiming
+	slots     int
+	shards    [fescuebank.ShardCount]shard
+}
+
+// shard is the state of one shard on this instance.
+type shard struct {
+	id fescuebank.ShardID
+
+	mu       sync.Mutex
+	borrower *borrower.Borrower
+	// granter is the one of the newest ownership; it sells only while this
+	// instance acts as the owner.
+	granter *granter.Granter
+	// exchange closes when the running exchange with the owner has ended.
+	exchange chan struct{}
+	// waits is what the owner last said about teams that got too little.
+	waits map[fescuebank.TeamID]time.Duration
+	// answered is when the owner last answered.
+	answered time.Time
+}
+
+// Config is what an admitter works with.
+type Config struct {
+	Directory Ownerships
+	// Holder returns this run of the instance.
+	Holder     func() fescuebank.Holder
+	Peer       fescuebank.Peer
+	Source     fescuebank.ConfigSource
+	Clock      fescuebank.Clock
+	Log        hclog.Logger
+	Slots      int
+	ClockError float64
+}
+
+// New returns an admitter that holds no tokens.
+func New(c Config) *Admitter {
+	a := &Admitter{
+		directory: c.Directory, holder: c.Holder, peer: c.Peer, config: c.Source, clock: c.Clock, log: c.Log, slots: c.Slots,
+		timing: fescuebank.TokenTiming{Life: tokenLife, Pledge: pledge, ClockError: c.ClockError},
+	}
+	for i := range a.shards {
+		a.shards[i].id = fescuebank.ShardID(i)
+		a.shards[i].borrower = borrower.New(a.timing, fescuebank.ShardID(i), c.Slots)
+	}
+	return a
+}
+
+func (a *Admitter) quota(team fescuebank.TeamID) (fescuebank.Quota, bool) {
+	t, ok := a.config.Current().Teams[team]
+	if !ok {
+		return fescuebank.Quota{}, false
+	}
+	return fescuebank.Quota{Rate: t.Rate, Burst: t.Burst}, true
+}
+
+// Admit lets one request of the team through or returns a refusal.
+func (a *Admitter) Admit(ctx context.Context, team fescuebank.TeamID) error {
+	q, ok := a.quota(team)
+	if !ok {
+		return fescuebank.Refuse(http.StatusUnauthorized, fescuebank.CodeUnauthorized, "the team does not exist any more")
+	}
+	s := &a.shards[fescuebank.ShardOf(string(team))]
+	s.mu.Lock()
+	if s.borrower.Take(a.clock.Now(), team, q) {
+		s.mu.Unlock()
+		return nil
+	}
+	endWait := s.borrower.Wait(team)
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		endWait()
+		s.mu.Unlock()
+	}()
+	return a.wait(ctx, s, team, q)
+}
+
+// wait asks the owner, then the other homes, before it refuses.
+func (a *Admitter) wait(ctx context.Context, s *shard, team fescuebank.TeamID, q fescuebank.Quota) error {
+	started := a.clock.Now()
+	for {
+		answered := a.exchange(ctx, s)
+		if s.retake(a.clock.Now(), team, q) {
+			return nil
+		}
+		if a.lend(ctx, s, team, q) || s.retake(a.clock.Now(), team, q) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeDeadline, "the request ended while it waited for its turn")
+		}
+		waited := a.clock.Now().Sub(started)
+		wait, dry := s.waitTold(team)
+		switch {
+		case answered && dry && waited+wait > shortWait:
+			return a.refuse(wait)
+		case waited >= maxHold:
+			return a.refuse(time.Second)
+		}
+		_ = fescuebank.Sleep(ctx, a.clock, min(max(wait, time.Millisecond), pollInterval))
+	}
+}
+
+func (a *Admitter) refuse(wait time.Duration) error {
+	return fescuebank.Refuse(http.StatusTooManyRequests, fescuebank.CodeRateLimited,
+		"the team is over its rate and burst").After(max(wait, time.Second))
+}
+
+// retake tries again without counting the demand twice.
+func (s *shard) retake(now time.Time, team fescuebank.TeamID, q fescuebank.Quota) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.borrower.Undo(team)
+	return s.borrower.Take(now, team, q)
+}
+
+func (s *shard) waitTold(team fescuebank.TeamID) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, ok := s.waits[team]
+	return d, ok
+}
+
+// exchange talks to the owner of a shard. Requests that come meanwhile join the
+// running exchange, then start one more if they still need it. It reports
+// whether the owner answered.
+func (a *Admitter) exchange(ctx context.Context, s *shard) bool {
+	s.mu.Lock()
+	if running := s.exchange; running != nil {
+		s.mu.Unlock()
+		select {
+		case <-running:
+		case <-ctx.Done():
+			return false
+		}
+		s.mu.Lock()
+	}
+	if s.exchange != nil {
+		running := s.exchange
+		s.mu.Unlock()
+		select {
+		case <-running:
+		case <-ctx.Done():
+		}
+		return a.answeredLately(s)
+	}
+	done := make(chan struct{})
+	s.exchange = done
+	request := s.borrower.Request(a.clock.Now())
+	s.mu.Unlock()
+	a.talk(s, request)
+	s.mu.Lock()
+	s.exchange = nil
+	s.mu.Unlock()
+	close(done)
+	return a.answeredLately(s)
+}
+
+func (a *Admitter) answeredLately(s *shard) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return a.clock.Now().Sub(s.answered) < exchangeInterval
+}
+
+// talk sends one shard's request to its owner and takes in the answer.
+func (a *Admitter) talk(s *shard, request fescuebank.ShardTokens) {
+	owner, ok := a.directory.Owner(s.id)
+	if !ok {
+		return
+	}
+	a.send(owner, []fescuebank.ShardTokens{request})
+}
+
+// send sends the requests of some shards to the instance that owns them.
+func (a *Admitter) send(owner fescuebank.Instance, requests []fescuebank.ShardTokens) {
+	whole := fescuebank.TokenRequest{From: a.holder(), Shards: requests}
+	var reply fescuebank.TokenReply
+	if owner.ID == a.directory.Self().ID {
+		reply = a.answer(&whole)
+	} else {
+		ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+		defer cancel()
+		if err := a.peer.Call(ctx, owner.PeerAddr, fescuebank.KindTokens, &whole, &reply); err != nil {
+			a.log.Debug("Owner not reached.", "owner", string(owner.ID), "err", err)
+			return
+		}
+	}
+	for _, r := range reply.Shards {
+		if int(r.Shard) < len(a.shards) {
+			a.takeIn(&a.shards[r.Shard], r)
+		}
+	}
+}
+
+func (a *Admitter) takeIn(s *shard, r fescuebank.ShardGrants) {
+	now := a.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waits, ok := s.borrower.Reply(now, r)
+	if ok {
+		s.waits = waits
+		s.answered = now
+	}
+}
+
+// Handle answers a TokenRequest of another instance.
+func (a *Admitter) Handle(_ context.Context, decode func(into any) error) (any, error) {
+	var request fescuebank.TokenRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	reply := a.answer(&request)
+	return &reply, nil
+}
+
+func (a *Admitter) answer(request *fescuebank.TokenRequest) fescuebank.TokenReply {
+	var reply fescuebank.TokenReply
+	for _, r := range request.Shards {
+		if int(r.Shard) < len(a.shards) {
+			reply.Shards = append(reply.Shards, a.sell(&a.shards[r.Shard], request.From, r))
+		}
+	}
+	return reply
+}
+
+// sell answers for one shard if this instance acts as its owner.
+func (a *Admitter) sell(s *shard, from fescuebank.Holder, r fescuebank.ShardTokens) fescuebank.ShardGrants {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !a.tendGranter(s) {
+		return fescuebank.ShardGrants{Shard: r.Shard, Sequence: r.Sequence, NotOwner: true}
+	}
+	return s.granter.Request(a.clock.Now(), from, r, a.quota)
+}
+
+// tendGranter brings the granter in line with the assignment and reports
+// whether it may sell now. The caller holds the shard's lock.
+func (a *Admitter) tendGranter(s *shard) bool {
+	fencing, acts := a.directory.Acts(s.id)
+	if !acts {
+		return false
+	}
+	slots := a.slotsOf(s.id)
+	now := a.clock.Now()
+	if s.granter == nil || s.granter.Owner() != fencing {
+		s.granter = granter.New(a.timing, fencing, now, slots)
+		return true
+	}
+	s.granter.SetSlots(now, slots, a.quota)
+	return true
+}
+
+func (a *Admitter) slotsOf(id fescuebank.ShardID) []granter.Slot {
+	state, _ := a.directory.Current().Shard(id)
+	slots := make([]granter.Slot, 0, len(state.Homes))
+	for _, h := range state.Homes {
+		slots = append(slots, granter.Slot{Holder: h.Holder, Clear: a.directory.FloorOpen(h)})
+	}
+	return slots
+}
+
+// Reassign takes in a new assignment before it is acknowledged.
+func (a *Admitter) Reassign() {
+	for i := range a.shards {
+		a.tendSlot(&a.shards[i])
+	}
+}
+
+// tendSlot tells the borrower which slot this instance holds.
+func (a *Admitter) tendSlot(s *shard) {
+	me := a.holder()
+	state, _ := a.directory.Current().Shard(s.id)
+	slot := slices.IndexFunc(state.Homes, func(h fescuebank.Home) bool { return h.Holder == me && a.directory.FloorOpen(h) })
+	if slot < 0 {
+		slot = borrower.NoSlot
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.borrower.SetSlot(a.clock.Now(), slot)
+}
+
+// Run exchanges regularly with the owners until ctx ends.
+func (a *Admitter) Run(ctx context.Context) {
+	for fescuebank.Sleep(ctx, a.clock, exchangeInterval) == nil {
+		a.round()
+	}
+}
+
+// round sends one request to each owner of shards that are in use here.
+func (a *Admitter) round() {
+	used := a.usedShards()
+	byOwner := make(map[fescuebank.Instance][]fescuebank.ShardTokens)
+	for i := range a.shards {
+		s := &a.shards[i]
+		a.tendSlot(s)
+		owner, ok := a.directory.Owner(s.id)
+		if !ok || !used[i] {
+			continue
+		}
+		s.mu.Lock()
+		if s.exchange == nil && s.borrower.Active() {
+			byOwner[owner] = append(byOwner[owner], s.borrower.Request(a.clock.Now()))
+		}
+		s.mu.Unlock()
+	}
+	var group sync.WaitGroup
+	for owner, requests := range byOwner {
+		group.Go(func() { a.send(owner, requests) })
+	}
+	group.Wait()
+}
+
+// usedShards says which shards hold any team.
+func (a *Admitter) usedShards() [fescuebank.ShardCount]bool {
+	var used [fescuebank.ShardCount]bool
+	for id := range a.config.Current().Teams {
+		used[fescuebank.ShardOf(string(id))] = true
+	}
+	return used
+}
+
+// lend asks the other homes of the shard for tokens or a place on their floor.
+// It reports whether the request may go through at once.
+func (a *Admitter) lend(ctx context.Context, s *shard, team fescuebank.TeamID, q fescuebank.Quota) bool {
+	for _, home := range a.directory.Homes(s.id) {
+		if home.ID == a.directory.Self().ID {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		asked := a.clock.Now()
+		var reply fescuebank.LendReply
+		request := fescuebank.LendRequest{From: a.holder(), Team: team, Count: 1}
+		err := a.peer.Call(call, home.PeerAddr, fescuebank.KindLend, &request, &reply)
+		cancel()
+		if err != nil {
+			continue
+		}
+		if reply.Floor > 0 {
+			return true
+		}
+		s.mu.Lock()
+		s.borrower.Receive(asked, team, reply.Lent)
+		s.mu.Unlock()
+		if s.retake(a.clock.Now(), team, q) {
+			return true
+		}
+	}
+	return false
+}
+
+// HandleLend answers a LendRequest of another instance.
+func (a *Admitter) HandleLend(_ context.Context, decode func(into any) error) (any, error) {
+	var request fescuebank.LendRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	q, ok := a.quota(request.Team)
+	if !ok {
+		return &fescuebank.LendReply{}, nil
+	}
+	s := &a.shards[fescuebank.ShardOf(string(request.Team))]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := s.borrower.Lend(a.clock.Now(), request.Team, max(0, request.Count), q)
+	return &reply, nil
+}
--- /dev/null
+++ b/internal/platform/storer/storer.go
@@ -0,0 +1,209 @@
+// Package storer calls the platform's object API over HTTP.
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"fescuebank"
+)
+
+const (
+	// callTimeout bounds a call that doesn't wait.
+	callTimeout = 10 * time.Second
+	// watchTimeout bounds a waiting watch, so that a silent connection is noticed.
+	watchTimeout = 40 * time.Second
+	// maxListBytes bounds the body of a list.
+	maxListBytes = 512 << 20
+)
+
+// Storer is the fescuebank.ObjectStore of a running daemon.
+type Storer struct {
+	base   string
+	token  string
+	client *http.Client
+	pacer  *pacer
+}
+
+// New returns a store at the base address that makes at most callsPerSecond calls.
+func New(base, token string, callsPerSecond float64, clock fescuebank.Clock) *Storer {
+	return &Storer{
+		base:  strings.TrimRight(base, "/"),
+		token: token,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: 3 * time.Second}).DialContext,
+			MaxIdleConnsPerHost: 16,
+			IdleConnTimeout:     30 * time.Second,
+		}},
+		pacer: newPacer(callsPerSecond, clock),
+	}
+}
+
+// listReply is the body of a list and of a watch.
+type listReply struct {
+	Version fescuebank.StoreVersion `json:"version"`
+	Objects []struct {
+		Key     string                  `json:"key"`
+		Value   []byte                  `json:"value"`
+		Version fescuebank.StoreVersion `json:"version"`
+		Deleted bool                    `json:"deleted"`
+	} `json:"objects"`
+}
+
+// Get returns the object or ErrAbsent.
+func (s *Storer) Get(ctx context.Context, key string) (fescuebank.Object, error) {
+	resp, body, err := s.call(ctx, callTimeout, http.MethodGet, "/objects/"+key, nil, nil)
+	if err != nil {
+		return fescuebank.Object{}, eris.Wrap(err, "Storer.Get")
+	}
+	version, err := readVersion(resp)
+	if err != nil {
+		return fescuebank.Object{}, eris.Wrap(fescuebank.ErrStoreDown, "Storer.Get")
+	}
+	return fescuebank.Object{Key: key, Value: body, Version: version}, nil
+}
+
+// List returns the objects whose key starts with prefix.
+func (s *Storer) List(ctx context.Context, prefix string) ([]fescuebank.Object, fescuebank.StoreVersion, error) {
+	query := "/objects?prefix=" + url.QueryEscape(prefix)
+	_, body, err := s.call(ctx, callTimeout, http.MethodGet, query, nil, nil)
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "Storer.List")
+	}
+	return decodeList(body)
+}
+
+// Watch waits for changes below prefix after version from.
+func (s *Storer) Watch(ctx context.Context, prefix string, from fescuebank.StoreVersion) ([]fescuebank.Object, fescuebank.StoreVersion, error) {
+	query := "/watch?prefix=" + url.QueryEscape(prefix) + "&from=" + strconv.FormatUint(uint64(from), 10)
+	_, body, err := s.call(ctx, watchTimeout, http.MethodGet, query, nil, nil)
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "Storer.Watch")
+	}
+	return decodeList(body)
+}
+
+// Put writes value if the object's version is still expected.
+func (s *Storer) Put(ctx context.Context, key string, value []byte, expected fescuebank.StoreVersion) (fescuebank.StoreVersion, error) {
+	if fescuebank.Bytes(len(value)) > fescuebank.MaxValue {
+		return 0, eris.Wrap(fescuebank.ErrTooLarge, "Storer.Put")
+	}
+	resp, _, err := s.call(ctx, callTimeout, http.MethodPut, "/objects/"+key, value, condition(expected))
+	if err != nil {
+		return 0, eris.Wrap(err, "Storer.Put")
+	}
+	version, err := readVersion(resp)
+	if err != nil {
+		return 0, eris.Wrap(fescuebank.ErrOutcomeUnknown, "Storer.Put")
+	}
+	return version, nil
+}
+
+// Delete removes the object if its version is still expected.
+func (s *Storer) Delete(ctx context.Context, key string, expected fescuebank.StoreVersion) error {
+	_, _, err := s.call(ctx, callTimeout, http.MethodDelete, "/objects/"+key, nil, condition(expected))
+	return eris.Wrap(err, "Storer.Delete")
+}
+
+func condition(expected fescuebank.StoreVersion) http.Header {
+	h := http.Header{}
+	if expected == fescuebank.Absent {
+		h.Set("If-None-Match", "*")
+		return h
+	}
+	h.Set("If-Match", `"`+strconv.FormatUint(uint64(expected), 10)+`"`)
+	return h
+}
+
+// call makes one HTTP call and turns its failure into an error of ObjectStore.
+func (s *Storer) call(ctx context.Context, timeout time.Duration, method, path string, body []byte, header http.Header) (*http.Response, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := s.pacer.wait(ctx); err != nil {
+		return nil, nil, fescuebank.ErrStoreDown
+	}
+	req, err := http.NewRequestWithContext(ctx, method, s.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, fescuebank.ErrStoreDown
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	if s.token != "" {
+		req.Header.Set("Authorization", "Bearer "+s.token)
+	}
+	// A write is never repeated below this layer: its first try may have taken
+	// effect, which the caller has to find out.
+	if method != http.MethodGet {
+		req.GetBody = nil
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return nil, nil, transportError(method, err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return nil, nil, transportError(method, err)
+	}
+	return resp, answer, statusError(method, resp.StatusCode)
+}
+
+// transportError tells a call that never left from one that may have taken effect.
+func transportError(method string, err error) error {
+	var op *net.OpError
+	neverSent := errors.As(err, &op) && op.Op == "dial"
+	if method == http.MethodGet || neverSent {
+		return fescuebank.ErrStoreDown
+	}
+	return fescuebank.ErrOutcomeUnknown
+}
+
+func statusError(method string, status int) error {
+	switch status {
+	case http.StatusOK, http.StatusNoContent, http.StatusCreated:
+		return nil
+	case http.StatusNotFound:
+		return fescuebank.ErrAbsent
+	case http.StatusPreconditionFailed:
+		return fescuebank.ErrVersion
+	case http.StatusRequestEntityTooLarge:
+		return fescuebank.ErrTooLarge
+	case http.StatusGone:
+		return fescuebank.ErrWatchLost
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return fescuebank.ErrStoreDown
+	}
+	if method == http.MethodGet {
+		return fescuebank.ErrStoreDown
+	}
+	return fescuebank.ErrOutcomeUnknown
+}
+
+func readVersion(resp *http.Response) (fescuebank.StoreVersion, error) {
+	n, err := strconv.ParseUint(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
+	return fescuebank.StoreVersion(n), err
+}
+
+func decodeList(body []byte) ([]fescuebank.Object, fescuebank.StoreVersion, error) {
+	var reply listReply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return nil, 0, eris.Wrap(fescuebank.ErrStoreDown, "Storer: list is not valid JSON")
+	}
+	objects := make([]fescuebank.Object, 0, len(reply.Objects))
+	for _, o := range reply.Objects {
+		objects = append(objects, fescuebank.Object(o))
+	}
+	return objects, reply.Version, nil
+}
--- /dev/null
+++ b/internal/standin/engineer/handler.go
@@ -0,0 +1,290 @@
+package engineer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuebank"
+)
+
+const (
+	maxBodyBytes = 8 << 20
+	// idleComment is the interval of comments on a stream that waits.
+	idleComment = time.Second
+	// defaultTokens is the length of an answer whose request sets no bound.
+	defaultTokens = 64
+	// maxTokens bounds an answer.
+	maxTokens = 32768
+)
+
+// completionBody is a request as the engine takes it.
+type completionBody struct {
+	Model     fescuebank.ModelName `json:"model"`
+	Prompt    string               `json:"prompt"`
+	Messages  []fescuebank.Message `json:"messages"`
+	MaxTokens int                  `json:"max_tokens"`
+	RequestID fescuebank.RequestID `json:"request_id"`
+	Resume    fescuebank.Partial   `json:"resume"`
+}
+
+func (b *completionBody) text() string {
+	if len(b.Messages) == 0 {
+		return b.Prompt
+	}
+	var text strings.Builder
+	for _, m := range b.Messages {
+		text.WriteString(m.Role + ": " + m.Content + "\n")
+	}
+	return text.String()
+}
+
+// event is one piece of a streamed answer.
+type event struct {
+	ID         fescuebank.RequestID `json:"id"`
+	TokenIndex int                  `json:"token_index"`
+	Choices    []choice             `json:"choices"`
+}
+
+type choice struct {
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+// Handler serves the engine's protocol.
+func (e *Engineer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
+	mux.HandleFunc("POST /v1/cancel", e.serveCancel)
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.report()) })
+	mux.HandleFunc("GET /v1/models", e.serveModels)
+	mux.HandleFunc("GET /v1/cache/events", e.serveEvents)
+	mux.HandleFunc("GET /v1/kv/{block}", e.serveExport)
+	mux.HandleFunc("PUT /v1/kv/{block}", e.serveImport)
+	return mux
+}
+
+func (e *Engineer) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var body completionBody
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s := e.newSequence(&body)
+	if err := e.admit(body.Model, s); err != nil {
+		w.Header().Set(fescuebank.HeaderRunState, string(fescuebank.NotRun))
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, ": admitted\n\n")
+	flush(w)
+	defer e.cancel(s.request)
+	e.stream(r.Context(), w, s)
+}
+
+func (e *Engineer) newSequence(body *completionBody) *sequence {
+	prompt := body.text()
+	count := body.MaxTokens
+	if count <= 0 {
+		count = defaultTokens
+	}
+	count = min(count, maxTokens)
+	start := min(int(body.Resume.Tokens), count)
+	return &sequence{
+		request: body.RequestID,
+		seed:    xxhash.Sum64String(prompt),
+		blocks:  promptBlocks(prompt),
+		prefill: len(prompt)/charsPerToken + 1 + start,
+		next:    start,
+		end:     count,
+		out:     make(chan token, count-start+1),
+		crash:   strings.Contains(prompt, e.config.CrashMarker),
+	}
+}
+
+// stream writes tokens as they come, and [DONE] after the last.
+func (e *Engineer) stream(ctx context.Context, w http.ResponseWriter, s *sequence) {
+	if s.next >= s.end {
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		return
+	}
+	for {
+		select {
+		case t, ok := <-s.out:
+			if !ok {
+				panic(http.ErrAbortHandler)
+			}
+			if silenced(ctx) {
+				<-ctx.Done()
+				return
+			}
+			writeToken(w, s.request, t)
+			if t.last {
+				_, _ = io.WriteString(w, "data: [DONE]\n\n")
+				return
+			}
+			flush(w)
+		case <-e.clock.After(idleComment):
+			if silenced(ctx) {
+				<-ctx.Done()
+				return
+			}
+			_, _ = io.WriteString(w, ": waiting\n\n")
+			flush(w)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func writeToken(w io.Writer, id fescuebank.RequestID, t token) {
+	c := choice{Text: t.text}
+	if t.last {
+		c.FinishReason = "length"
+	}
+	text, err := json.Marshal(event{ID: id, TokenIndex: t.index, Choices: []choice{c}})
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", text)
+}
+
+func (e *Engineer) serveCancel(_ http.ResponseWriter, r *http.Request) {
+	e.cancel(fescuebank.RequestID(r.URL.Query().Get("id")))
+}
+
+func (e *Engineer) serveModels(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, e.models)
+}
+
+func (e *Engineer) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o fescuebank.Order
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	err := e.carryOut(r.Context(), o)
+	switch {
+	case errors.Is(err, errStale):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+// carryOut executes an order. Loading goes through the weight store first.
+func (e *Engineer) carryOut(ctx context.Context, o fescuebank.Order) error {
+	if err := e.fence(o); err != nil {
+		return err
+	}
+	if o.Kind == fescuebank.OrderLoadModel {
+		if err := e.fetchWeights(ctx, o); err != nil {
+			return err
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch o.Kind {
+	case fescuebank.OrderLoadModel:
+		e.models[o.Model] = o.Version
+	case fescuebank.OrderUnloadModel:
+		delete(e.models, o.Model)
+	case fescuebank.OrderChangeRole:
+		e.role = o.Role
+	}
+	return nil
+}
+
+// fence refuses an order with an old number, if this engine checks them.
+func (e *Engineer) fence(o fescuebank.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.config.CheckFencing && o.Fencing < e.fencing {
+		return errStale
+	}
+	e.fencing = max(e.fencing, o.Fencing)
+	e.orders = append(e.orders, o)
+	return nil
+}
+
+func (e *Engineer) fetchWeights(ctx context.Context, o fescuebank.Order) error {
+	if e.config.WeightsURL == "" {
+		return nil
+	}
+	address := fmt.Sprintf("%s/weights/%s/%s", e.config.WeightsURL, o.Model, o.Version)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("weight store answered %d", resp.StatusCode)
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+func (e *Engineer) serveEvents(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	latest := e.clock.Now().Add(-e.config.EventLag)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	due := []cacheEvent{}
+	for _, ev := range e.events {
+		if ev.Number > from && !ev.At.After(latest) {
+			due = append(due, ev)
+		}
+	}
+	writeJSON(w, due)
+}
+
+// serveExport gives out the cache entry of a block, if it is cached.
+func (e *Engineer) serveExport(w http.ResponseWriter, r *http.Request) {
+	block, err := strconv.ParseUint(r.PathValue("block"), 16, 64)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err != nil || e.cache.lookup([]uint64{block}) == 0 {
+		http.Error(w, "not cached", http.StatusNotFound)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "kv:%016x", block)
+}
+
+// serveImport caches a block that another engine exported.
+func (e *Engineer) serveImport(w http.ResponseWriter, r *http.Request) {
+	block, err := strconv.ParseUint(r.PathValue("block"), 16, 64)
+	content, readErr := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil || readErr != nil || string(content) != fmt.Sprintf("kv:%016x", block) {
+		http.Error(w, "not an export of this block", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.remember([]uint64{block})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func flush(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush()
+}
--- /dev/null
+++ b/internal/standin/servicer/servicer.go
@@ -0,0 +1,73 @@
+// Package servicer stands in for a plain service beside the model engines.
+package servicer
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// Call is one call as the service received it.
+type Call struct {
+	Method  string      `json:"method"`
+	Path    string      `json:"path"`
+	Headers http.Header `json:"headers"`
+	Body    string      `json:"body"`
+}
+
+// Servicer records each call that reaches it.
+type Servicer struct {
+	mu    sync.Mutex
+	calls []Call
+	// breakNext makes this many calls take effect and lose their answer.
+	breakNext int
+}
+
+// New returns a service.
+func New() *Servicer {
+	return &Servicer{}
+}
+
+// Calls returns the calls so far.
+func (s *Servicer) Calls() []Call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Call(nil), s.calls...)
+}
+
+// BreakNext makes the next n calls take effect and lose their answer.
+func (s *Servicer) BreakNext(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breakNext = n
+}
+
+const maxBodyBytes = 1 << 20
+
+// Handler answers every call with what it received.
+func (s *Servicer) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+		if err != nil {
+			return
+		}
+		call := Call{Method: r.Method, Path: r.URL.Path, Headers: r.Header, Body: string(body)}
+		if s.record(call) {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(call)
+	})
+}
+
+func (s *Servicer) record(c Call) (lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, c)
+	lost = s.breakNext > 0
+	if lost {
+		s.breakNext--
+	}
+	return lost
+}
--- /dev/null
+++ b/internal/standin/weigher/weigher.go
@@ -0,0 +1,52 @@
+// Package weigher stands in for the weight store: a rate-limited server of
+// model weights.
+package weigher
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"fescuebank"
+)
+
+// Weigher serves weights at most at a given rate.
+type Weigher struct {
+	clock   fescuebank.Clock
+	limiter *rate.Limiter
+	// transfer is how long one fetch takes.
+	transfer time.Duration
+	served   atomic.Int64
+	refused  atomic.Int64
+}
+
+// New returns a store that starts perSecond fetches a second, each taking transfer.
+func New(perSecond float64, transfer time.Duration, clock fescuebank.Clock) *Weigher {
+	return &Weigher{clock: clock, limiter: rate.NewLimiter(rate.Limit(perSecond), 1), transfer: transfer}
+}
+
+// Served returns how many fetches were answered and refused.
+func (s *Weigher) Served() (served, refused int64) {
+	return s.served.Load(), s.refused.Load()
+}
+
+// Handler serves GET /weights/MODEL/VERSION.
+func (s *Weigher) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/{model}/{version}", func(w http.ResponseWriter, r *http.Request) {
+		if !s.limiter.AllowN(s.clock.Now(), 1) {
+			s.refused.Add(1)
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "rate", http.StatusTooManyRequests)
+			return
+		}
+		if fescuebank.Sleep(r.Context(), s.clock, s.transfer) != nil {
+			return
+		}
+		s.served.Add(1)
+		_, _ = w.Write([]byte("weights of " + r.PathValue("model") + " " + r.PathValue("version")))
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/timing/timekeeper/timekeeper.go
@@ -0,0 +1,17 @@
+// Package timekeeper gives the system's time.
+package timekeeper
+
+import "time"
+
+// Timekeeper is the fescuebank.Clock of a running process.
+type Timekeeper struct{}
+
+// Now returns the current time with its monotonic reading.
+func (Timekeeper) Now() time.Time {
+	return time.Now()
+}
+
+// After delivers the time once d has passed.
+func (Timekeeper) After(d time.Duration) <-chan time.Time {
+	return time.After(d)
+}
--- /dev/null
+++ b/job.go
@@ -0,0 +1,180 @@
+package fescuebank
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// MaxJobItems bounds the items of one batch job.
+const MaxJobItems = 130_000
+
+// JobStatus is where a batch job stands, in the words of the callers' interface.
+type JobStatus string
+
+// The statuses of a job.
+const (
+	JobInProgress JobStatus = "in_progress"
+	JobCancelling JobStatus = "cancelling"
+	JobCancelled  JobStatus = "cancelled"
+	JobCompleted  JobStatus = "completed"
+)
+
+// Final reports whether the job can't change any more.
+func (s JobStatus) Final() bool {
+	return s == JobCancelled || s == JobCompleted
+}
+
+// Counts are the items of a job by outcome.
+type Counts struct {
+	Total     int `json:"total"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+}
+
+// Job is the value of a job object. Its identity is the team and the caller's
+// idempotency key, or the input file where none was given.
+type Job struct {
+	ID   JobID  `json:"id"`
+	Team TeamID `json:"team"`
+	// Input is the uploaded file whose chunks hold the items.
+	Input FileID `json:"input"`
+	// Path is the callers' path that the items are for.
+	Path string `json:"path"`
+	// Chunks is the number of chunks of Input.
+	Chunks int       `json:"chunks"`
+	Status JobStatus `json:"status"`
+	Counts Counts    `json:"counts"`
+	// Created, Due and Finished are in UTC.
+	Created  time.Time `json:"created"`
+	Due      time.Time `json:"due"`
+	Finished time.Time `json:"finished,omitzero"`
+	// Metadata is the caller's own.
+	Metadata map[string]string `json:"metadata,omitempty"`
+}
+
+// File is the value of a file object. A file is readable once its object
+// exists, since the object is written after all chunks.
+type File struct {
+	ID      FileID    `json:"id"`
+	Team    TeamID    `json:"team"`
+	Name    string    `json:"name"`
+	Purpose string    `json:"purpose"`
+	Size    Bytes     `json:"size"`
+	Chunks  int       `json:"chunks"`
+	Items   int       `json:"items"`
+	Created time.Time `json:"created"`
+}
+
+// Chunk is a part of an input file: whole lines, compressed under MaxValue.
+type Chunk struct {
+	// First is the number of the first item, from 0.
+	First int
+	// Lines are the items as they came, one JSON object each.
+	Lines [][]byte
+}
+
+// ItemRef names one item of a job.
+type ItemRef struct {
+	Job   JobID `cbor:"1,keyasint"`
+	Chunk int   `cbor:"2,keyasint"`
+	// Item is the index in the chunk.
+	Item int `cbor:"3,keyasint"`
+}
+
+// BatchLine is one line of a job's input.
+type BatchLine struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// ItemOutcome is how an item ended.
+type ItemOutcome struct {
+	CustomID string `cbor:"1,keyasint"`
+	// Status is the HTTP status of the answer.
+	Status int `cbor:"2,keyasint"`
+	// Body is the answer, a JSON object, or the error's body.
+	Body []byte `cbor:"3,keyasint"`
+	// Failed puts the item into the error file.
+	Failed bool `cbor:"4,keyasint"`
+}
+
+// ItemResult is an item with its outcome, as a result segment holds it.
+type ItemResult struct {
+	// Item is the index in the chunk.
+	Item    int         `cbor:"1,keyasint"`
+	Outcome ItemOutcome `cbor:"2,keyasint"`
+}
+
+// ChunkRecord says which items of a chunk are complete. An item counts as
+// complete once a record names the segment that holds its result.
+type ChunkRecord struct {
+	// Owner is the fencing number of the owner that wrote the record.
+	Owner FencingNumber `cbor:"1,keyasint"`
+	// Done has one bit an item, least significant first.
+	Done []byte `cbor:"2,keyasint"`
+	// Segments are the store keys of the result segments, in order of commit.
+	// Each item's result stands in exactly one of them.
+	Segments []string `cbor:"3,keyasint"`
+	// Completed and Failed count the items in Segments.
+	Completed int `cbor:"4,keyasint"`
+	Failed    int `cbor:"5,keyasint"`
+	// Closed means that no further result is taken, after a cancellation.
+	Closed bool `cbor:"6,keyasint"`
+}
+
+// IsDone reports whether item's result is committed.
+func (r *ChunkRecord) IsDone(item int) bool {
+	return item/8 < len(r.Done) && r.Done[item/8]&(1<<(item%8)) != 0
+}
+
+// MarkDone records that item's result is committed.
+func (r *ChunkRecord) MarkDone(item int) {
+	for item/8 >= len(r.Done) {
+		r.Done = append(r.Done, 0)
+	}
+	r.Done[item/8] |= 1 << (item % 8)
+}
+
+// Store keys of batch objects. Job ids carry the shard's hash input, so that
+// every instance finds the owner from the id alone.
+const (
+	JobPrefix    = "jobs/"
+	FilePrefix   = "files/"
+	ActivePrefix = "activeJobs/"
+)
+
+// JobKey returns the store key of a job.
+func JobKey(id JobID) string { return JobPrefix + string(id) }
+
+// ActiveKey returns the store key that marks a job as unfinished.
+func ActiveKey(id JobID) string { return ActivePrefix + string(id) }
+
+// TeamJobKey returns the store key that lists a job under its team.
+func TeamJobKey(t TeamID, id JobID) string {
+	return "teamJobs/" + string(t) + "/" + string(id)
+}
+
+// FileKey returns the store key of a file.
+func FileKey(id FileID) string { return FilePrefix + string(id) }
+
+// FileChunkKey returns the store key of a file's chunk.
+func FileChunkKey(id FileID, chunk int) string {
+	return fmt.Sprintf("fileChunks/%s/%06d", id, chunk)
+}
+
+// RecordPrefix returns the store prefix of a job's chunk records.
+func RecordPrefix(id JobID) string { return "records/" + string(id) + "/" }
+
+// RecordKey returns the store key of a chunk record.
+func RecordKey(id JobID, chunk int) string {
+	return fmt.Sprintf("%s%06d", RecordPrefix(id), chunk)
+}
+
+// SegmentKey returns the store key of a result segment. The owner's fencing
+// number keeps segments of former owners apart.
+func SegmentKey(id JobID, chunk int, owner FencingNumber, sequence int) string {
+	return fmt.Sprintf("segments/%s/%06d/%d-%d", id, chunk, owner, sequence)
+}
--- /dev/null
+++ b/key.go
@@ -0,0 +1,67 @@
+package fescuebank
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+)
+
+// keySecretBytes is the entropy of a generated key in bytes.
+const keySecretBytes = 24
+
+// keyPrefix marks the keys that the system makes.
+const keyPrefix = "fb-"
+
+// KeyHash is the SHA-256 of a key. Keys themselves are never stored.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of a key as presented by a caller.
+func HashKey(key string) KeyHash {
+	return sha256.Sum256([]byte(key))
+}
+
+// NewKey returns a random key. It is shown once, to the operator who asked.
+func NewKey() string {
+	var b [keySecretBytes]byte
+	_, _ = rand.Read(b[:])
+	return keyPrefix + hex.EncodeToString(b[:])
+}
+
+// String returns the hash as hexadecimal digits.
+func (h KeyHash) String() string {
+	return hex.EncodeToString(h[:])
+}
+
+// MarshalText writes the hash as hexadecimal digits.
+func (h KeyHash) MarshalText() ([]byte, error) {
+	return []byte(h.String()), nil
+}
+
+// UnmarshalText reads hexadecimal digits.
+func (h *KeyHash) UnmarshalText(text []byte) error {
+	b, err := hex.DecodeString(string(text))
+	if err != nil || len(b) != len(h) {
+		return fmt.Errorf("KeyHash.UnmarshalText: want %d hexadecimal digits", 2*len(h))
+	}
+	copy(h[:], b)
+	return nil
+}
+
+var _ json.Unmarshaler = (*KeyGrant)(nil)
+
+// KeyGrant gives a team a key.
+type KeyGrant struct {
+	// Hash is the SHA-256 of the key and unique over all teams.
+	Hash KeyHash `json:"hash"`
+	// Label tells operators which key it is. It is not secret.
+	Label string `json:"label,omitempty"`
+}
+
+// UnmarshalJSON rejects unknown fields, so that a key pasted in the wrong place
+// is noticed.
+func (k *KeyGrant) UnmarshalJSON(b []byte) error {
+	type plain KeyGrant
+	return strictUnmarshal(b, (*plain)(k))
+}
