--- /dev/null
+++ b/cmd/fescuebankd/main.go
@@ -0,0 +1,73 @@
+// Command fescuebankd runs an entry instance, or a whole deployment to try.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// arguments are the command line.
+type arguments struct {
+	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an instance"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file and say every fault in it"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a whole deployment on loopback, with stand-ins"`
+	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
+	Certify *certifyCommand `arg:"subcommand:certify" help:"make an authority and certificates for instances"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "fescuebankd serves language models to online callers and batch jobs from one fleet."
+}
+
+// Epilogue is shown at the end of --help.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 done, 1 failed, 2 wrong command line, 3 faults in the settings.\nSignals: SIGTERM and SIGINT make an instance leave without cutting a request."
+}
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 3
+)
+
+// command is one subcommand.
+type command interface {
+	run(ctx context.Context) error
+}
+
+func (a *arguments) command() command {
+	switch {
+	case a.Serve != nil:
+		return a.Serve
+	case a.Check != nil:
+		return a.Check
+	case a.Demo != nil:
+		return a.Demo
+	case a.Standin != nil:
+		return a.Standin
+	case a.Certify != nil:
+		return a.Certify
+	}
+	return nil
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	c := args.command()
+	if c == nil {
+		parser.Fail("want a subcommand")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := c.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
--- /dev/null
+++ b/cmd/fescuebankd/serve.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"fescuebank"
+	"fescuebank/internal/config/loader"
+	"fescuebank/internal/operate/logger"
+	"fescuebank/internal/operate/supervisor"
+	"fescuebank/internal/timing/timekeeper"
+	"fescuebank/internal/wire/certifier"
+)
+
+// serveCommand runs an instance.
+type serveCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"INI file; see docs/OPERATING.md"`
+}
+
+func (c *serveCommand) run(ctx context.Context) error {
+	settings, err := loader.Loader{}.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	secure, err := certifier.Load(settings.TLS)
+	if err != nil {
+		return err
+	}
+	log := logger.Logger{Settings: settings.Log, Output: os.Stderr}.Open("fescuebank")
+	v, err := supervisor.New(settings, supervisor.Options{TLS: secure, Clock: timekeeper.Timekeeper{}, Log: log})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("ready %s %s\n", v.Self().CallerURL, v.OperatorsURL())
+	return v.Run(ctx)
+}
+
+// checkCommand checks a settings file.
+type checkCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"INI file"`
+}
+
+func (c *checkCommand) run(context.Context) error {
+	if _, err := (loader.Loader{}).Load(c.Settings); err != nil {
+		return err
+	}
+	fmt.Println("The settings are valid.")
+	return nil
+}
+
+func exitCode(err error) int {
+	var faults *fescuebank.Faults
+	if errors.As(err, &faults) {
+		return exitSettings
+	}
+	return exitFailed
+}
--- a/completion.go
+++ b/completion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -92,10 +93,19 @@
 	EndpointRefused
 	// EndpointRejected means that the request itself is at fault.
 	EndpointRejected
-	// EndpointBroken means that the answer broke off, was crossed or fell silent.
+	// EndpointBroken means that the answer was crossed, had a gap or fell silent.
 	EndpointBroken
+	// EndpointLost means that the connection broke under the request.
+	EndpointLost
 )
 
+// AsEndpointError returns the *EndpointError within err.
+func AsEndpointError(err error) (*EndpointError, bool) {
+	var e *EndpointError
+	ok := errors.As(err, &e)
+	return e, ok
+}
+
 // EndpointError is a failed attempt at an endpoint.
 type EndpointError struct {
 	// Endpoint is the one that failed.
@@ -112,6 +122,11 @@
 	return "endpoint " + string(e.Endpoint) + ": " + e.Cause.Error()
 }
 
+// MayHaveRun reports whether the endpoint may have run the request.
+func (e *EndpointError) MayHaveRun() bool {
+	return e.Kind == EndpointBroken || e.Kind == EndpointLost
+}
+
 // Unwrap returns the cause.
 func (e *EndpointError) Unwrap() error {
 	return e.Cause
--- /dev/null
+++ b/internal/batch/dispatcher/reporter.go
@@ -0,0 +1,148 @@
+package dispatcher
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"fescuebank"
+)
+
+const (
+	// flushInterval is how long reports are gathered.
+	flushInterval = 30 * time.Millisecond
+	reportTimeout = 3 * time.Second
+	// finalTimeout bounds the last reports at shutdown.
+	finalTimeout = 5 * time.Second
+	// keepReport is how long a report that can't be delivered is kept.
+	keepReport = time.Minute
+)
+
+// reporter tells job owners of items, again until they answer. An owner
+// ignores what it heard before.
+type reporter struct {
+	dispatcher *Dispatcher
+	every      time.Duration
+
+	mu sync.Mutex
+	// waiting are reports by owner.
+	waiting map[fescuebank.Instance][]pendingReport
+	// live are running items and when they were last reported.
+	live map[*run]time.Time
+}
+
+type pendingReport struct {
+	report fescuebank.ItemReport
+	since  time.Time
+}
+
+func newReporter(d *Dispatcher, every time.Duration) *reporter {
+	return &reporter{dispatcher: d, every: every, waiting: make(map[fescuebank.Instance][]pendingReport), live: make(map[*run]time.Time)}
+}
+
+func (r *reporter) began(item *run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.live[item] = r.dispatcher.clock.Now()
+}
+
+func (r *reporter) ended(item *run, report fescuebank.ItemReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.live, item)
+	r.waiting[item.owner] = append(r.waiting[item.owner], pendingReport{report: report, since: r.dispatcher.clock.Now()})
+}
+
+func (r *reporter) run(ctx context.Context) {
+	for fescuebank.Sleep(ctx, r.dispatcher.clock, flushInterval) == nil {
+		r.renew()
+		r.flush(ctx)
+	}
+	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalTimeout)
+	defer cancel()
+	for r.busy() && fescuebank.Sleep(final, r.dispatcher.clock, flushInterval) == nil {
+		r.flush(final)
+	}
+}
+
+func (r *reporter) busy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.live) > 0 || len(r.waiting) > 0
+}
+
+// renew reports items that have been running for a while.
+func (r *reporter) renew() {
+	now := r.dispatcher.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for item, last := range r.live {
+		if now.Sub(last) < r.every {
+			continue
+		}
+		r.live[item] = now
+		report := fescuebank.ItemReport{Ref: item.item.Ref, Attempt: item.item.Attempt, Kind: fescuebank.ItemRunning}
+		r.waiting[item.owner] = append(r.waiting[item.owner], pendingReport{report: report, since: now})
+	}
+}
+
+// flush sends what waits to each owner at once.
+func (r *reporter) flush(ctx context.Context) {
+	r.mu.Lock()
+	batches := maps.Clone(r.waiting)
+	clear(r.waiting)
+	r.mu.Unlock()
+	var group sync.WaitGroup
+	for owner, reports := range batches {
+		group.Go(func() { r.send(ctx, owner, reports) })
+	}
+	group.Wait()
+}
+
+func (r *reporter) send(ctx context.Context, owner fescuebank.Instance, reports []pendingReport) {
+	request := fescuebank.ReportRequest{From: r.dispatcher.directory.Self().ID}
+	for _, p := range reports {
+		request.Reports = append(request.Reports, p.report)
+	}
+	var reply fescuebank.ReportReply
+	if owner.ID == request.From {
+		reply = r.dispatcher.local.Report(&request)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		if err := r.dispatcher.peer.Call(ctx, owner.PeerAddr, fescuebank.KindReport, &request, &reply); err != nil {
+			r.keep(owner, reports)
+			return
+		}
+	}
+	if len(reply.Stop) > 0 {
+		r.stop(reply.Stop)
+	}
+}
+
+// keep puts reports back that were not delivered.
+func (r *reporter) keep(owner fescuebank.Instance, reports []pendingReport) {
+	now := r.dispatcher.clock.Now()
+	reports = slices.DeleteFunc(reports, func(p pendingReport) bool {
+		return p.report.Kind == fescuebank.ItemRunning || now.Sub(p.since) > keepReport
+	})
+	if len(reports) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting[owner] = append(reports, r.waiting[owner]...)
+}
+
+// stop cancels items that their owner does not want any more.
+func (r *reporter) stop(refs []fescuebank.ItemRef) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for item := range r.live {
+		if slices.Contains(refs, item.item.Ref) {
+			item.cancel(errStopped)
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/keeper/keeper.go
@@ -0,0 +1,472 @@
+// Package keeper runs the batch jobs that this instance owns: it hands items
+// to pullers, commits their results and ends the jobs.
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"fescuebank"
+	"fescuebank/internal/batch/archiver"
+	"fescuebank/internal/batch/ledger"
+)
+
+const (
+	// tickInterval is how often jobs are looked after.
+	tickInterval = 200 * time.Millisecond
+	// maxPull bounds the items of one pull.
+	maxPull = 64
+	// loadRetry is the wait after a job could not be loaded.
+	loadRetry = 2 * time.Second
+)
+
+// Keeper owns jobs by the shard of their team.
+type Keeper struct {
+	store     fescuebank.ObjectStore
+	archiver  *archiver.Archiver
+	directory fescuebank.Directory
+	config    fescuebank.ConfigSource
+	clock     fescuebank.Clock
+	log       hclog.Logger
+	commitAge time.Duration
+	expiry    time.Duration
+	observe   Observer
+
+	mu sync.Mutex
+	// active are the unfinished jobs of the whole fleet.
+	active map[fescuebank.JobID]fescuebank.ActiveJob
+	jobs   map[fescuebank.JobID]*entry
+	// served is the weighted work done for each team, to share capacity by.
+	served map[fescuebank.TeamID]float64
+	// failed is when loading a job last failed.
+	failed map[fescuebank.JobID]time.Time
+}
+
+// Observer is told what happens to batch items.
+type Observer interface {
+	// BatchItem reports a committed item and whether it met its due time.
+	BatchItem(team fescuebank.TeamID, failed, onTime bool)
+}
+
+// entry is one job that this instance owns.
+type entry struct {
+	mu      sync.Mutex
+	job     fescuebank.Job
+	version fescuebank.StoreVersion
+	fencing fescuebank.FencingNumber
+	ledger  *ledger.Ledger
+	// broken is set when another owner's write was met.
+	broken bool
+}
+
+// Config is what a keeper works with.
+type Config struct {
+	Store     fescuebank.ObjectStore
+	Archiver  *archiver.Archiver
+	Directory fescuebank.Directory
+	Source    fescuebank.ConfigSource
+	Clock     fescuebank.Clock
+	Log       hclog.Logger
+	// CommitAge is how long a result waits at most for its group commit.
+	CommitAge time.Duration
+	// Expiry is how long a puller may be silent about an item.
+	Expiry   time.Duration
+	Observer Observer
+}
+
+// New returns a keeper without jobs.
+func New(c Config) *Keeper {
+	return &Keeper{
+		store: c.Store, archiver: c.Archiver, directory: c.Directory, config: c.Source, clock: c.Clock, log: c.Log,
+		commitAge: c.CommitAge, expiry: c.Expiry, observe: c.Observer,
+		active: make(map[fescuebank.JobID]fescuebank.ActiveJob),
+		jobs:   make(map[fescuebank.JobID]*entry),
+		served: make(map[fescuebank.TeamID]float64),
+		failed: make(map[fescuebank.JobID]time.Time),
+	}
+}
+
+// Hear takes in a marker of an unfinished job.
+func (k *Keeper) Hear(o fescuebank.Object) {
+	id := fescuebank.JobID(strings.TrimPrefix(o.Key, fescuebank.ActivePrefix))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if o.Deleted {
+		delete(k.active, id)
+		return
+	}
+	var marker fescuebank.ActiveJob
+	if json.Unmarshal(o.Value, &marker) == nil {
+		k.active[id] = marker
+	}
+}
+
+// ActiveOwners returns the instances that own unfinished jobs.
+func (k *Keeper) ActiveOwners() []fescuebank.Instance {
+	shards := make(map[fescuebank.ShardID]bool)
+	k.mu.Lock()
+	for id := range k.active {
+		if s, ok := id.Shard(); ok {
+			shards[s] = true
+		}
+	}
+	k.mu.Unlock()
+	var owners []fescuebank.Instance
+	for s := range shards {
+		if owner, ok := k.directory.Owner(s); ok && !slices.Contains(owners, owner) {
+			owners = append(owners, owner)
+		}
+	}
+	return owners
+}
+
+// Run looks after the jobs until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for fescuebank.Sleep(ctx, k.clock, tickInterval) == nil {
+		k.adopt(ctx)
+		var group sync.WaitGroup
+		for id, e := range k.entries() {
+			group.Go(func() { k.tend(ctx, id, e) })
+		}
+		group.Wait()
+	}
+}
+
+func (k *Keeper) entries() map[fescuebank.JobID]*entry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	copied := make(map[fescuebank.JobID]*entry, len(k.jobs))
+	for id, e := range k.jobs {
+		copied[id] = e
+	}
+	return copied
+}
+
+// adopt loads jobs that this instance owns now and drops those it doesn't.
+func (k *Keeper) adopt(ctx context.Context) {
+	now := k.clock.Now()
+	var load []fescuebank.JobID
+	k.mu.Lock()
+	for id := range k.active {
+		shard, ok := id.Shard()
+		if !ok {
+			continue
+		}
+		fencing, acts := k.directory.Acts(shard)
+		e, known := k.jobs[id]
+		if known && (!acts || e.isBroken() || e.fencing != fencing) {
+			delete(k.jobs, id)
+			known = false
+		}
+		if acts && !known && now.Sub(k.failed[id]) >= loadRetry {
+			load = append(load, id)
+		}
+	}
+	for id := range k.jobs {
+		if _, ok := k.active[id]; !ok {
+			delete(k.jobs, id)
+		}
+	}
+	k.mu.Unlock()
+	for _, id := range load {
+		if err := k.load(ctx, id); err != nil {
+			k.log.Warn("Job not loaded.", "job", string(id), "err", err)
+			k.mu.Lock()
+			k.failed[id] = now
+			k.mu.Unlock()
+		}
+	}
+}
+
+func (e *entry) isBroken() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.broken
+}
+
+// load reads a job and its records from the store.
+func (k *Keeper) load(ctx context.Context, id fescuebank.JobID) error {
+	shard, _ := id.Shard()
+	fencing, acts := k.directory.Acts(shard)
+	if !acts {
+		return nil
+	}
+	o, err := k.store.Get(ctx, fescuebank.JobKey(id))
+	if errors.Is(err, fescuebank.ErrAbsent) {
+		return nil // The job is still being created, or never was.
+	}
+	if err != nil {
+		return eris.Wrap(err, "Keeper.load")
+	}
+	e := &entry{version: o.Version, fencing: fencing}
+	if err := json.Unmarshal(o.Value, &e.job); err != nil {
+		return eris.Wrap(err, "Keeper.load")
+	}
+	records, versions, err := k.loadRecords(ctx, id)
+	if err != nil {
+		return err
+	}
+	e.ledger = ledger.New(&e.job, records, versions)
+	k.mu.Lock()
+	k.jobs[id] = e
+	k.mu.Unlock()
+	k.log.Info("Job adopted.", "job", string(id), "fencing", uint64(fencing))
+	return nil
+}
+
+func (k *Keeper) loadRecords(ctx context.Context, id fescuebank.JobID) (map[int]fescuebank.ChunkRecord, map[int]fescuebank.StoreVersion, error) {
+	objects, _, err := k.store.List(ctx, fescuebank.RecordPrefix(id))
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "Keeper.loadRecords")
+	}
+	records := make(map[int]fescuebank.ChunkRecord)
+	versions := make(map[int]fescuebank.StoreVersion)
+	for _, o := range objects {
+		number, err := fescuebank.ChunkNumber(o.Key)
+		if err != nil {
+			return nil, nil, eris.Wrap(err, "Keeper.loadRecords")
+		}
+		record, err := k.archiver.DecodeRecord(o.Value)
+		if err != nil {
+			return nil, nil, eris.Wrap(err, "Keeper.loadRecords")
+		}
+		records[number], versions[number] = record, o.Version
+	}
+	return records, versions, nil
+}
+
+// tend loads input, expires pulls, commits results and ends a job.
+func (k *Keeper) tend(ctx context.Context, id fescuebank.JobID, e *entry) {
+	if k.isCancelled(id) || e.status() == fescuebank.JobCancelling {
+		k.cancel(ctx, e)
+		return
+	}
+	k.loadInput(ctx, e)
+	e.mu.Lock()
+	now := k.clock.Now()
+	e.ledger.Expire(now)
+	commits := e.ledger.Commits(now, k.commitAge)
+	e.mu.Unlock()
+	for _, c := range commits {
+		k.commit(ctx, e, c)
+	}
+	e.mu.Lock()
+	done := e.ledger.Done() && !e.broken
+	e.mu.Unlock()
+	if done {
+		k.end(ctx, e, fescuebank.JobCompleted)
+	}
+}
+
+func (e *entry) status() fescuebank.JobStatus {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.job.Status
+}
+
+func (k *Keeper) isCancelled(id fescuebank.JobID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.active[id].Cancel
+}
+
+// loadInput reads chunks until enough items are pending.
+func (k *Keeper) loadInput(ctx context.Context, e *entry) {
+	for {
+		e.mu.Lock()
+		number, ok := e.ledger.NextLoad()
+		e.mu.Unlock()
+		if !ok {
+			return
+		}
+		o, err := k.store.Get(ctx, fescuebank.FileChunkKey(e.job.Input, number))
+		if err != nil {
+			k.log.Warn("Chunk not read.", "job", string(e.job.ID), "chunk", number, "err", err)
+			return
+		}
+		c, err := k.archiver.DecodeChunk(o.Value)
+		if err != nil {
+			k.log.Error("Chunk is damaged.", "job", string(e.job.ID), "chunk", number, "err", err)
+			return
+		}
+		e.mu.Lock()
+		e.ledger.Load(number, c.Lines)
+		e.mu.Unlock()
+	}
+}
+
+// commit writes a segment, then the record that names it. Only the record's
+// conditional write makes the items complete.
+func (k *Keeper) commit(ctx context.Context, e *entry, c ledger.Commit) {
+	record, version, err := k.write(ctx, e, c)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case err == nil:
+		e.ledger.Committed(c, record, version)
+		k.tellObserver(e, c)
+	case errors.Is(err, fescuebank.ErrStoreDown):
+		e.ledger.Uncommitted(c, k.clock.Now())
+	default:
+		// Another owner wrote, or the outcome stays unknown: read all afresh.
+		k.log.Warn("Commit failed.", "job", string(e.job.ID), "chunk", c.Chunk, "err", err)
+		e.broken = true
+	}
+}
+
+func (k *Keeper) tellObserver(e *entry, c ledger.Commit) {
+	onTime := !k.clock.Now().After(e.job.Due)
+	for _, r := range c.Results {
+		k.observe.BatchItem(e.job.Team, r.Outcome.Failed, onTime)
+	}
+}
+
+func (k *Keeper) write(ctx context.Context, e *entry, c ledger.Commit) (fescuebank.ChunkRecord, fescuebank.StoreVersion, error) {
+	record := c.Record
+	record.Owner = e.fencing
+	if shard, _ := e.job.ID.Shard(); !k.actsBy(shard, e.fencing) {
+		return record, 0, fescuebank.ErrNotOwner
+	}
+	segment, err := k.archiver.EncodeSegment(c.Results)
+	if err != nil {
+		return record, 0, err
+	}
+	key := fescuebank.SegmentKey(e.job.ID, c.Chunk, e.fencing, fescuebank.NewRandomID(""))
+	// The key is random, so a segment left over by a lost answer is never named.
+	if _, err := k.store.Put(ctx, key, segment, fescuebank.Absent); err != nil {
+		return record, 0, storeDownIfUnknown(err)
+	}
+	record.Segments = append(record.Segments, key)
+	value, err := k.archiver.EncodeRecord(record)
+	if err != nil {
+		return record, 0, err
+	}
+	version, err := k.store.Put(ctx, fescuebank.RecordKey(e.job.ID, c.Chunk), value, c.Version)
+	if errors.Is(err, fescuebank.ErrOutcomeUnknown) || errors.Is(err, fescuebank.ErrVersion) {
+		return k.readBack(ctx, e, c, record, key)
+	}
+	return record, version, err
+}
+
+// storeDownIfUnknown treats an unknown outcome as none. It is right only for
+// writes that nothing refers to yet.
+func storeDownIfUnknown(err error) error {
+	if errors.Is(err, fescuebank.ErrOutcomeUnknown) {
+		return fescuebank.ErrStoreDown
+	}
+	return err
+}
+
+func (k *Keeper) actsBy(shard fescuebank.ShardID, fencing fescuebank.FencingNumber) bool {
+	current, acts := k.directory.Acts(shard)
+	return acts && current == fencing
+}
+
+// readBack finds out whether the record in the store names the new segment.
+func (k *Keeper) readBack(ctx context.Context, e *entry, c ledger.Commit, record fescuebank.ChunkRecord, key string) (fescuebank.ChunkRecord, fescuebank.StoreVersion, error) {
+	o, err := k.store.Get(ctx, fescuebank.RecordKey(e.job.ID, c.Chunk))
+	if errors.Is(err, fescuebank.ErrAbsent) && c.Version == fescuebank.Absent {
+		return record, 0, fescuebank.ErrStoreDown
+	}
+	if err != nil {
+		return record, 0, fescuebank.ErrOutcomeUnknown
+	}
+	found, err := k.archiver.DecodeRecord(o.Value)
+	if err != nil {
+		return record, 0, err
+	}
+	if slices.Contains(found.Segments, key) {
+		return found, o.Version, nil
+	}
+	return record, 0, fescuebank.ErrVersion
+}
+
+// cancel stops a job's items and ends it. Closing the records first keeps a
+// former owner that wakes up late from adding results to a job that has ended.
+func (k *Keeper) cancel(ctx context.Context, e *entry) {
+	e.mu.Lock()
+	e.ledger.Stop()
+	open := e.ledger.OpenRecords()
+	e.mu.Unlock()
+	for _, o := range open {
+		if err := k.closeRecord(ctx, e, o); err != nil {
+			k.log.Warn("Record not closed.", "job", string(e.job.ID), "chunk", o.Chunk, "err", err)
+			return // Tried again at the next tick.
+		}
+	}
+	k.end(ctx, e, fescuebank.JobCancelled)
+}
+
+func (k *Keeper) closeRecord(ctx context.Context, e *entry, o ledger.OpenRecord) error {
+	o.Record.Closed = true
+	o.Record.Owner = e.fencing
+	value, err := k.archiver.EncodeRecord(o.Record)
+	if err != nil {
+		return err
+	}
+	version, err := k.store.Put(ctx, fescuebank.RecordKey(e.job.ID, o.Chunk), value, o.Version)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if errors.Is(err, fescuebank.ErrVersion) || errors.Is(err, fescuebank.ErrOutcomeUnknown) {
+		e.broken = true // Read all afresh.
+	}
+	if err != nil {
+		return err
+	}
+	e.ledger.Closed(o.Chunk, version)
+	return nil
+}
+
+// end writes the job's final status, then removes its marker.
+func (k *Keeper) end(ctx context.Context, e *entry, status fescuebank.JobStatus) {
+	o, err := k.store.Get(ctx, fescuebank.JobKey(e.job.ID))
+	if err != nil {
+		return
+	}
+	var job fescuebank.Job
+	if err := json.Unmarshal(o.Value, &job); err != nil {
+		return
+	}
+	if !job.Status.Final() {
+		if status == fescuebank.JobCompleted && job.Status == fescuebank.JobCancelling {
+			status = fescuebank.JobCancelled
+		}
+		e.mu.Lock()
+		job.Counts.Completed, job.Counts.Failed = e.ledger.Counts()
+		e.mu.Unlock()
+		job.Status = status
+		job.Finished = k.clock.Now().UTC()
+		value, err := json.Marshal(job)
+		if err != nil {
+			return
+		}
+		if _, err := k.store.Put(ctx, o.Key, value, o.Version); err != nil {
+			k.log.Warn("Job not ended.", "job", string(job.ID), "err", err)
+			return // Tried again at the next tick.
+		}
+		k.log.Info("Job ended.", "job", string(job.ID), "status", string(status), "completed", job.Counts.Completed, "failed", job.Counts.Failed)
+	}
+	k.removeMarker(ctx, e.job.ID)
+}
+
+func (k *Keeper) removeMarker(ctx context.Context, id fescuebank.JobID) {
+	o, err := k.store.Get(ctx, fescuebank.ActiveKey(id))
+	if err == nil {
+		err = k.store.Delete(ctx, o.Key, o.Version)
+	}
+	if err != nil && !errors.Is(err, fescuebank.ErrAbsent) {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.active, id)
+	delete(k.jobs, id)
+}
--- a/internal/endpoint/balancer/balancer.go
+++ b/internal/endpoint/balancer/balancer.go
@@ -53,11 +53,15 @@
 	// online and batch count this instance's requests there.
 	online atomic.Int64
 	batch  atomic.Int64
-	// limit bounds online; it is set by credits or by adaptation.
-	limit atomic.Int64
+	// limit bounds online. It is set by the owner's credits, and adapted to
+	// first-token latency while there are none.
+	limit    atomic.Int64
+	credited atomic.Bool
 	// others is the estimate of other instances' requests, from a report.
-	others     atomic.Int64
-	reportedAt atomic.Int64
+	others atomic.Int64
+	// creditOthers is the owner's count of other instances' online requests.
+	creditOthers atomic.Int64
+	reportedAt   atomic.Int64
 	// since is when the endpoint was added or came back, in Unix nanoseconds.
 	since atomic.Int64
 	// ejectedUntil is in Unix nanoseconds.
@@ -282,7 +286,9 @@
 func (b *Balancer) load(t *Target, now int64) float64 {
 	spec := t.spec.Load()
 	c := fescuebank.Candidate{ID: spec.ID, Slots: spec.Slots, Own: int(t.online.Load()), Ramp: t.ramp(now)}
-	if now-t.reportedAt.Load() < int64(reportAge) {
+	if t.credited.Load() {
+		c.Others = int(t.creditOthers.Load())
+	} else if now-t.reportedAt.Load() < int64(reportAge) {
 		c.Others = int(t.others.Load())
 	}
 	load := c.Load()
@@ -347,6 +353,11 @@
 	return int(t.others.Load())
 }
 
+// Batch returns the number of this instance's batch requests there.
+func (t *Target) Batch() int {
+	return int(t.batch.Load())
+}
+
 // AddBatch counts batch requests of this instance there.
 func (t *Target) AddBatch(n int) {
 	t.batch.Add(int64(n))
@@ -357,9 +368,34 @@
 	return int(t.limit.Load())
 }
 
-// SetLimit bounds Online.
-func (t *Target) SetLimit(n int) {
-	t.limit.Store(int64(max(1, n)))
+// Credit takes in what the endpoint's owner allows and what it knows of other
+// instances' online requests.
+func (t *Target) Credit(limit, others int) {
+	t.credited.Store(true)
+	t.limit.Store(int64(max(1, limit)))
+	t.creditOthers.Store(int64(others))
+}
+
+// Uncredited notes that the owner's word has become too old.
+func (t *Target) Uncredited() {
+	t.credited.Store(false)
+}
+
+// Adapt changes the limit by a first token's latency while no owner gives
+// credits: it grows by one while tokens are timely and shrinks by a tenth
+// when one is late.
+func (t *Target) Adapt(latency, bound time.Duration) {
+	if t.credited.Load() {
+		return
+	}
+	limit := t.limit.Load()
+	if latency > bound {
+		t.limit.CompareAndSwap(limit, max(1, limit*9/10))
+		return
+	}
+	if t.online.Load()+1 >= limit && limit < int64(t.spec.Load().Slots) {
+		t.limit.CompareAndSwap(limit, limit+1)
+	}
 }
 
 // Open reports whether the endpoint takes work at all.
--- a/internal/endpoint/caller/caller.go
+++ b/internal/endpoint/caller/caller.go
@@ -89,7 +89,15 @@
 		c.client.CloseIdleConnections()
 		err = cause
 	}
-	return c.fail(fescuebank.EndpointBroken, 0, err)
+	return c.fail(breakKind(err), 0, err)
+}
+
+// breakKind tells a connection that broke from an answer that is wrong or late.
+func breakKind(err error) fescuebank.EndpointErrorKind {
+	if errors.Is(err, errSilent) || errors.Is(err, errCrossed) || errors.Is(err, errGap) || errors.Is(err, errBadEvent) {
+		return fescuebank.EndpointBroken
+	}
+	return fescuebank.EndpointLost
 }
 
 // send offers the request. The error tells whether any byte of it left.
@@ -115,7 +123,7 @@
 		err = cause
 	}
 	if offered.Load() {
-		return nil, c.fail(fescuebank.EndpointBroken, 0, err)
+		return nil, c.fail(breakKind(err), 0, err)
 	}
 	return nil, c.fail(fescuebank.EndpointUnreached, 0, err)
 }
--- a/internal/endpoint/caller/stream.go
+++ b/internal/endpoint/caller/stream.go
@@ -22,6 +22,8 @@
 	errNoEnd   = errors.New("stream ended without its end marker")
 	errCrossed = errors.New("answer belongs to another request")
 	errGap     = errors.New("tokens are missing")
+	// errBadEvent means that an event can't be read.
+	errBadEvent = errors.New("event is not valid JSON")
 )
 
 // passedOptions are the request's own options that endpoints may see. All
@@ -139,7 +141,7 @@
 func (s *streamReader) pass(data []byte, emit func(fescuebank.Delta) error) error {
 	var e event
 	if err := json.Unmarshal(data, &e); err != nil {
-		return fmt.Errorf("event is not valid JSON: %w", err)
+		return fmt.Errorf("%w: %v", errBadEvent, err)
 	}
 	if e.ID != s.request {
 		return errCrossed
--- /dev/null
+++ b/internal/endpoint/connector/connector.go
@@ -0,0 +1,115 @@
+// Package connector keeps the connections to the endpoints of the desired
+// state.
+package connector
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"fescuebank"
+	"fescuebank/internal/endpoint/balancer"
+	"fescuebank/internal/endpoint/caller"
+)
+
+// reportInterval is how often an endpoint's load report is read here.
+const reportInterval = time.Second
+
+// Connector makes callers and feeds load reports to a balancer.
+type Connector struct {
+	balancer *balancer.Balancer
+	clock    fescuebank.Clock
+	silence  time.Duration
+
+	mu      sync.Mutex
+	callers map[fescuebank.EndpointID]*caller.Caller
+	reports map[fescuebank.EndpointID]fescuebank.LoadReport
+}
+
+// New returns a connector without endpoints.
+func New(b *balancer.Balancer, clock fescuebank.Clock, silence time.Duration) *Connector {
+	return &Connector{
+		balancer: b, clock: clock, silence: silence,
+		callers: make(map[fescuebank.EndpointID]*caller.Caller),
+		reports: make(map[fescuebank.EndpointID]fescuebank.LoadReport),
+	}
+}
+
+// SetEndpoints replaces the endpoints.
+func (c *Connector) SetEndpoints(specs []fescuebank.EndpointSpec) {
+	c.mu.Lock()
+	next := make(map[fescuebank.EndpointID]*caller.Caller, len(specs))
+	for _, spec := range specs {
+		old, ok := c.callers[spec.ID]
+		if ok && old.Spec().URL == spec.URL {
+			next[spec.ID] = old
+			continue
+		}
+		next[spec.ID] = caller.New(spec, c.clock, c.silence)
+	}
+	for id, old := range c.callers {
+		if next[id] != old {
+			old.Close()
+		}
+	}
+	c.callers = next
+	c.mu.Unlock()
+	c.balancer.SetEndpoints(specs)
+}
+
+// Caller returns the connection to an endpoint.
+func (c *Connector) Caller(id fescuebank.EndpointID) (*caller.Caller, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found, ok := c.callers[id]
+	return found, ok
+}
+
+// Endpoint returns the connection to an endpoint as the interface.
+func (c *Connector) Endpoint(id fescuebank.EndpointID) (fescuebank.Endpoint, bool) {
+	found, ok := c.Caller(id)
+	return found, ok
+}
+
+// Report returns the newest load report of an endpoint.
+func (c *Connector) Report(id fescuebank.EndpointID) (fescuebank.LoadReport, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.reports[id]
+	return r, ok
+}
+
+// Run reads load reports until ctx ends.
+func (c *Connector) Run(ctx context.Context) {
+	for fescuebank.Sleep(ctx, c.clock, reportInterval/2+rand.N(reportInterval)) == nil {
+		c.mu.Lock()
+		ids := make([]fescuebank.EndpointID, 0, len(c.callers))
+		for id := range c.callers {
+			ids = append(ids, id)
+		}
+		c.mu.Unlock()
+		slices.Sort(ids)
+		var group sync.WaitGroup
+		for _, id := range ids {
+			group.Go(func() { c.read(ctx, id) })
+		}
+		group.Wait()
+	}
+}
+
+func (c *Connector) read(ctx context.Context, id fescuebank.EndpointID) {
+	found, ok := c.Caller(id)
+	if !ok {
+		return
+	}
+	report, err := found.Report(ctx)
+	if err != nil {
+		return // Requests find out by themselves.
+	}
+	c.balancer.Report(id, report)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports[id] = report
+}
--- /dev/null
+++ b/internal/entry/authenticator/authenticator.go
@@ -0,0 +1,73 @@
+// Package authenticator finds the team of a caller's key.
+package authenticator
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"fescuebank"
+)
+
+// maxKeyBytes bounds a presented key.
+const maxKeyBytes = 512
+
+// Authenticator knows the keys in force. Keys are looked up by their SHA-256,
+// so that the time of a lookup tells nothing about a key.
+type Authenticator struct {
+	config    fescuebank.ConfigSource
+	withdrawn func(fescuebank.KeyHash) bool
+	clock     fescuebank.Clock
+	// contact returns when the store or a peer was last reached.
+	contact func() time.Time
+	stale   time.Duration
+}
+
+// New returns an authenticator that refuses keyed work once contact is older
+// than stale.
+func New(config fescuebank.ConfigSource, withdrawn func(fescuebank.KeyHash) bool, contact func() time.Time, stale time.Duration, clock fescuebank.Clock) *Authenticator {
+	return &Authenticator{config: config, withdrawn: withdrawn, clock: clock, contact: contact, stale: stale}
+}
+
+// Caller is who a request comes from.
+type Caller struct {
+	Team *fescuebank.Team
+	Key  fescuebank.KeyHash
+}
+
+// Authenticate returns the caller of a request, or a refusal.
+func (a *Authenticator) Authenticate(r *http.Request) (Caller, error) {
+	key, ok := KeyOf(r)
+	if !ok {
+		return Caller{}, fescuebank.Refuse(http.StatusUnauthorized, fescuebank.CodeUnauthorized, "want a key in the Authorization header")
+	}
+	if a.clock.Now().Sub(a.contact()) > a.stale {
+		return Caller{}, fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeConfigStale,
+			"this instance is cut off and can't tell whether the key still works").After(time.Second)
+	}
+	h := fescuebank.HashKey(key)
+	if a.withdrawn(h) {
+		return Caller{}, fescuebank.Refuse(http.StatusUnauthorized, fescuebank.CodeKeyWithdrawn, "the key was withdrawn")
+	}
+	snapshot := a.config.Current()
+	team, ok := snapshot.Teams[snapshot.Keys[h]]
+	if !ok {
+		return Caller{}, fescuebank.Refuse(http.StatusUnauthorized, fescuebank.CodeUnauthorized, "the key is not known")
+	}
+	return Caller{Team: team, Key: h}, nil
+}
+
+// Granted reports whether a key is in force.
+func (a *Authenticator) Granted(h fescuebank.KeyHash) bool {
+	_, ok := a.config.Current().Keys[h]
+	return ok && !a.withdrawn(h)
+}
+
+// KeyOf returns the key that a request presents.
+func KeyOf(r *http.Request) (string, bool) {
+	key := r.Header.Get("X-Api-Key")
+	if bearer, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
+		key = strings.TrimSpace(bearer)
+	}
+	return key, key != "" && len(key) <= maxKeyBytes
+}
--- /dev/null
+++ b/internal/entry/gateway/completions.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"fescuebank"
+	"fescuebank/internal/entry/reader"
+	"fescuebank/internal/entry/refuser"
+)
+
+// serveCompletion answers a completion, streamed or whole.
+func (g *Gateway) serveCompletion(chat bool) handler {
+	return func(w http.ResponseWriter, r *http.Request, c *call) error {
+		completion, stream, err := g.readCompletion(w, r, c, chat)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), g.Timing.OnlineDeadline)
+		defer cancel()
+		completion.Deadline, _ = ctx.Deadline()
+		a := newAnswer(completion, g.Clock.Now().Unix())
+		if stream {
+			err = g.stream(ctx, w, c, a)
+		} else {
+			err = g.whole(ctx, w, c, a)
+		}
+		g.Observer.Answered(c.caller.Team.ID, err)
+		if a.started {
+			return nil // The stream itself has told the error.
+		}
+		return err
+	}
+}
+
+func (g *Gateway) readCompletion(w http.ResponseWriter, r *http.Request, c *call, chat bool) (*fescuebank.Completion, bool, error) {
+	body, err := g.readBody(w, r)
+	if err != nil {
+		return nil, false, err
+	}
+	completion, stream, err := reader.Reader{Chat: chat}.Read(body)
+	if err != nil {
+		return nil, false, err
+	}
+	if _, ok := g.Source.Current().Models[completion.Model]; !ok || !c.caller.Team.MayUse(completion.Model) {
+		return nil, false, fescuebank.Refuse(http.StatusNotFound, fescuebank.CodeUnknownModel, "unknown model %q", completion.Model)
+	}
+	completion.Request = c.id
+	completion.Team = c.caller.Team.ID
+	return completion, stream, nil
+}
+
+// answer shapes deltas for the caller.
+type answer struct {
+	completion *fescuebank.Completion
+	created    int64
+	started    bool
+	tokens     fescuebank.Tokens
+	finish     string
+}
+
+func newAnswer(c *fescuebank.Completion, created int64) *answer {
+	return &answer{completion: c, created: created}
+}
+
+// chunk is one event of a stream, or a whole answer.
+type chunk struct {
+	ID      fescuebank.RequestID `json:"id"`
+	Object  string               `json:"object"`
+	Created int64                `json:"created"`
+	Model   fescuebank.ModelName `json:"model"`
+	Choices []choice             `json:"choices"`
+	Usage   *usage               `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int                 `json:"index"`
+	Text         *string             `json:"text,omitempty"`
+	Delta        *delta              `json:"delta,omitempty"`
+	Message      *fescuebank.Message `json:"message,omitempty"`
+	FinishReason *string             `json:"finish_reason"`
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     fescuebank.Tokens `json:"prompt_tokens"`
+	CompletionTokens fescuebank.Tokens `json:"completion_tokens"`
+	TotalTokens      fescuebank.Tokens `json:"total_tokens"`
+}
+
+func (a *answer) chunk(object string, c choice) chunk {
+	return chunk{ID: a.completion.Request, Object: object, Created: a.created, Model: a.completion.Model, Choices: []choice{c}}
+}
+
+func (a *answer) event(d fescuebank.Delta) chunk {
+	c := choice{}
+	if d.Finish != "" {
+		c.FinishReason = &d.Finish
+	}
+	if !a.completion.Chat {
+		c.Text = &d.Text
+		return a.chunk("text_completion", c)
+	}
+	c.Delta = &delta{Content: d.Text}
+	if d.Index == 0 {
+		c.Delta.Role = "assistant"
+	}
+	return a.chunk("chat.completion.chunk", c)
+}
+
+// stream writes server-sent events. Before the first one an error can still be
+// told by status.
+func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, c *call, a *answer) error {
+	controller := http.NewResponseController(w)
+	err := g.Router.Complete(ctx, a.completion, c.caller.Team.Weight, func(d fescuebank.Delta) error {
+		if !a.started {
+			a.started = true
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Cache-Control", "no-store")
+		}
+		if err := writeEvent(w, a.event(d)); err != nil {
+			return err
+		}
+		return controller.Flush()
+	})
+	if err == nil {
+		_, err = io.WriteString(w, "data: [DONE]\n\n")
+		return err
+	}
+	if !a.started {
+		return err
+	}
+	var refusal *fescuebank.Refusal
+	if errors.As(err, &refusal) {
+		_ = writeEvent(w, refuser.NewBody(c.id, refusal))
+	}
+	return err
+}
+
+func writeEvent(w io.Writer, content any) error {
+	text, err := json.Marshal(content)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "data: %s\n\n", text)
+	return err
+}
+
+// whole gathers the answer and writes it at its end.
+func (g *Gateway) whole(ctx context.Context, w http.ResponseWriter, c *call, a *answer) error {
+	var text strings.Builder
+	err := g.Router.Complete(ctx, a.completion, c.caller.Team.Weight, func(d fescuebank.Delta) error {
+		text.WriteString(d.Text)
+		a.tokens = d.Index + 1
+		a.finish = d.Finish
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	full := text.String()
+	last := choice{FinishReason: &a.finish}
+	object := "text_completion"
+	if a.completion.Chat {
+		object = "chat.completion"
+		last.Message = &fescuebank.Message{Role: "assistant", Content: full}
+	} else {
+		last.Text = &full
+	}
+	body := a.chunk(object, last)
+	prompt := a.completion.PromptTokens
+	body.Usage = &usage{PromptTokens: prompt, CompletionTokens: a.tokens, TotalTokens: prompt + a.tokens}
+	writeJSON(w, body)
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/internal/entry/queuer/queuer.go
+++ b/internal/entry/queuer/queuer.go
@@ -65,6 +65,13 @@
 	return total
 }
 
+// CountByTeam adds the number of each team's waiting requests to counts.
+func (q *Queuer) CountByTeam(counts map[fescuebank.TeamID]int) {
+	for _, a := range q.heads {
+		counts[a.team] += len(a.items)
+	}
+}
+
 // Charge accounts for a request that is served without waiting.
 func (q *Queuer) Charge(team fescuebank.TeamID, weight float64, cost fescuebank.Tokens) {
 	a := q.account(team)
--- /dev/null
+++ b/internal/entry/reader/reader.go
@@ -0,0 +1,145 @@
+// Package reader turns request bodies into completions.
+package reader
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuebank"
+)
+
+const (
+	// defaultMaxTokens bounds an answer whose request sets no bound.
+	defaultMaxTokens = 256
+	// maxMaxTokens is the largest bound a request may set.
+	maxMaxTokens = 32768
+	// charsPerToken estimates the length of a prompt in tokens.
+	charsPerToken = 4
+	// prefixChars is how much of a prompt identifies its prefix.
+	prefixChars = 512
+)
+
+// Reader reads bodies for one path.
+type Reader struct {
+	// Chat is set for chat completions.
+	Chat bool
+}
+
+// body is what the system itself needs of a request.
+type body struct {
+	Model     fescuebank.ModelName `json:"model"`
+	Messages  []message            `json:"messages"`
+	Prompt    json.RawMessage      `json:"prompt"`
+	MaxTokens *int64               `json:"max_tokens"`
+	// MaxCompletionTokens is the newer name of MaxTokens.
+	MaxCompletionTokens *int64 `json:"max_completion_tokens"`
+	Count               *int   `json:"n"`
+	Stream              bool   `json:"stream"`
+}
+
+// message is one turn of a chat; its content is a text or a list of parts.
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// Read checks a body. It returns the completion without ids, whether the
+// answer is to be streamed, and a *fescuebank.Refusal for bad input.
+func (r Reader) Read(text []byte) (*fescuebank.Completion, bool, error) {
+	var b body
+	if err := json.Unmarshal(text, &b); err != nil {
+		return nil, false, bad("the body is not valid JSON: %v", err)
+	}
+	if b.Model == "" {
+		return nil, false, bad("want a model")
+	}
+	if b.Count != nil && *b.Count != 1 {
+		return nil, false, bad("want n to be 1")
+	}
+	c := &fescuebank.Completion{Model: b.Model, Chat: r.Chat, Body: text}
+	if err := r.readPrompt(c, &b); err != nil {
+		return nil, false, err
+	}
+	if err := readMaxTokens(c, &b); err != nil {
+		return nil, false, err
+	}
+	return c, b.Stream, nil
+}
+
+func bad(format string, args ...any) error {
+	return fescuebank.Refuse(http.StatusBadRequest, fescuebank.CodeBadRequest, format, args...)
+}
+
+func (r Reader) readPrompt(c *fescuebank.Completion, b *body) error {
+	var start []byte
+	length := 0
+	if !r.Chat {
+		if json.Unmarshal(b.Prompt, &c.Prompt) != nil || c.Prompt == "" {
+			return bad("want prompt to be a text that is not empty")
+		}
+		start, length = []byte(c.Prompt), len(c.Prompt)
+	} else {
+		if len(b.Messages) == 0 {
+			return bad("want messages")
+		}
+		for i, m := range b.Messages {
+			content, err := readContent(m.Content)
+			if m.Role == "" || err != nil {
+				return bad("messages[%d]: want a role and a content of text", i)
+			}
+			c.Messages = append(c.Messages, fescuebank.Message{Role: m.Role, Content: content})
+			length += len(m.Role) + len(content)
+			if len(start) < prefixChars {
+				start = fmt.Appendf(start, "%s: %s\n", m.Role, content)
+			}
+		}
+	}
+	c.PromptTokens = fescuebank.Tokens(length/charsPerToken + 1)
+	if len(start) >= prefixChars {
+		c.PrefixHash = xxhash.Sum64(append([]byte(c.Model), start[:prefixChars]...))
+	}
+	return nil
+}
+
+// readContent reads a text, or a list of parts that are texts.
+func readContent(raw json.RawMessage) (string, error) {
+	var text string
+	if err := json.Unmarshal(raw, &text); err == nil {
+		return text, nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", err
+	}
+	var all bytes.Buffer
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", fmt.Errorf("part of type %q", p.Type)
+		}
+		all.WriteString(p.Text)
+	}
+	return all.String(), nil
+}
+
+func readMaxTokens(c *fescuebank.Completion, b *body) error {
+	given := b.MaxTokens
+	if b.MaxCompletionTokens != nil {
+		given = b.MaxCompletionTokens
+	}
+	c.MaxTokens = defaultMaxTokens
+	if given == nil {
+		return nil
+	}
+	if *given < 1 || *given > maxMaxTokens {
+		return bad("want max_tokens from 1 to %d", maxMaxTokens)
+	}
+	c.MaxTokens = fescuebank.Tokens(*given)
+	return nil
+}
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -35,7 +35,7 @@
 	budget    *retryBudget
 	// endpoint returns the connection to an endpoint.
 	endpoint func(fescuebank.EndpointID) (fescuebank.Endpoint, bool)
-	guard    Guard
+	guard    fescuebank.Guard
 	observe  Observer
 
 	mu sync.Mutex
@@ -43,13 +43,6 @@
 	prefixes map[uint64]fescuebank.EndpointID
 }
 
-// Guard keeps requests that crash endpoints away from them.
-type Guard interface {
-	// Enter returns a refusal if the request is quarantined, or waits until the
-	// request may run at the endpoint. The returned function ends the attempt.
-	Enter(ctx context.Context, c *fescuebank.Completion, id fescuebank.EndpointID) (func(lost bool), error)
-}
-
 // Observer is told what happens to requests.
 type Observer interface {
 	// FirstToken reports the time from arrival to the first token.
@@ -68,7 +61,7 @@
 	Attempts int
 	// Endpoint returns the connection to an endpoint.
 	Endpoint func(fescuebank.EndpointID) (fescuebank.Endpoint, bool)
-	Guard    Guard
+	Guard    fescuebank.Guard
 	Observer Observer
 }
 
@@ -161,22 +154,21 @@
 		p.partial.Tokens = d.Index + 1
 		return emit(d)
 	})
-	var failed *fescuebank.EndpointError
-	broken := errors.As(err, &failed) && failed.Kind == fescuebank.EndpointBroken
-	p.offered = p.offered || broken
-	leave(broken && ctx.Err() == nil)
+	failed, ok := fescuebank.AsEndpointError(err)
+	p.offered = p.offered || (ok && failed.MayHaveRun())
+	leave(fescuebank.EndOf(ctx, err))
 	return err
 }
 
 // account takes in how an attempt went.
 func (r *Router) account(t *balancer.Target, c *fescuebank.Completion, err error, took time.Duration, p *progress) {
-	var failed *fescuebank.EndpointError
+	failed, ok := fescuebank.AsEndpointError(err)
 	switch {
 	case err == nil:
 		t.Succeeded()
 		r.scheduler.Observe(c.Model, took)
 		r.remember(c.PrefixHash, t.ID())
-	case errors.As(err, &failed) && failed.Kind != fescuebank.EndpointRejected:
+	case ok && failed.Kind != fescuebank.EndpointRejected:
 		p.avoid = append(p.avoid, t.ID())
 		if failed.Kind != fescuebank.EndpointRefused {
 			r.balancer.Failed(t)
@@ -185,8 +177,8 @@
 }
 
 func isRetryable(err error) bool {
-	var failed *fescuebank.EndpointError
-	return errors.As(err, &failed) && failed.Kind != fescuebank.EndpointRejected
+	failed, ok := fescuebank.AsEndpointError(err)
+	return ok && failed.Kind != fescuebank.EndpointRejected
 }
 
 func (r *Router) backoff(ctx context.Context, attempt int) error {
@@ -213,8 +205,8 @@
 
 // failure is the final answer after the last attempt.
 func (r *Router) failure(err error, p *progress) error {
-	var failed *fescuebank.EndpointError
-	if !errors.As(err, &failed) {
+	failed, ok := fescuebank.AsEndpointError(err)
+	if !ok {
 		return err
 	}
 	if failed.Kind == fescuebank.EndpointRejected {
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -29,6 +29,8 @@
 
 	mu    sync.Mutex
 	queue *queuer.Queuer
+	// running counts requests at endpoints by team.
+	running map[fescuebank.TeamID]int
 	// service is the smoothed time from reservation to the end of a request.
 	service time.Duration
 }
@@ -66,7 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l, ok = s.lanes[m]; !ok {
-		l = &lane{model: m, queue: queuer.New(s.perTeam)}
+		l = &lane{model: m, queue: queuer.New(s.perTeam), running: make(map[fescuebank.TeamID]int)}
 		s.lanes[m] = l
 	}
 	return l
@@ -110,6 +112,7 @@
 	if l.queue.Len() == 0 {
 		if t := s.balancer.Reserve(c.Model, r.Prefer, r.Avoid); t != nil {
 			l.queue.Charge(c.Team, r.Weight, c.Cost())
+			l.running[c.Team]++
 			return t, nil, nil, nil
 		}
 	}
@@ -148,6 +151,7 @@
 			return
 		}
 		l.queue.Pop()
+		l.running[item.Team]++
 		w.granted <- t
 	}
 }
@@ -158,6 +162,9 @@
 	l := s.lane(r.Completion.Model)
 	l.mu.Lock()
 	l.queue.Correct(r.Completion.Team, r.Weight, extra)
+	if l.running[r.Completion.Team]--; l.running[r.Completion.Team] <= 0 {
+		delete(l.running, r.Completion.Team)
+	}
 	l.mu.Unlock()
 	s.Wake()
 }
@@ -182,6 +189,30 @@
 	}
 }
 
+// Demands returns what each team has running and waiting here. It is empty if
+// nothing waits, since nobody has to share then.
+func (s *Scheduler) Demands() []fescuebank.TeamDemand {
+	if waiting, _ := s.Waiting(); waiting == 0 {
+		return nil
+	}
+	counts := make(map[fescuebank.TeamID]int)
+	s.mu.RLock()
+	for _, l := range s.lanes {
+		l.mu.Lock()
+		for team, n := range l.running {
+			counts[team] += n
+		}
+		l.queue.CountByTeam(counts)
+		l.mu.Unlock()
+	}
+	s.mu.RUnlock()
+	demands := make([]fescuebank.TeamDemand, 0, len(counts))
+	for team, n := range counts {
+		demands = append(demands, fescuebank.TeamDemand{Team: team, Count: n})
+	}
+	return demands
+}
+
 // Waiting returns the number of waiting requests and the summed weight of
 // their teams, over all models.
 func (s *Scheduler) Waiting() (int, float64) {
--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -66,12 +66,27 @@
 	granter *granter.Granter
 	// exchange closes when the running exchange with the owner has ended.
 	exchange chan struct{}
-	// waits is what the owner last said about teams that got too little.
-	waits map[fescuebank.TeamID]time.Duration
+	// short is what the owner last said about teams that got too little.
+	short map[fescuebank.TeamID]shortage
 	// answered is when the owner last answered.
 	answered time.Time
 }
 
+// shortage is the owner's word that a team has used up its quota.
+type shortage struct {
+	// due is when the next token accrues.
+	due time.Time
+	// elsewhere is set while other instances may hold unspent tokens.
+	elsewhere bool
+	// recovering is set while the owner itself can't tell.
+	recovering bool
+}
+
+// settled reports whether no other instance could know better.
+func (s shortage) settled() bool {
+	return !s.elsewhere && !s.recovering
+}
+
 // Config is what an admitter works with.
 type Config struct {
 	Directory Ownerships
@@ -113,11 +128,17 @@
 		return fescuebank.Refuse(http.StatusUnauthorized, fescuebank.CodeUnauthorized, "the team does not exist any more")
 	}
 	s := &a.shards[fescuebank.ShardOf(string(team))]
+	now := a.clock.Now()
 	s.mu.Lock()
-	if s.borrower.Take(a.clock.Now(), team, q) {
+	if s.borrower.Take(now, team, q) {
 		s.mu.Unlock()
 		return nil
 	}
+	if told, ok := s.short[team]; ok && told.settled() && now.Add(shortWait).Before(told.due) {
+		s.borrower.Undo(team)
+		s.mu.Unlock()
+		return refuse(told.due.Sub(now))
+	}
 	endWait := s.borrower.Wait(team)
 	s.mu.Unlock()
 	defer func() {
@@ -136,25 +157,28 @@
 		if s.retake(a.clock.Now(), team, q) {
 			return nil
 		}
-		if a.lend(ctx, s, team, q) || s.retake(a.clock.Now(), team, q) {
-			return nil
+		told, dry := s.shortage(team)
+		// The owner's word settles it unless somebody else holds tokens.
+		if !answered || !dry || !told.settled() {
+			if a.lend(ctx, s, team, q) || s.retake(a.clock.Now(), team, q) {
+				return nil
+			}
 		}
 		if ctx.Err() != nil {
 			return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeDeadline, "the request ended while it waited for its turn")
 		}
-		waited := a.clock.Now().Sub(started)
-		wait, dry := s.waitTold(team)
+		now := a.clock.Now()
 		switch {
-		case answered && dry && waited+wait > shortWait:
-			return a.refuse(wait)
-		case waited >= maxHold:
-			return a.refuse(time.Second)
+		case answered && dry && !told.recovering && told.due.Sub(started) > shortWait:
+			return refuse(told.due.Sub(now))
+		case now.Sub(started) >= maxHold:
+			return refuse(time.Second)
 		}
-		_ = fescuebank.Sleep(ctx, a.clock, min(max(wait, time.Millisecond), pollInterval))
+		_ = fescuebank.Sleep(ctx, a.clock, min(max(told.due.Sub(now), time.Millisecond), pollInterval))
 	}
 }
 
-func (a *Admitter) refuse(wait time.Duration) error {
+func refuse(wait time.Duration) error {
 	return fescuebank.Refuse(http.StatusTooManyRequests, fescuebank.CodeRateLimited,
 		"the team is over its rate and burst").After(max(wait, time.Second))
 }
@@ -167,11 +191,11 @@
 	return s.borrower.Take(now, team, q)
 }
 
-func (s *shard) waitTold(team fescuebank.TeamID) (time.Duration, bool) {
+func (s *shard) shortage(team fescuebank.TeamID) (shortage, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d, ok := s.waits[team]
-	return d, ok
+	told, ok := s.short[team]
+	return told, ok
 }
 
 // exchange talks to the owner of a shard. Requests that come meanwhile join the
@@ -249,10 +273,14 @@
 	now := a.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	waits, ok := s.borrower.Reply(now, r)
-	if ok {
-		s.waits = waits
-		s.answered = now
+	short, ok := s.borrower.Reply(now, r)
+	if !ok {
+		return
+	}
+	s.answered = now
+	s.short = make(map[fescuebank.TeamID]shortage, len(short))
+	for _, g := range short {
+		s.short[g.Team] = shortage{due: now.Add(g.Wait), elsewhere: g.Elsewhere > 0, recovering: g.Recovering}
 	}
 }
 
--- a/internal/limit/borrower/borrower.go
+++ b/internal/limit/borrower/borrower.go
@@ -243,10 +243,9 @@
 	return ask, ask.Need > 0 || ask.Ahead > 0
 }
 
-// Reply takes in the owner's answer. It returns when a token may accrue for
-// each team that got less than it needs, and false if the answer is not for
-// the newest request.
-func (b *Borrower) Reply(now time.Time, r fescuebank.ShardGrants) (map[fescuebank.TeamID]time.Duration, bool) {
+// Reply takes in the owner's answer. It returns the grants that fell short of
+// the need, and false if the answer is not for the newest request.
+func (b *Borrower) Reply(now time.Time, r fescuebank.ShardGrants) ([]fescuebank.TokenGrant, bool) {
 	if !b.pending || r.Sequence != b.sequence || r.NotOwner || r.Owner < b.owner {
 		return nil, false
 	}
@@ -260,16 +259,16 @@
 	b.stamp = r.Stamp
 	// The answer proves an owner that counts on this home to stay off its floor.
 	b.floorOpens = now.Add(b.timing.FloorWait())
-	waits := make(map[fescuebank.TeamID]time.Duration)
+	var short []fescuebank.TokenGrant
 	for _, g := range r.Grants {
 		if g.Wait > 0 {
-			waits[g.Team] = g.Wait
+			short = append(short, g)
 		}
 		if g.Count > 0 {
 			b.add(g.Team, batch{grant: g.Grant, count: g.Count, bought: b.sentAt, dies: b.sentAt.Add(b.timing.Life)})
 		}
 	}
-	return waits, true
+	return short, true
 }
 
 // changeOwner drops what only the former owner knows of.
--- a/internal/limit/granter/granter.go
+++ b/internal/limit/granter/granter.go
@@ -56,6 +56,7 @@
 // sale is a grant whose tokens may still be unspent.
 type sale struct {
 	id    fescuebank.GrantID
+	buyer fescuebank.Holder
 	count int
 	dead  time.Time
 }
@@ -202,7 +203,7 @@
 	}
 	for _, ask := range r.Asks {
 		if q, ok := quota(ask.Team); ok {
-			reply.Grants = append(reply.Grants, g.grant(now, ask, q))
+			reply.Grants = append(reply.Grants, g.grant(now, from, ask, q))
 		}
 	}
 	reply.Stamp = fescuebank.Stamp(now.Sub(g.opens)) + 1
@@ -260,7 +261,7 @@
 
 // grant sells what is needed, and ahead of need only a part of the rest, so
 // that other buyers find something too.
-func (g *Granter) grant(now time.Time, ask fescuebank.TokenAsk, q fescuebank.Quota) fescuebank.TokenGrant {
+func (g *Granter) grant(now time.Time, from fescuebank.Holder, ask fescuebank.TokenAsk, q fescuebank.Quota) fescuebank.TokenGrant {
 	b := g.bucket(ask.Team, q, now)
 	need := max(0, ask.Need)
 	count := min(need, int(b.level))
@@ -273,14 +274,38 @@
 		g.next++
 		sold.Grant = g.next
 		b.level -= float64(count)
-		b.sold = append(b.sold, sale{id: g.next, count: count, dead: now.Add(g.timing.Stretch(g.timing.Life))})
+		b.sold = append(b.sold, sale{id: g.next, buyer: from, count: count, dead: now.Add(g.timing.Stretch(g.timing.Life))})
 	}
 	if count < need {
 		sold.Wait = g.wait(b, q, g.share(ask.Team, q))
+		sold.Elsewhere = b.elsewhere(from)
+		sold.Recovering = g.isRecovering(now, ask.Team, q)
 	}
 	return sold
 }
 
+// isRecovering reports whether a full bucket may be missing only because the
+// owner began lately or counts floors as open.
+func (g *Granter) isRecovering(now time.Time, team fescuebank.TeamID, q fescuebank.Quota) bool {
+	const whole = 1 - 1e-9
+	if g.share(team, q) < whole {
+		return true
+	}
+	fill, ok := q.Rate.TimeFor(q.Burst)
+	return ok && now.Sub(g.steady) < fill
+}
+
+// elsewhere counts unspent tokens of other buyers than from.
+func (b *bucket) elsewhere(from fescuebank.Holder) int {
+	total := 0
+	for _, s := range b.sold {
+		if s.buyer != from {
+			total += s.count
+		}
+	}
+	return total
+}
+
 // longWait is told when tokens don't accrue.
 const longWait = time.Minute
 
--- /dev/null
+++ b/internal/operate/administrator/administrator.go
@@ -0,0 +1,314 @@
+// Package administrator serves the operators' interface.
+package administrator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/config/publisher"
+	"fescuebank/internal/config/withdrawer"
+	"fescuebank/internal/operate/burner"
+)
+
+// maxDocument bounds a desired state.
+const maxDocument = 64 << 20
+
+// Fleet tells the state of all instances.
+type Fleet interface {
+	// FleetStatus returns the states of the instances that answer and the names
+	// of those that don't.
+	FleetStatus(ctx context.Context) ([]fescuebank.InstanceStatus, []fescuebank.InstanceID)
+}
+
+// Config is what an administrator works with.
+type Config struct {
+	Publisher  *publisher.Publisher
+	Withdrawer *withdrawer.Withdrawer
+	Directory  fescuebank.Directory
+	Source     fescuebank.ConfigSource
+	Fleet      Fleet
+	Operators  fescuebank.OperatorSettings
+	Log        hclog.Logger
+	// Console serves the pages of forms.
+	Console http.Handler
+}
+
+// Administrator is the handler of the operators' address.
+type Administrator struct {
+	Config
+}
+
+// New returns an administrator.
+func New(c Config) *Administrator {
+	return &Administrator{Config: c}
+}
+
+// Handler returns the routes, all behind operators' credentials.
+func (a *Administrator) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/config", a.api(a.getConfig))
+	mux.HandleFunc("PUT /api/config", a.api(a.putConfig))
+	mux.HandleFunc("GET /api/teams/{team}", a.api(a.getTeam))
+	mux.HandleFunc("POST /api/teams/{team}/keys", a.api(a.grantKey))
+	mux.HandleFunc("POST /api/withdrawals", a.api(a.withdrawKey))
+	mux.HandleFunc("GET /api/status", a.api(a.getStatus))
+	mux.HandleFunc("GET /api/burn", a.api(a.getBurn))
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	if a.Console != nil {
+		mux.Handle("/", a.Console)
+	}
+	return a.authenticated(mux)
+}
+
+// authenticated lets only operators through. Comparison takes the same time
+// for every wrong password.
+func (a *Administrator) authenticated(next http.Handler) http.Handler {
+	want, _ := hex.DecodeString(a.Operators.PasswordSHA256) // The settings were checked.
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		user, password, ok := r.BasicAuth()
+		got := sha256.Sum256([]byte(password))
+		sameUser := subtle.ConstantTimeCompare([]byte(user), []byte(a.Operators.User))
+		samePassword := subtle.ConstantTimeCompare(got[:], want)
+		if !ok || sameUser&samePassword != 1 {
+			w.Header().Set("WWW-Authenticate", `Basic realm="fescuebank operators"`)
+			http.Error(w, "want an operator's credentials", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// ErrorBody is the JSON of an operators' error answer.
+type ErrorBody struct {
+	Error string `json:"error"`
+	// Faults are set for an invalid document.
+	Faults []fescuebank.Fault `json:"faults,omitempty"`
+	// Current is the generation in force, for a conflict.
+	Current fescuebank.Generation `json:"current,omitempty"`
+}
+
+// api turns the result of f into JSON.
+func (a *Administrator) api(f func(r *http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxDocument)
+		result, err := f(r)
+		w.Header().Set("Content-Type", "application/json")
+		if err != nil {
+			status, body := errorAnswer(err)
+			a.Log.Info("Operator's request refused.", "path", r.URL.Path, "status", status, "err", err)
+			w.WriteHeader(status)
+			result = body
+		}
+		_ = json.NewEncoder(w).Encode(result)
+	}
+}
+
+func errorAnswer(err error) (int, ErrorBody) {
+	var faults *fescuebank.Faults
+	var conflict *publisher.ConflictError
+	var refusal *fescuebank.Refusal
+	switch {
+	case errors.As(err, &faults):
+		return http.StatusUnprocessableEntity, ErrorBody{Error: "the document has faults", Faults: faults.List}
+	case errors.As(err, &conflict):
+		return http.StatusConflict, ErrorBody{Error: conflict.Error(), Current: conflict.Current}
+	case errors.As(err, &refusal):
+		return refusal.Status, ErrorBody{Error: refusal.Message}
+	case errors.Is(err, fescuebank.ErrOutcomeUnknown):
+		return http.StatusServiceUnavailable, ErrorBody{Error: "the store's answer was lost; the change may be in force: read the configuration before trying again"}
+	case errors.Is(err, fescuebank.ErrStoreDown):
+		return http.StatusServiceUnavailable, ErrorBody{Error: "the store is down; nothing was changed"}
+	}
+	return http.StatusInternalServerError, ErrorBody{Error: err.Error()}
+}
+
+func (a *Administrator) getConfig(r *http.Request) (any, error) {
+	return a.Publisher.Current(r.Context())
+}
+
+// Applied answers a change of the configuration.
+type Applied struct {
+	Generation fescuebank.Generation `json:"generation"`
+}
+
+func (a *Administrator) putConfig(r *http.Request) (any, error) {
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, fescuebank.Refuse(http.StatusRequestEntityTooLarge, fescuebank.CodeTooLarge, "want a document of at most %d bytes", maxDocument)
+	}
+	d, err := fescuebank.ParseDesiredState(text)
+	if err != nil {
+		return nil, err
+	}
+	g, err := a.Publisher.Apply(r.Context(), d)
+	return Applied{Generation: g}, err
+}
+
+func noTeam(id fescuebank.TeamID) error {
+	return fescuebank.Refuse(http.StatusNotFound, fescuebank.CodeNotFound, "no team %q", id)
+}
+
+func (a *Administrator) getTeam(r *http.Request) (any, error) {
+	d, err := a.Publisher.Current(r.Context())
+	if err != nil {
+		return nil, err
+	}
+	id := fescuebank.TeamID(r.PathValue("team"))
+	for _, t := range d.Teams {
+		if t.ID == id {
+			return t, nil
+		}
+	}
+	return nil, noTeam(id)
+}
+
+// GrantRequest asks for a new key.
+type GrantRequest struct {
+	Label string `json:"label"`
+}
+
+// Granted holds a new key. It is shown only here.
+type Granted struct {
+	Key        string                `json:"key"`
+	Hash       fescuebank.KeyHash    `json:"hash"`
+	Generation fescuebank.Generation `json:"generation"`
+}
+
+func (a *Administrator) grantKey(r *http.Request) (any, error) {
+	var request GrantRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		return nil, fescuebank.Refuse(http.StatusBadRequest, fescuebank.CodeBadRequest, "the body is not valid JSON: %v", err)
+	}
+	id := fescuebank.TeamID(r.PathValue("team"))
+	key := fescuebank.NewKey()
+	grant := fescuebank.KeyGrant{Hash: fescuebank.HashKey(key), Label: request.Label}
+	g, err := a.Publisher.Edit(r.Context(), func(d *fescuebank.DesiredState) error {
+		for i := range d.Teams {
+			if d.Teams[i].ID == id {
+				d.Teams[i].Keys = append(d.Teams[i].Keys, grant)
+				return nil
+			}
+		}
+		return noTeam(id)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return Granted{Key: key, Hash: grant.Hash, Generation: g}, nil
+}
+
+// WithdrawRequest names a key by itself, by its hash, or by a hash's start of
+// at least eight digits.
+type WithdrawRequest struct {
+	Key  string `json:"key,omitempty"`
+	Hash string `json:"hash,omitempty"`
+}
+
+// Withdrawn answers a withdrawal.
+type Withdrawn struct {
+	Hash fescuebank.KeyHash `json:"hash"`
+	// Stored is false while the store is down; the key works nowhere all the same.
+	Stored bool `json:"stored"`
+}
+
+func (a *Administrator) withdrawKey(r *http.Request) (any, error) {
+	var request WithdrawRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		return nil, fescuebank.Refuse(http.StatusBadRequest, fescuebank.CodeBadRequest, "the body is not valid JSON: %v", err)
+	}
+	h, err := a.findKey(request)
+	if err != nil {
+		return nil, err
+	}
+	stored := a.Withdrawer.Withdraw(r.Context(), h, a.Directory.Instances())
+	a.Log.Info("Key withdrawn.", "hash", h.String()[:8], "stored", stored)
+	if stored {
+		// The grant goes too; the withdrawal alone keeps the key out meanwhile.
+		_, err = a.Publisher.Edit(r.Context(), func(d *fescuebank.DesiredState) error {
+			for i := range d.Teams {
+				d.Teams[i].Keys = withoutKey(d.Teams[i].Keys, h)
+			}
+			return nil
+		})
+	}
+	if err != nil {
+		a.Log.Warn("Grant of a withdrawn key not removed.", "err", err)
+	}
+	return Withdrawn{Hash: h, Stored: stored}, nil
+}
+
+func withoutKey(keys []fescuebank.KeyGrant, h fescuebank.KeyHash) []fescuebank.KeyGrant {
+	kept := make([]fescuebank.KeyGrant, 0, len(keys))
+	for _, k := range keys {
+		if k.Hash != h {
+			kept = append(kept, k)
+		}
+	}
+	return kept
+}
+
+// minHashStart is how many digits name a key.
+const minHashStart = 8
+
+func (a *Administrator) findKey(request WithdrawRequest) (fescuebank.KeyHash, error) {
+	if request.Key != "" {
+		return fescuebank.HashKey(request.Key), nil
+	}
+	var h fescuebank.KeyHash
+	if h.UnmarshalText([]byte(request.Hash)) == nil {
+		return h, nil
+	}
+	if len(request.Hash) < minHashStart {
+		return h, fescuebank.Refuse(http.StatusBadRequest, fescuebank.CodeBadRequest, "want a key, or %d or more digits of its hash", minHashStart)
+	}
+	found := 0
+	for known := range a.Source.Current().Keys {
+		if strings.HasPrefix(known.String(), strings.ToLower(request.Hash)) {
+			h = known
+			found++
+		}
+	}
+	if found != 1 {
+		return h, fescuebank.Refuse(http.StatusNotFound, fescuebank.CodeNotFound, "%d keys have such a hash", found)
+	}
+	return h, nil
+}
+
+// FleetStatus answers a question for the state of all instances.
+type FleetStatus struct {
+	Instances []fescuebank.InstanceStatus `json:"instances"`
+	// Missing did not answer.
+	Missing []fescuebank.InstanceID `json:"missing"`
+}
+
+func (a *Administrator) getStatus(r *http.Request) (any, error) {
+	instances, missing := a.Fleet.FleetStatus(r.Context())
+	return FleetStatus{Instances: instances, Missing: missing}, nil
+}
+
+func (a *Administrator) getBurn(r *http.Request) (any, error) {
+	return a.Burn(r.Context()), nil
+}
+
+// Burn gathers the counts of all instances and rates them.
+func (a *Administrator) Burn(ctx context.Context) burner.Report {
+	instances, missing := a.Fleet.FleetStatus(ctx)
+	var levels [][]fescuebank.TeamLevels
+	for _, i := range instances {
+		levels = append(levels, i.Levels)
+	}
+	report := burner.Burner{}.Report(levels, a.Source.Current().State.Objectives)
+	report.Missing = missing
+	return report
+}
--- /dev/null
+++ b/internal/operate/supervisor/status.go
@@ -0,0 +1,110 @@
+package supervisor
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"fescuebank"
+)
+
+// statusTimeout bounds asking one peer for its status.
+const statusTimeout = 3 * time.Second
+
+// Status returns this instance's state.
+func (v *Supervisor) Status() fescuebank.InstanceStatus {
+	queued, _ := v.scheduler.Waiting()
+	s := fescuebank.InstanceStatus{
+		Instance: v.self, Incarnation: v.leaser.Holder().Incarnation, Leaving: v.drainer.Leaving(),
+		LeaseFresh: v.leaser.Fresh(), Generation: v.applier.Current().State.Generation,
+		Assignment: v.registrar.Current().Version, InFlight: v.drainer.InFlight(), Queued: queued,
+		Started: v.started.UTC(), Totals: v.collector.Totals(), Quarantined: v.quarantiner.Quarantined(),
+		Levels: v.collector.Levels(),
+	}
+	for n := range fescuebank.ShardCount {
+		if _, acts := v.registrar.Acts(fescuebank.ShardID(n)); acts {
+			s.OwnedShards++
+		}
+	}
+	traffic := v.messenger.Traffic()
+	s.Totals.PeerRequests, s.Totals.PeerBytes = traffic.Requests, traffic.Bytes
+	s.Endpoints = v.endpointStatus()
+	return s
+}
+
+func (v *Supervisor) endpointStatus() []fescuebank.EndpointStatus {
+	var list []fescuebank.EndpointStatus
+	for _, t := range v.balancer.Targets() {
+		spec := t.Spec()
+		report, _ := v.connector.Report(spec.ID)
+		_, owned := v.registrar.Acts(fescuebank.ShardOf(string(spec.ID)))
+		list = append(list, fescuebank.EndpointStatus{
+			ID: spec.ID, Zone: spec.Zone, Online: t.Online(), Limit: t.Limit(), Others: t.Others(), Batch: t.Batch(),
+			Slots: spec.Slots, Open: v.balancer.Open(t), Owned: owned,
+			Running: report.Running, Waiting: report.Waiting, Models: v.servedModels(spec.ID),
+		})
+	}
+	slices.SortFunc(list, func(a, b fescuebank.EndpointStatus) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
+
+func (v *Supervisor) handleStatus(context.Context, func(into any) error) (any, error) {
+	text, err := json.Marshal(v.Status())
+	if err != nil {
+		return nil, err
+	}
+	return &fescuebank.StatusReply{JSON: text}, nil
+}
+
+// FleetStatus asks every instance for its state. Those that don't answer are
+// returned by name.
+func (v *Supervisor) FleetStatus(ctx context.Context) ([]fescuebank.InstanceStatus, []fescuebank.InstanceID) {
+	const parallel = 16
+	var mu sync.Mutex
+	found := []fescuebank.InstanceStatus{v.Status()}
+	var missing []fescuebank.InstanceID
+	var group sync.WaitGroup
+	slots := make(chan struct{}, parallel)
+	for _, m := range v.registrar.Current().Members {
+		if m.ID == v.self.ID {
+			continue
+		}
+		group.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			s, err := v.askStatus(ctx, m.Instance)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missing = append(missing, m.ID)
+				return
+			}
+			found = append(found, s)
+		})
+	}
+	group.Wait()
+	slices.SortFunc(found, func(a, b fescuebank.InstanceStatus) int {
+		return strings.Compare(string(a.Instance.ID), string(b.Instance.ID))
+	})
+	slices.Sort(missing)
+	return found, missing
+}
+
+func (v *Supervisor) askStatus(ctx context.Context, i fescuebank.Instance) (fescuebank.InstanceStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var reply fescuebank.StatusReply
+	var s fescuebank.InstanceStatus
+	if err := v.messenger.Call(ctx, i.PeerAddr, fescuebank.KindStatus, &fescuebank.StatusRequest{}, &reply); err != nil {
+		return s, err
+	}
+	return s, json.Unmarshal(reply.JSON, &s)
+}
+
+// Members returns the number of members of the assignment.
+func (v *Supervisor) Members() int {
+	return len(v.registrar.Current().Members)
+}
--- a/job.go
+++ b/job.go
@@ -1,8 +1,12 @@
 package fescuebank
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -39,6 +43,8 @@
 	Team TeamID `json:"team"`
 	// Input is the uploaded file whose chunks hold the items.
 	Input FileID `json:"input"`
+	// Content is that of the input file.
+	Content string `json:"content"`
 	// Path is the callers' path that the items are for.
 	Path string `json:"path"`
 	// Chunks is the number of chunks of Input.
@@ -64,14 +70,17 @@
 	Chunks  int       `json:"chunks"`
 	Items   int       `json:"items"`
 	Created time.Time `json:"created"`
+	// Content is the SHA-256 of the items in hexadecimal digits. Two uploads of
+	// the same items have the same one.
+	Content string `json:"content"`
 }
 
 // Chunk is a part of an input file: whole lines, compressed under MaxValue.
 type Chunk struct {
 	// First is the number of the first item, from 0.
-	First int
+	First int `cbor:"1,keyasint"`
 	// Lines are the items as they came, one JSON object each.
-	Lines [][]byte
+	Lines [][]byte `cbor:"2,keyasint"`
 }
 
 // ItemRef names one item of a job.
@@ -138,8 +147,36 @@
 	r.Done[item/8] |= 1 << (item % 8)
 }
 
-// Store keys of batch objects. Job ids carry the shard's hash input, so that
-// every instance finds the owner from the id alone.
+// NewJobID returns the id of a team's job. The id starts with the team's shard,
+// so that every instance finds the owner from it; the rest depends only on the
+// team and the caller's idempotency key, so that a resent job has the same id.
+func NewJobID(team TeamID, idempotencyKey string) JobID {
+	sum := sha256.Sum256([]byte(string(team) + "\x00" + idempotencyKey))
+	return JobID(fmt.Sprintf("batch-%02x-%s", uint32(ShardOf(string(team))), hex.EncodeToString(sum[:jobIDBytes])))
+}
+
+const jobIDBytes = 12
+
+// Shard returns the shard of the job's team.
+func (id JobID) Shard() (ShardID, bool) {
+	part, _, ok := strings.Cut(strings.TrimPrefix(string(id), "batch-"), "-")
+	n, err := strconv.ParseUint(part, 16, 32)
+	if !ok || err != nil || n >= ShardCount {
+		return 0, false
+	}
+	return ShardID(n), true
+}
+
+// ActiveJob is the value of the object that marks a job as unfinished. Owners
+// follow these objects.
+type ActiveJob struct {
+	Team TeamID    `json:"team"`
+	Due  time.Time `json:"due"`
+	// Cancel is set once the caller cancelled the job.
+	Cancel bool `json:"cancel,omitempty"`
+}
+
+// Store keys of batch objects.
 const (
 	JobPrefix    = "jobs/"
 	FilePrefix   = "files/"
@@ -173,8 +210,13 @@
 	return fmt.Sprintf("%s%06d", RecordPrefix(id), chunk)
 }
 
+// ChunkNumber returns the chunk that a record's key is for.
+func ChunkNumber(key string) (int, error) {
+	return strconv.Atoi(key[strings.LastIndexByte(key, '/')+1:])
+}
+
 // SegmentKey returns the store key of a result segment. The owner's fencing
-// number keeps segments of former owners apart.
-func SegmentKey(id JobID, chunk int, owner FencingNumber, sequence int) string {
-	return fmt.Sprintf("segments/%s/%06d/%d-%d", id, chunk, owner, sequence)
+// number and the random part keep segments of all tries apart.
+func SegmentKey(id JobID, chunk int, owner FencingNumber, random string) string {
+	return fmt.Sprintf("segments/%s/%06d/%d-%s", id, chunk, owner, random)
 }
--- a/limit.go
+++ b/limit.go
@@ -64,6 +64,11 @@
 	Count int     `cbor:"3,keyasint"`
 	// Wait is when another token accrues, if Count fell short of the need.
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
+	// Elsewhere is the number of unspent tokens that other buyers may hold.
+	Elsewhere int `cbor:"5,keyasint,omitempty"`
+	// Recovering is set while the owner can't tell whether the team is within its
+	// rate: it began lately, or homes have not confirmed that they are off their floor.
+	Recovering bool `cbor:"6,keyasint,omitempty"`
 }
 
 // ShardGrants is the owner's answer for one shard.
--- a/peer.go
+++ b/peer.go
@@ -14,11 +14,13 @@
 	KindProbe MessageKind = iota + 1
 	KindTokens
 	KindPull
-	KindOutcome
+	KindReport
 	KindWithdraw
-	KindOffers
+	KindLoad
 	KindStatus
 	KindLend
+	KindSuspect
+	KindPermit
 )
 
 // ProbeRequest asks whether an instance is alive and passes knowledge on.
@@ -72,17 +74,17 @@
 	Items []PulledItem `cbor:"1,keyasint"`
 	// Expiry is how long the puller may stay silent about an item.
 	Expiry time.Duration `cbor:"2,keyasint"`
-	// Backlog is the number of pending items left at this owner.
-	Backlog int `cbor:"3,keyasint"`
+	// Weight is the summed weight of the teams that still have pending items.
+	Weight float64 `cbor:"3,keyasint"`
 }
 
-// OutcomeKind says what a puller reports of an item.
-type OutcomeKind uint8
+// ReportKind says what a puller reports of an item.
+type ReportKind uint8
 
 // What can be reported of an item.
 const (
 	// ItemDone carries the outcome.
-	ItemDone OutcomeKind = iota + 1
+	ItemDone ReportKind = iota + 1
 	// ItemReturned gives the item back with what was generated.
 	ItemReturned
 	// ItemRunning extends the expiry.
@@ -95,19 +97,21 @@
 type ItemReport struct {
 	Ref     ItemRef     `cbor:"1,keyasint"`
 	Attempt int         `cbor:"2,keyasint"`
-	Kind    OutcomeKind `cbor:"3,keyasint"`
+	Kind    ReportKind  `cbor:"3,keyasint"`
 	Outcome ItemOutcome `cbor:"4,keyasint"`
 	Resume  Partial     `cbor:"5,keyasint"`
+	// Used is the number of tokens generated since the last report.
+	Used Tokens `cbor:"6,keyasint"`
 }
 
-// OutcomeRequest reports items to their job's owner.
-type OutcomeRequest struct {
+// ReportRequest reports items to their job's owner.
+type ReportRequest struct {
 	From    InstanceID   `cbor:"1,keyasint"`
 	Reports []ItemReport `cbor:"2,keyasint"`
 }
 
-// OutcomeReply names the items that the puller should stop.
-type OutcomeReply struct {
+// ReportReply names the items that the puller should stop.
+type ReportReply struct {
 	Stop []ItemRef `cbor:"1,keyasint"`
 }
 
@@ -149,3 +153,41 @@
 
 // PeerHandler answers one kind of request. It decodes the request with decode.
 type PeerHandler func(ctx context.Context, decode func(into any) error) (reply any, err error)
+
+// TeamDemand is what a team has running and waiting at one instance.
+type TeamDemand struct {
+	Team  TeamID `cbor:"1,keyasint"`
+	Count int    `cbor:"2,keyasint"`
+}
+
+// EndpointUse is one instance's use of one endpoint.
+type EndpointUse struct {
+	ID EndpointID `cbor:"1,keyasint"`
+	// Online is the number of online requests that the instance has there.
+	Online int `cbor:"2,keyasint"`
+	// Demands are told while requests wait for room.
+	Demands []TeamDemand `cbor:"3,keyasint,omitempty"`
+}
+
+// LoadNotice tells the owner of endpoints how an instance uses them.
+type LoadNotice struct {
+	From InstanceID `cbor:"1,keyasint"`
+	// Sequence grows with each notice of an instance; older ones are ignored.
+	Sequence uint64        `cbor:"2,keyasint"`
+	Uses     []EndpointUse `cbor:"3,keyasint"`
+}
+
+// EndpointCredit is what the owner of an endpoint allows one instance.
+type EndpointCredit struct {
+	ID EndpointID `cbor:"1,keyasint"`
+	// Limit bounds the instance's online requests there.
+	Limit int `cbor:"2,keyasint"`
+	// Others is the number of online requests of other instances there.
+	Others int `cbor:"3,keyasint"`
+}
+
+// LoadReply answers a LoadNotice. Endpoints that the instance doesn't own are
+// left out.
+type LoadReply struct {
+	Credits []EndpointCredit `cbor:"1,keyasint"`
+}
