--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// retryMin and retryMax bound the wait before segments are read again.
-	retryMin = 200 * time.Millisecond
-	retryMax = 5 * time.Second
+	// firstRetry and longestRetry bound the wait before segments are read again.
+	firstRetry = 200 * time.Millisecond
+	longestRetry = 5 * time.Second
 )
 
 // Applier is the fescuebank.ConfigSource of a running daemon. It applies whole
@@ -78,7 +78,7 @@
 
 // Run applies what is heard until ctx ends.
 func (a *Applier) Run(ctx context.Context) {
-	wait := retryMin
+	wait := firstRetry
 	for ctx.Err() == nil {
 		m := a.newest.Load()
 		if m == nil || m.Generation <= a.Current().State.Generation {
@@ -91,10 +91,10 @@
 		if err := a.apply(ctx, *m); err != nil {
 			a.log.Warn("Generation not applied.", "generation", uint64(m.Generation), "err", err)
 			_ = fescuebank.Sleep(ctx, a.clock, wait/2+rand.N(wait))
-			wait = min(2*wait, retryMax)
+			wait = min(2*wait, longestRetry)
 			continue
 		}
-		wait = retryMin
+		wait = firstRetry
 	}
 }
 
--- a/internal/endpoint/balancer/balancer.go
+++ b/internal/endpoint/balancer/balancer.go
@@ -23,9 +23,9 @@
 	rampTime = 10 * time.Second
 	// reportAge is how long a load report is used.
 	reportAge = 5 * time.Second
-	// ejectMin and ejectMax bound how long a failing endpoint gets no work.
-	ejectMin = 500 * time.Millisecond
-	ejectMax = 15 * time.Second
+	// firstEjection and longestEjection bound how long a failing endpoint gets no work.
+	firstEjection = 500 * time.Millisecond
+	longestEjection = 15 * time.Second
 )
 
 // Balancer picks endpoints for one model at a time. Its lists are replaced
@@ -414,8 +414,8 @@
 // It then starts slowly.
 func (b *Balancer) Failed(t *Target) {
 	n := t.failures.Add(1)
-	d := ejectMin << min(n-1, 6)
-	until := b.clock.Now().Add(min(d, ejectMax))
+	d := firstEjection << min(n-1, 6)
+	until := b.clock.Now().Add(min(d, longestEjection))
 	t.ejectedUntil.Store(until.UnixNano())
 	t.since.Store(until.UnixNano())
 }
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// backoffMin is the first wait before a retry; it doubles each time.
-	backoffMin = 20 * time.Millisecond
-	backoffMax = 500 * time.Millisecond
+	// firstBackoff is the first wait before a retry; it doubles each time.
+	firstBackoff = 20 * time.Millisecond
+	longestBackoff = 500 * time.Millisecond
 	// maxPrefixes bounds the remembered prompt prefixes.
 	maxPrefixes = 8192
 )
@@ -182,7 +182,7 @@
 }
 
 func (r *Router) backoff(ctx context.Context, attempt int) error {
-	d := min(backoffMin<<(attempt-1), backoffMax)
+	d := min(firstBackoff<<(attempt-1), longestBackoff)
 	return fescuebank.Sleep(ctx, r.clock, d/2+rand.N(d/2))
 }
 
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// retryMin and retryMax bound the wait after a failed call.
-	retryMin = 500 * time.Millisecond
-	retryMax = 8 * time.Second
+	// firstRetry and longestRetry bound the wait after a failed call.
+	firstRetry = 500 * time.Millisecond
+	longestRetry = 8 * time.Second
 	// quietGap keeps a watch that ends at once from being repeated without pause.
 	quietGap = time.Second
 	// hintSpread spreads the reads after a hint over the instances.
@@ -86,15 +86,15 @@
 
 // Run lists, then watches, until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	wait := retryMin
+	wait := firstRetry
 	for ctx.Err() == nil {
 		if err := w.follow(ctx); err != nil && ctx.Err() == nil {
 			w.log.Warn("Store not followed.", "prefix", w.prefix, "err", err)
 			_ = fescuebank.Sleep(ctx, w.clock, jitter(wait))
-			wait = min(2*wait, retryMax)
+			wait = min(2*wait, longestRetry)
 			continue
 		}
-		wait = retryMin
+		wait = firstRetry
 	}
 }
 
--- a/internal/limit/borrower/borrower.go
+++ b/internal/limit/borrower/borrower.go
@@ -187,7 +187,7 @@
 		if ask, ok := b.ask(team, p); ok {
 			r.Asks = append(r.Asks, ask)
 		}
-		if p.idle() {
+		if p.idle(b.floorOpens) {
 			delete(b.teams, team)
 		}
 	}
@@ -215,8 +215,11 @@
 
 const demandFloor = 0.05
 
-func (p *purse) idle() bool {
-	return p.waiting == 0 && len(p.tokens) == 0 && len(p.spent) == 0 && p.taken == 0 && p.demand < demandFloor && p.floor == 0
+// idle reports whether nothing is lost by forgetting the purse. What was used
+// of a floor that is still open must be remembered.
+func (p *purse) idle(floorOpens time.Time) bool {
+	unused := p.waiting == 0 && len(p.tokens) == 0 && len(p.spent) == 0 && p.taken == 0 && p.demand < demandFloor
+	return unused && p.floorAt.Before(floorOpens)
 }
 
 // giveBack takes out tokens that stayed unspent for too long.
--- a/internal/limit/granter/granter.go
+++ b/internal/limit/granter/granter.go
@@ -117,21 +117,23 @@
 // settle brings all buckets up to date when a floor opens or closes. A confirmation
 // that ended in between is taken to have ended when it did.
 func (g *Granter) settle(now time.Time, quota QuotaSource) {
+	from := g.steady
 	for {
-		end, ok := g.nextEnd(now)
+		end, ok := g.nextEnd(from, now)
 		if !ok {
 			break
 		}
 		g.changeClosed(end, quota)
+		from = end
 	}
 	g.changeClosed(now, quota)
 }
 
-// nextEnd returns the earliest end of a confirmation after the last settling.
-func (g *Granter) nextEnd(now time.Time) (time.Time, bool) {
+// nextEnd returns the earliest end of a confirmation after from and up to now.
+func (g *Granter) nextEnd(from, now time.Time) (time.Time, bool) {
 	var first time.Time
 	for _, s := range g.slots {
-		if s.confirmed.After(g.steady) && !s.confirmed.After(now) && (first.IsZero() || s.confirmed.Before(first)) {
+		if s.confirmed.After(from) && !s.confirmed.After(now) && (first.IsZero() || s.confirmed.Before(first)) {
 			first = s.confirmed
 		}
 	}
--- a/internal/standin/platformer/handler.go
+++ b/internal/standin/platformer/handler.go
@@ -102,7 +102,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	version, err, lost := p.write(o, expected)
+	version, lost, err := p.write(o, expected)
 	switch {
 	case lost:
 		panic(http.ErrAbortHandler)
--- a/internal/standin/platformer/platformer.go
+++ b/internal/standin/platformer/platformer.go
@@ -157,17 +157,17 @@
 
 // write applies a conditional write. It returns the outcome and whether the
 // answer is to be lost.
-func (p *Platformer) write(o fescuebank.Object, expected fescuebank.StoreVersion) (fescuebank.StoreVersion, error, bool) {
+func (p *Platformer) write(o fescuebank.Object, expected fescuebank.StoreVersion) (version fescuebank.StoreVersion, lost bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls.Writes++
 	prefix, _, _ := strings.Cut(o.Key, "/")
 	p.prefixCalls[prefix]++
 	if fescuebank.Bytes(len(o.Value)) > fescuebank.MaxValue {
-		return 0, fescuebank.ErrTooLarge, false
+		return 0, false, fescuebank.ErrTooLarge
 	}
 	if p.objects[o.Key].Version != expected {
-		return 0, fescuebank.ErrVersion, false
+		return 0, false, fescuebank.ErrVersion
 	}
 	p.version++
 	o.Version = p.version
@@ -177,11 +177,11 @@
 		p.objects[o.Key] = o
 	}
 	p.record(o)
-	lost := p.faults.LoseWrites > 0
+	lost = p.faults.LoseWrites > 0
 	if lost {
 		p.faults.LoseWrites--
 	}
-	return o.Version, nil, lost
+	return o.Version, lost, nil
 }
 
 // record appends an event for watches. The caller holds mu.
