--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -18,7 +18,7 @@
 
 const (
 	// firstRetry and longestRetry bound the wait before segments are read again.
-	firstRetry = 200 * time.Millisecond
+	firstRetry   = 200 * time.Millisecond
 	longestRetry = 5 * time.Second
 )
 
--- a/internal/endpoint/balancer/balancer.go
+++ b/internal/endpoint/balancer/balancer.go
@@ -24,7 +24,7 @@
 	// reportAge is how long a load report is used.
 	reportAge = 5 * time.Second
 	// firstEjection and longestEjection bound how long a failing endpoint gets no work.
-	firstEjection = 500 * time.Millisecond
+	firstEjection   = 500 * time.Millisecond
 	longestEjection = 15 * time.Second
 )
 
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -19,7 +19,7 @@
 
 const (
 	// firstBackoff is the first wait before a retry; it doubles each time.
-	firstBackoff = 20 * time.Millisecond
+	firstBackoff   = 20 * time.Millisecond
 	longestBackoff = 500 * time.Millisecond
 	// maxPrefixes bounds the remembered prompt prefixes.
 	maxPrefixes = 8192
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -16,7 +16,7 @@
 
 const (
 	// firstRetry and longestRetry bound the wait after a failed call.
-	firstRetry = 500 * time.Millisecond
+	firstRetry   = 500 * time.Millisecond
 	longestRetry = 8 * time.Second
 	// quietGap keeps a watch that ends at once from being repeated without pause.
 	quietGap = time.Second
--- a/internal/limit/granter/fuzz_test.go
+++ b/internal/limit/granter/fuzz_test.go
@@ -188,7 +188,7 @@
 				}
 			}
 		},
-		"request": func(t *rapid.T) { m.request(m.anyNode(t)) },
+		"request":   func(t *rapid.T) { m.request(m.anyNode(t)) },
 		"round":     m.round,
 		"nextRound": m.round,
 		"buy": func(t *rapid.T) {
