--- a/cmd/fescuectl/load.go
+++ b/cmd/fescuectl/load.go
@@ -324,7 +324,7 @@
 		fmt.Fprint(w, "\tRATIO")
 	}
 	fmt.Fprintln(w)
-	print := func(name string, values ...float64) {
+	line := func(name string, values ...float64) {
 		fmt.Fprint(w, name)
 		for _, v := range values {
 			fmt.Fprintf(w, "\t%.4g", v)
@@ -339,7 +339,7 @@
 		for _, r := range reports {
 			values = append(values, row.value(r))
 		}
-		print(row.name, values...)
+		line(row.name, values...)
 	}
 	for n, t := range reports[0].Teams {
 		var complete, late []float64
@@ -349,8 +349,8 @@
 				late = append(late, r.Teams[n].FirstP95)
 			}
 		}
-		print(string(t.Team)+" answered", complete...)
-		print(string(t.Team)+" first token p95 ms", late...)
+		line(string(t.Team)+" answered", complete...)
+		line(string(t.Team)+" first token p95 ms", late...)
 	}
 }
 
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -18,7 +18,7 @@
 
 const (
 	// lookInterval is how often windows are compared with what runs.
-	lookInterval = 10 * time.Millisecond
+	lookInterval = 20 * time.Millisecond
 	// emptyWait is how long an owner without items is left alone.
 	emptyWait = 250 * time.Millisecond
 	// brokenWait is how long an endpoint that failed gets no batch work.
@@ -45,6 +45,7 @@
 	owners    func() []fescuebank.Instance
 	guard     fescuebank.Guard
 	reporter  *reporter
+	kick      chan struct{}
 
 	mu    sync.Mutex
 	lanes map[fescuebank.EndpointID]*lane
@@ -118,6 +119,7 @@
 		directory: c.Directory, peer: c.Peer, local: c.Local, clock: c.Clock, log: c.Log,
 		endpoints: c.Endpoints, models: c.Models, endpoint: c.Endpoint, window: c.Window, counted: c.Counted,
 		owners: c.Owners, guard: c.Guard,
+		kick:   make(chan struct{}, 1),
 		lanes:  make(map[fescuebank.EndpointID]*lane),
 		served: make(map[fescuebank.InstanceID]*ownerShare),
 	}
@@ -129,13 +131,26 @@
 func (d *Dispatcher) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { d.reporter.run(ctx) })
-	for fescuebank.Sleep(ctx, d.clock, lookInterval) == nil {
+	for ctx.Err() == nil {
 		d.look(ctx)
+		select {
+		case <-d.kick:
+		case <-d.clock.After(lookInterval):
+		case <-ctx.Done():
+		}
 	}
 	d.YieldAll()
 	group.Wait()
 }
 
+// Kick compares windows with what runs at once.
+func (d *Dispatcher) Kick() {
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
 // look compares each owned endpoint's window with what runs there.
 func (d *Dispatcher) look(ctx context.Context) {
 	present := make(map[fescuebank.EndpointID]bool)
@@ -286,6 +301,7 @@
 		l.running = slices.DeleteFunc(l.running, func(other *run) bool { return other == r })
 		d.mu.Unlock()
 		d.counted(l.spec.ID, -1)
+		d.Kick()
 		d.reporter.ended(r, report)
 	}()
 }
--- a/internal/endpoint/coordinator/coordinator.go
+++ b/internal/endpoint/coordinator/coordinator.go
@@ -19,7 +19,7 @@
 	overcommit = 1
 	// riseWindow is within which a rise of online requests comes too fast for
 	// batch work to make room.
-	riseWindow = 80 * time.Millisecond
+	riseWindow = 25 * time.Millisecond
 	// riseHalfLife is how fast a rise is forgotten.
 	riseHalfLife = 5 * time.Second
 	// minHeadroom is the number of slots that batch work always leaves free.
--- a/internal/endpoint/notifier/notifier.go
+++ b/internal/endpoint/notifier/notifier.go
@@ -16,7 +16,7 @@
 
 const (
 	// lookInterval is how often the use is compared with what was told.
-	lookInterval = 5 * time.Millisecond
+	lookInterval = 10 * time.Millisecond
 	// fallDelay is how long a fall of use may wait before it is told.
 	fallDelay = 50 * time.Millisecond
 	// renewInterval is how often a use that doesn't change is told.
@@ -40,6 +40,9 @@
 	demands func() []fescuebank.TeamDemand
 	// wake is called after limits have changed.
 	wake func()
+	// changed is called after the use of an owned endpoint has changed.
+	changed func()
+	kick    chan struct{}
 
 	mu       sync.Mutex
 	sequence uint64
@@ -67,20 +70,28 @@
 	Demands func() []fescuebank.TeamDemand
 	// Wake is called after limits have changed.
 	Wake func()
+	// Changed is called after the use of an owned endpoint has changed.
+	Changed func()
 }
 
 // New returns a notifier that has told nothing.
 func New(c Config) *Notifier {
 	return &Notifier{
 		directory: c.Directory, peer: c.Peer, balancer: c.Balancer, coordinator: c.Coordinator,
-		clock: c.Clock, log: c.Log, demands: c.Demands, wake: c.Wake,
+		clock: c.Clock, log: c.Log, demands: c.Demands, wake: c.Wake, changed: c.Changed,
+		kick: make(chan struct{}, 1),
 		told: make(map[fescuebank.EndpointID]*telling),
 	}
 }
 
 // Run tells owners until ctx ends.
 func (n *Notifier) Run(ctx context.Context) {
-	for fescuebank.Sleep(ctx, n.clock, lookInterval) == nil {
+	for ctx.Err() == nil {
+		select {
+		case <-n.kick:
+		case <-n.clock.After(lookInterval):
+		case <-ctx.Done():
+		}
 		demands := n.demands()
 		byOwner := make(map[fescuebank.Instance][]fescuebank.EndpointUse)
 		now := n.clock.Now()
@@ -96,6 +107,14 @@
 	}
 }
 
+// Kick tells owners of a change at once.
+func (n *Notifier) Kick() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
+
 // isDue reports whether the owner should be told of a target now, and if so
 // notes that it is.
 func (n *Notifier) isDue(now time.Time, t *balancer.Target, waiting bool) bool {
@@ -184,5 +203,8 @@
 		}
 		reply.Credits = append(reply.Credits, n.coordinator.Notice(now, notice.From, notice.Sequence, u, t.Spec().Slots))
 	}
+	if len(reply.Credits) > 0 {
+		n.changed()
+	}
 	return reply
 }
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -37,6 +37,8 @@
 	endpoint func(fescuebank.EndpointID) (fescuebank.Endpoint, bool)
 	guard    fescuebank.Guard
 	observe  Observer
+	// firstToken is the bound of a timely first token.
+	firstToken func() time.Duration
 
 	mu sync.Mutex
 	// prefixes remembers where prompts with the same start went.
@@ -63,13 +65,15 @@
 	Endpoint func(fescuebank.EndpointID) (fescuebank.Endpoint, bool)
 	Guard    fescuebank.Guard
 	Observer Observer
+	// FirstToken returns the bound of a timely first token.
+	FirstToken func() time.Duration
 }
 
 // New returns a router.
 func New(c Config) *Router {
 	return &Router{
 		scheduler: c.Scheduler, balancer: c.Balancer, clock: c.Clock, log: c.Log, attempts: c.Attempts,
-		endpoint: c.Endpoint, guard: c.Guard, observe: c.Observer,
+		endpoint: c.Endpoint, guard: c.Guard, observe: c.Observer, firstToken: c.FirstToken,
 		budget:   newRetryBudget(),
 		prefixes: make(map[uint64]fescuebank.EndpointID),
 	}
@@ -145,9 +149,12 @@
 	if err != nil {
 		return err
 	}
+	started := r.clock.Now()
 	err = endpoint.Complete(ctx, c, func(d fescuebank.Delta) error {
 		if p.partial.Tokens == 0 && d.Index == 0 {
-			r.observe.FirstToken(c.Team, r.clock.Now().Sub(p.arrived))
+			now := r.clock.Now()
+			r.observe.FirstToken(c.Team, now.Sub(p.arrived))
+			target.Adapt(now.Sub(started), r.firstToken())
 		}
 		p.offered = true
 		p.partial.Text += d.Text
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -18,6 +18,8 @@
 	balancer *balancer.Balancer
 	clock    fescuebank.Clock
 	perTeam  int
+	// reserved is called after a request got its endpoint.
+	reserved func()
 
 	mu    sync.RWMutex
 	lanes map[fescuebank.ModelName]*lane
@@ -53,9 +55,10 @@
 	granted chan *balancer.Target
 }
 
-// New returns a scheduler over the endpoints of b.
-func New(b *balancer.Balancer, perTeam int, clock fescuebank.Clock) *Scheduler {
-	return &Scheduler{balancer: b, clock: clock, perTeam: perTeam, lanes: make(map[fescuebank.ModelName]*lane)}
+// New returns a scheduler over the endpoints of b. reserved is called after
+// each request that got its endpoint.
+func New(b *balancer.Balancer, perTeam int, clock fescuebank.Clock, reserved func()) *Scheduler {
+	return &Scheduler{balancer: b, clock: clock, perTeam: perTeam, reserved: reserved, lanes: make(map[fescuebank.ModelName]*lane)}
 }
 
 func (s *Scheduler) lane(m fescuebank.ModelName) *lane {
@@ -113,6 +116,7 @@
 		if t := s.balancer.Reserve(c.Model, r.Prefer, r.Avoid); t != nil {
 			l.queue.Charge(c.Team, r.Weight, c.Cost())
 			l.running[c.Team]++
+			s.reserved()
 			return t, nil, nil, nil
 		}
 	}
@@ -152,6 +156,7 @@
 		}
 		l.queue.Pop()
 		l.running[item.Team]++
+		s.reserved()
 		w.granted <- t
 	}
 }
--- a/internal/limit/granter/fuzz_test.go
+++ b/internal/limit/granter/fuzz_test.go
@@ -172,7 +172,7 @@
 	})
 }
 
-func (m *tokenMachine) actions(t *rapid.T) map[string]func(*rapid.T) {
+func (m *tokenMachine) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
 		"advance": func(t *rapid.T) {
 			m.now += time.Duration(rapid.IntRange(1, 900).Draw(t, "milliseconds")) * time.Millisecond
@@ -328,7 +328,7 @@
 	total := 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newTokenMachine(t)
-		t.Repeat(m.actions(t))
+		t.Repeat(m.actions())
 		total += m.admitted
 	})
 	if total == 0 {
--- a/internal/operate/supervisor/supervisor.go
+++ b/internal/operate/supervisor/supervisor.go
@@ -205,10 +205,11 @@
 	v.balancer = balancer.New(s.Instance.Zone, policy, v.clock)
 	v.connector = connector.New(v.balancer, v.clock, s.Timing.Silence)
 	v.coordinator = coordinator.New(v.weight)
-	v.scheduler = scheduler.New(v.balancer, s.Limits.QueueLength, v.clock)
+	v.scheduler = scheduler.New(v.balancer, s.Limits.QueueLength, v.clock, func() { v.notifier.Kick() })
 	v.notifier = notifier.New(notifier.Config{
 		Directory: v.registrar, Peer: v.messenger, Balancer: v.balancer, Coordinator: v.coordinator,
 		Clock: v.clock, Log: v.part("credit"), Demands: v.scheduler.Demands, Wake: v.scheduler.Wake,
+		Changed: func() { v.dispatcher.Kick() },
 	})
 	permits := permitter.New(v.registrar, v.messenger, v.clock)
 	v.messenger.Handle(fescuebank.KindPermit, permits.Handle)
@@ -275,6 +276,7 @@
 	routes := router.New(router.Config{
 		Scheduler: v.scheduler, Balancer: v.balancer, Clock: v.clock, Log: v.part("route"), Attempts: s.Limits.Attempts,
 		Endpoint: v.connector.Endpoint, Guard: v.quarantiner, Observer: v.collector,
+		FirstToken: func() time.Duration { return v.applier.Current().State.Objectives.FirstToken.Duration() },
 	})
 	c := &v.gateway.Config
 	c.Source = v.applier
