--- a/internal/operate/supervisor/status.go
+++ b/internal/operate/supervisor/status.go
@@ -108,3 +108,20 @@
 func (v *Supervisor) Members() int {
 	return len(v.registrar.Current().Members)
 }
+
+// RunningItems returns the number of batch items that run on endpoints which
+// this instance owns.
+func (v *Supervisor) RunningItems() int {
+	return v.dispatcher.Running()
+}
+
+// WithdrawKey takes a key out of force everywhere. It returns whether the
+// store has taken it yet.
+func (v *Supervisor) WithdrawKey(ctx context.Context, h fescuebank.KeyHash) bool {
+	return v.withdrawer.Withdraw(ctx, h, v.registrar.Instances())
+}
+
+// Edit changes the newest desired state and publishes it.
+func (v *Supervisor) Edit(ctx context.Context, change func(*fescuebank.DesiredState) error) (fescuebank.Generation, error) {
+	return v.publisher.Edit(ctx, change)
+}
--- a/internal/standin/platformer/platformer.go
+++ b/internal/standin/platformer/platformer.go
@@ -258,3 +258,11 @@
 	defer p.mu.Unlock()
 	p.listed = slices.DeleteFunc(p.listed, func(l listing) bool { return l.instance.ID == id })
 }
+
+// Has reports whether an object exists.
+func (p *Platformer) Has(key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.objects[key]
+	return ok
+}
