Place models by fenced orders, and mend races that the detector found

Cause: the emulated engine cancelled by request id when a connection ended, so the end of a former attempt cancelled its successor of the same id, and read a request's position without its lock; the dispatcher read a lane's description while it was replaced. Change: a connection's end drops its own request only; lanes keep the id alone. New: orders to endpoints under the owner's fencing number; a new owner waits out orders in flight to endpoints that ignore it; replicas move when endpoints go.

--- a/completion.go
+++ b/completion.go
@@ -148,6 +148,25 @@
 	Waiting int `json:"waiting"`
 	// Models are those it can serve now.
 	Models []ModelName `json:"models"`
+	// Loaded tells the versions and adapters of Models.
+	Loaded []LoadedModel `json:"loaded"`
 	// Leaving is set when the endpoint is about to go.
 	Leaving bool `json:"leaving"`
 }
+
+// LoadedModel is a model as an endpoint has it loaded.
+type LoadedModel struct {
+	Name     ModelName `json:"name"`
+	Version  string    `json:"version"`
+	Adapters []string  `json:"adapters,omitempty"`
+}
+
+// LoadedAs returns how the endpoint has a model loaded.
+func (r *LoadReport) LoadedAs(name ModelName) (LoadedModel, bool) {
+	for _, m := range r.Loaded {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return LoadedModel{}, false
+}
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -69,7 +69,7 @@
 
 // lane is the batch work on one endpoint.
 type lane struct {
-	spec    fescuebank.EndpointSpec
+	id      fescuebank.EndpointID
 	running []*run
 	pulling bool
 	// restUntil is until when a failed endpoint gets no batch work.
@@ -178,10 +178,9 @@
 	d.mu.Lock()
 	l, ok := d.lanes[spec.ID]
 	if !ok {
-		l = &lane{}
+		l = &lane{id: spec.ID}
 		d.lanes[spec.ID] = l
 	}
-	l.spec = spec
 	l.shrink(window)
 	room := min(window-len(l.running), maxPull)
 	if room <= 0 || l.pulling || now.Before(l.restUntil) {
@@ -257,7 +256,7 @@
 
 // pull asks an owner for items and starts them.
 func (d *Dispatcher) pull(ctx context.Context, l *lane, owner fescuebank.Instance, limit int) {
-	request := fescuebank.PullRequest{From: d.directory.Self().ID, Models: d.models(l.spec.ID), Limit: limit}
+	request := fescuebank.PullRequest{From: d.directory.Self().ID, Models: d.models(l.id), Limit: limit}
 	reply, err := d.ask(ctx, owner, &request)
 	now := d.clock.Now()
 	d.mu.Lock()
@@ -292,7 +291,7 @@
 	runCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	r := &run{item: item, owner: owner, cancel: cancel, started: d.clock.Now()}
 	l.running = append(l.running, r)
-	d.counted(l.spec.ID, 1)
+	d.counted(l.id, 1)
 	d.reporter.began(r)
 	go func() {
 		report := d.execute(runCtx, l, r)
@@ -300,7 +299,7 @@
 		d.mu.Lock()
 		l.running = slices.DeleteFunc(l.running, func(other *run) bool { return other == r })
 		d.mu.Unlock()
-		d.counted(l.spec.ID, -1)
+		d.counted(l.id, -1)
 		d.Kick()
 		d.reporter.ended(r, report)
 	}()
@@ -313,12 +312,12 @@
 	if err != nil {
 		return failed(report, line.CustomID, http.StatusBadRequest, fescuebank.CodeBadRequest, err.Error())
 	}
-	endpoint, ok := d.endpoint(l.spec.ID)
+	endpoint, ok := d.endpoint(l.id)
 	if !ok {
 		report.Kind = fescuebank.ItemReturned
 		return report
 	}
-	leave, err := d.guard.Enter(ctx, c, l.spec.ID)
+	leave, err := d.guard.Enter(ctx, c, l.id)
 	if err != nil {
 		return d.refused(report, line.CustomID, err)
 	}
@@ -357,7 +356,7 @@
 	if ok && e.Kind == fescuebank.EndpointRejected {
 		return failed(report, customID, e.Status, fescuebank.CodeEndpointError, e.Cause.Error())
 	}
-	d.log.Debug("Item failed.", "endpoint", string(l.spec.ID), "err", err)
+	d.log.Debug("Item failed.", "endpoint", string(l.id), "err", err)
 	d.mu.Lock()
 	l.restUntil = d.clock.Now().Add(brokenWait)
 	d.mu.Unlock()
--- a/internal/endpoint/connector/connector.go
+++ b/internal/endpoint/connector/connector.go
@@ -25,7 +25,13 @@
 
 	mu      sync.Mutex
 	callers map[fescuebank.EndpointID]*caller.Caller
-	reports map[fescuebank.EndpointID]fescuebank.LoadReport
+	reports map[fescuebank.EndpointID]timedReport
+}
+
+// timedReport is a load report and when it was read.
+type timedReport struct {
+	report fescuebank.LoadReport
+	at     time.Time
 }
 
 // New returns a connector without endpoints.
@@ -33,7 +39,7 @@
 	return &Connector{
 		balancer: b, clock: clock, silence: silence,
 		callers: make(map[fescuebank.EndpointID]*caller.Caller),
-		reports: make(map[fescuebank.EndpointID]fescuebank.LoadReport),
+		reports: make(map[fescuebank.EndpointID]timedReport),
 	}
 }
 
@@ -73,12 +79,16 @@
 	return found, ok
 }
 
-// Report returns the newest load report of an endpoint.
+// reportLife is how long a report tells that an endpoint lives.
+const reportLife = 10 * time.Second
+
+// Report returns the newest load report of an endpoint, or false if there has
+// been none for a while.
 func (c *Connector) Report(id fescuebank.EndpointID) (fescuebank.LoadReport, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r, ok := c.reports[id]
-	return r, ok
+	return r.report, ok && c.clock.Now().Sub(r.at) < reportLife
 }
 
 // Run reads load reports until ctx ends.
@@ -111,5 +121,5 @@
 	c.balancer.Report(id, report)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reports[id] = report
+	c.reports[id] = timedReport{report: report, at: c.clock.Now()}
 }
--- /dev/null
+++ b/internal/endpoint/orderer/orderer_test.go
@@ -0,0 +1,188 @@
+package orderer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/endpoint/orderer"
+	"fescuebank/internal/timing/timekeeper"
+)
+
+const flight = 5 * time.Second
+
+// directory is a fake in which one number owns every shard.
+type directory struct {
+	fescuebank.Directory
+	fencing fescuebank.FencingNumber
+	acts    bool
+}
+
+func (d *directory) Acts(fescuebank.ShardID) (fescuebank.FencingNumber, bool) {
+	return d.fencing, d.acts
+}
+
+type source struct{ state *fescuebank.DesiredState }
+
+func (s source) Current() *fescuebank.Snapshot { return fescuebank.NewSnapshot(s.state) }
+
+// fakeFleet is a set of endpoints that carry orders out at once.
+type fakeFleet struct {
+	mu     sync.Mutex
+	loaded map[fescuebank.EndpointID]map[fescuebank.ModelName]string
+	dead   map[fescuebank.EndpointID]bool
+	orders int
+	fail   error
+}
+
+func (f *fakeFleet) report(id fescuebank.EndpointID) (fescuebank.LoadReport, bool) {
+	var r fescuebank.LoadReport
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, version := range f.loaded[id] {
+		r.Loaded = append(r.Loaded, fescuebank.LoadedModel{Name: name, Version: version})
+	}
+	return r, !f.dead[id]
+}
+
+func (f *fakeFleet) order(_ context.Context, id fescuebank.EndpointID, o fescuebank.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders++
+	if f.fail != nil {
+		return f.fail
+	}
+	if o.Kind == fescuebank.OrderUnloadModel {
+		delete(f.loaded[id], o.Model)
+		return nil
+	}
+	f.loaded[id][o.Model] = o.Version
+	return nil
+}
+
+func (f *fakeFleet) holding(name fescuebank.ModelName, version string) int {
+	n := 0
+	for id, models := range f.loaded {
+		if models[name] == version && !f.dead[id] {
+			n++
+		}
+	}
+	return n
+}
+
+func newFleet(endpoints, replicas int, fencing fescuebank.FencingMode) (*fescuebank.DesiredState, *fakeFleet) {
+	state := &fescuebank.DesiredState{Models: []fescuebank.Model{{Name: "m", Version: "v1", Replicas: replicas}}}
+	f := &fakeFleet{loaded: map[fescuebank.EndpointID]map[fescuebank.ModelName]string{}, dead: map[fescuebank.EndpointID]bool{}}
+	for n := range endpoints {
+		id := fescuebank.EndpointID(fmt.Sprint("e", n))
+		state.Endpoints = append(state.Endpoints, fescuebank.EndpointSpec{ID: id, Models: []fescuebank.ModelName{"m"}, Fencing: fencing})
+		f.loaded[id] = map[fescuebank.ModelName]string{}
+	}
+	return state, f
+}
+
+func newOrderer(state *fescuebank.DesiredState, f *fakeFleet, d *directory) *orderer.Orderer {
+	return orderer.New(orderer.Config{
+		Directory: d, Source: source{state}, Clock: timekeeper.Timekeeper{}, Log: hclog.NewNullLogger(), Flight: flight,
+		Report: f.report, Order: f.order,
+	})
+}
+
+// rounds lets time pass and orders be given.
+func rounds(o *orderer.Orderer, n int) {
+	for range n {
+		o.Round(context.Background())
+		synctest.Wait()
+		time.Sleep(time.Second)
+	}
+}
+
+func TestPlacementConverges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state, f := newFleet(6, 3, fescuebank.FencingChecked)
+		o := newOrderer(state, f, &directory{fencing: 1, acts: true})
+		rounds(o, 5)
+		if got := f.holding("m", "v1"); got != 3 {
+			t.Fatalf("got %d replicas, want 3", got)
+		}
+		state.Models[0].Version = "v2"
+		rounds(o, 5)
+		if got, old := f.holding("m", "v2"), f.holding("m", "v1"); got != 3 || old != 0 {
+			t.Errorf("new version: got %d replicas and %d of the old one, want 3 and 0", got, old)
+		}
+		for id := range f.loaded {
+			if f.loaded[id]["m"] != "" {
+				f.dead[id] = true
+				break
+			}
+		}
+		rounds(o, 5)
+		if got := f.holding("m", "v2"); got != 3 {
+			t.Errorf("after a loss: got %d replicas, want 3 again", got)
+		}
+		settled := f.orders
+		rounds(o, 20)
+		if f.orders != settled {
+			t.Errorf("got %d more orders on a settled fleet, want none", f.orders-settled)
+		}
+	})
+}
+
+// TestNewOwnerWaitsOutOrdersInFlight wants no order to an endpoint that ignores
+// fencing before orders of the former owner are in.
+func TestNewOwnerWaitsOutOrdersInFlight(t *testing.T) {
+	for _, tt := range []struct {
+		mode fescuebank.FencingMode
+		want int
+	}{{fescuebank.FencingIgnored, 0}, {fescuebank.FencingChecked, 1}} {
+		t.Run(string(tt.mode), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				state, f := newFleet(1, 1, tt.mode)
+				d := &directory{fencing: 1, acts: true}
+				o := newOrderer(state, f, d)
+				rounds(o, 8)
+				state.Models[0].Version = "v2"
+				d.fencing = 2
+				f.orders = 0
+				rounds(o, 4)
+				if f.orders != tt.want {
+					t.Errorf("got %d orders within the flight time, want %d", f.orders, tt.want)
+				}
+				rounds(o, 4)
+				if got := f.holding("m", "v2"); got != 1 {
+					t.Errorf("got %d endpoints with the new version, want 1", got)
+				}
+			})
+		})
+	}
+}
+
+func TestFailedOrdersAreSpaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state, f := newFleet(1, 1, fescuebank.FencingChecked)
+		f.fail = errors.New("weight store answered 429")
+		o := newOrderer(state, f, &directory{fencing: 1, acts: true})
+		rounds(o, 120)
+		const most = 15
+		if f.orders > most || f.orders < 3 {
+			t.Errorf("got %d orders in 120 s, want 3 to %d", f.orders, most)
+		}
+	})
+}
+
+func TestNotOwnerGivesNoOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state, f := newFleet(2, 2, fescuebank.FencingChecked)
+		rounds(newOrderer(state, f, &directory{fencing: 1}), 5)
+		if f.orders != 0 {
+			t.Errorf("got %d orders, want none", f.orders)
+		}
+	})
+}
--- a/internal/operate/supervisor/supervisor.go
+++ b/internal/operate/supervisor/supervisor.go
@@ -26,6 +26,7 @@
 	"fescuebank/internal/endpoint/connector"
 	"fescuebank/internal/endpoint/coordinator"
 	"fescuebank/internal/endpoint/notifier"
+	"fescuebank/internal/endpoint/orderer"
 	"fescuebank/internal/endpoint/permitter"
 	"fescuebank/internal/endpoint/quarantiner"
 	"fescuebank/internal/entry/authenticator"
@@ -96,6 +97,7 @@
 	notifier    *notifier.Notifier
 	coordinator *coordinator.Coordinator
 	quarantiner *quarantiner.Quarantiner
+	orderer     *orderer.Orderer
 	scheduler   *scheduler.Scheduler
 	admitter    *admitter.Admitter
 	keeper      *keeper.Keeper
@@ -211,6 +213,17 @@
 		Clock: v.clock, Log: v.part("credit"), Demands: v.scheduler.Demands, Wake: v.scheduler.Wake,
 		Changed: func() { v.dispatcher.Kick() },
 	})
+	v.orderer = orderer.New(orderer.Config{
+		Directory: v.registrar, Source: v.applier, Clock: v.clock, Log: v.part("order"), Flight: s.Timing.OrderFlight,
+		Report: v.connector.Report,
+		Order: func(ctx context.Context, id fescuebank.EndpointID, o fescuebank.Order) error {
+			c, ok := v.connector.Caller(id)
+			if !ok {
+				return fescuebank.ErrAbsent
+			}
+			return c.Order(ctx, o)
+		},
+	})
 	permits := permitter.New(v.registrar, v.messenger, v.clock)
 	v.messenger.Handle(fescuebank.KindPermit, permits.Handle)
 	v.quarantiner = quarantiner.New(v.store, v.messenger, v.registrar, permits, v.clock, v.part("quarantine"))
@@ -382,6 +395,7 @@
 		start(v.leaser.Run)
 		start(v.registrar.Run)
 		start(v.keeper.Run)
+		start(v.orderer.Run)
 		group.Go(func() { v.dispatcher.Run(work) })
 	}
 	callers := &http.Server{Handler: v.gateway.Handler(), MaxHeaderBytes: int(v.settings.Limits.HeaderBytes), ReadHeaderTimeout: 10 * time.Second}
--- a/internal/standin/engineer/engineer.go
+++ b/internal/standin/engineer/engineer.go
@@ -94,10 +94,11 @@
 	running []*sequence
 	cache   *prefixCache
 	models  map[fescuebank.ModelName]string
-	loading map[fescuebank.ModelName]bool
-	leaving bool
-	role    string
-	fencing fescuebank.FencingNumber
+	// adapters are those loaded beside each model.
+	adapters map[fescuebank.ModelName][]string
+	leaving  bool
+	role     string
+	fencing  fescuebank.FencingNumber
 	// orders are those carried out, for tests.
 	orders  []fescuebank.Order
 	reports []timedReport
@@ -158,9 +159,9 @@
 	c.Defaults()
 	e := &Engineer{
 		config: c, clock: clock, wake: make(chan struct{}, 1),
-		cache:   newPrefixCache(c.CacheBlocks),
-		models:  make(map[fescuebank.ModelName]string),
-		loading: make(map[fescuebank.ModelName]bool),
+		cache:    newPrefixCache(c.CacheBlocks),
+		models:   make(map[fescuebank.ModelName]string),
+		adapters: make(map[fescuebank.ModelName][]string),
 	}
 	for _, m := range c.Models {
 		e.models[m] = "v1"
@@ -230,13 +231,30 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, s := range slices.Concat(e.waiting, e.running) {
-		if s.request == id && !s.cancelled {
-			s.cancelled = true
-			e.totals.Cancelled++
+		if s.request == id {
+			e.drop(s)
 		}
 	}
 }
 
+// abandon ends one request whose connection has ended. Another one with the
+// same id goes on.
+func (e *Engineer) abandon(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if slices.Contains(e.waiting, s) || slices.Contains(e.running, s) {
+		e.drop(s)
+	}
+}
+
+// drop marks a request as cancelled. The caller holds mu.
+func (e *Engineer) drop(s *sequence) {
+	if !s.cancelled {
+		s.cancelled = true
+		e.totals.Cancelled++
+	}
+}
+
 // step plans one step and returns its length, or false if there is no work.
 func (e *Engineer) step() (time.Duration, bool) {
 	e.mu.Lock()
@@ -367,6 +385,9 @@
 		r.Models = append(r.Models, m)
 	}
 	slices.Sort(r.Models)
+	for _, m := range r.Models {
+		r.Loaded = append(r.Loaded, fescuebank.LoadedModel{Name: m, Version: e.models[m], Adapters: e.adapters[m]})
+	}
 	return r
 }
 
--- a/internal/standin/engineer/handler.go
+++ b/internal/standin/engineer/handler.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -89,7 +90,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	_, _ = io.WriteString(w, ": admitted\n\n")
 	flush(w)
-	defer e.cancel(s.request)
+	defer e.abandon(s)
 	e.stream(r.Context(), w, s)
 }
 
@@ -100,7 +101,7 @@
 		count = defaultTokens
 	}
 	count = min(count, maxTokens)
-	start := min(int(body.Resume.Tokens), count)
+	start := min(int(body.Resume.Tokens), count-1)
 	return &sequence{
 		request: body.RequestID,
 		seed:    xxhash.Sum64String(prompt),
@@ -115,10 +116,6 @@
 
 // stream writes tokens as they come, and [DONE] after the last.
 func (e *Engineer) stream(ctx context.Context, w http.ResponseWriter, s *sequence) {
-	if s.next >= s.end {
-		_, _ = io.WriteString(w, "data: [DONE]\n\n")
-		return
-	}
 	for {
 		select {
 		case t, ok := <-s.out:
@@ -202,6 +199,11 @@
 		e.models[o.Model] = o.Version
 	case fescuebank.OrderUnloadModel:
 		delete(e.models, o.Model)
+		delete(e.adapters, o.Model)
+	case fescuebank.OrderLoadAdapter:
+		if !slices.Contains(e.adapters[o.Model], o.Adapter) {
+			e.adapters[o.Model] = append(slices.Clone(e.adapters[o.Model]), o.Adapter)
+		}
 	case fescuebank.OrderChangeRole:
 		e.role = o.Role
 	}
