--- a/internal/batch/submitter/submitter.go
+++ b/internal/batch/submitter/submitter.go
@@ -281,6 +281,26 @@
 	return jobs, nil
 }
 
+// ActiveJobs returns up to limit unfinished jobs of all teams with their counts.
+func (s *Submitter) ActiveJobs(ctx context.Context, limit int) ([]*fescuebank.Job, error) {
+	objects, _, err := s.store.List(ctx, fescuebank.ActivePrefix)
+	if err != nil {
+		return nil, storeRefusal(err)
+	}
+	var jobs []*fescuebank.Job
+	for _, o := range objects[:min(len(objects), limit)] {
+		var marker fescuebank.ActiveJob
+		if err := json.Unmarshal(o.Value, &marker); err != nil {
+			return nil, eris.Wrap(err, "Submitter.ActiveJobs")
+		}
+		id := fescuebank.JobID(strings.TrimPrefix(o.Key, fescuebank.ActivePrefix))
+		if job, err := s.Job(ctx, marker.Team, id); err == nil {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs, nil
+}
+
 // Cancel marks the job as cancelling; its owner stops it.
 func (s *Submitter) Cancel(ctx context.Context, team fescuebank.TeamID, id fescuebank.JobID) (*fescuebank.Job, error) {
 	for range editAttempts {
--- a/internal/operate/administrator/administrator.go
+++ b/internal/operate/administrator/administrator.go
@@ -16,9 +16,11 @@
 	"github.com/hashicorp/go-hclog"
 
 	"fescuebank"
+	"fescuebank/internal/batch/submitter"
 	"fescuebank/internal/config/publisher"
 	"fescuebank/internal/config/withdrawer"
 	"fescuebank/internal/operate/burner"
+	"fescuebank/internal/operate/console"
 )
 
 // maxDocument bounds a desired state.
@@ -39,9 +41,8 @@
 	Source     fescuebank.ConfigSource
 	Fleet      Fleet
 	Operators  fescuebank.OperatorSettings
+	Submitter  *submitter.Submitter
 	Log        hclog.Logger
-	// Console serves the pages of forms.
-	Console http.Handler
 }
 
 // Administrator is the handler of the operators' address.
@@ -65,9 +66,7 @@
 	mux.HandleFunc("GET /api/status", a.api(a.getStatus))
 	mux.HandleFunc("GET /api/burn", a.api(a.getBurn))
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	if a.Console != nil {
-		mux.Handle("/", a.Console)
-	}
+	mux.Handle("/", console.New(backend{a}, a.Log).Handler())
 	return a.authenticated(mux)
 }
 
@@ -190,10 +189,13 @@
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		return nil, fescuebank.Refuse(http.StatusBadRequest, fescuebank.CodeBadRequest, "the body is not valid JSON: %v", err)
 	}
-	id := fescuebank.TeamID(r.PathValue("team"))
+	return a.grant(r.Context(), fescuebank.TeamID(r.PathValue("team")), request.Label)
+}
+
+func (a *Administrator) grant(ctx context.Context, id fescuebank.TeamID, label string) (Granted, error) {
 	key := fescuebank.NewKey()
-	grant := fescuebank.KeyGrant{Hash: fescuebank.HashKey(key), Label: request.Label}
-	g, err := a.Publisher.Edit(r.Context(), func(d *fescuebank.DesiredState) error {
+	grant := fescuebank.KeyGrant{Hash: fescuebank.HashKey(key), Label: label}
+	g, err := a.Publisher.Edit(ctx, func(d *fescuebank.DesiredState) error {
 		for i := range d.Teams {
 			if d.Teams[i].ID == id {
 				d.Teams[i].Keys = append(d.Teams[i].Keys, grant)
@@ -202,10 +204,7 @@
 		}
 		return noTeam(id)
 	})
-	if err != nil {
-		return nil, err
-	}
-	return Granted{Key: key, Hash: grant.Hash, Generation: g}, nil
+	return Granted{Key: key, Hash: grant.Hash, Generation: g}, err
 }
 
 // WithdrawRequest names a key by itself, by its hash, or by a hash's start of
@@ -231,11 +230,17 @@
 	if err != nil {
 		return nil, err
 	}
-	stored := a.Withdrawer.Withdraw(r.Context(), h, a.Directory.Instances())
+	return Withdrawn{Hash: h, Stored: a.withdraw(r.Context(), h)}, nil
+}
+
+// withdraw takes a key out of force and returns whether the store knows.
+func (a *Administrator) withdraw(ctx context.Context, h fescuebank.KeyHash) bool {
+	stored := a.Withdrawer.Withdraw(ctx, h, a.Directory.Instances())
 	a.Log.Info("Key withdrawn.", "hash", h.String()[:8], "stored", stored)
+	var err error
 	if stored {
 		// The grant goes too; the withdrawal alone keeps the key out meanwhile.
-		_, err = a.Publisher.Edit(r.Context(), func(d *fescuebank.DesiredState) error {
+		_, err = a.Publisher.Edit(ctx, func(d *fescuebank.DesiredState) error {
 			for i := range d.Teams {
 				d.Teams[i].Keys = withoutKey(d.Teams[i].Keys, h)
 			}
@@ -245,7 +250,7 @@
 	if err != nil {
 		a.Log.Warn("Grant of a withdrawn key not removed.", "err", err)
 	}
-	return Withdrawn{Hash: h, Stored: stored}, nil
+	return stored
 }
 
 func withoutKey(keys []fescuebank.KeyGrant, h fescuebank.KeyHash) []fescuebank.KeyGrant {
--- a/internal/operate/supervisor/supervisor.go
+++ b/internal/operate/supervisor/supervisor.go
@@ -310,7 +310,7 @@
 func (v *Supervisor) buildOperate() {
 	v.operate = administrator.New(administrator.Config{
 		Publisher: v.publisher, Withdrawer: v.withdrawer, Directory: v.registrar, Source: v.applier, Fleet: v,
-		Operators: v.settings.Operators, Log: v.part("operate"),
+		Operators: v.settings.Operators, Submitter: v.submitter, Log: v.part("operate"),
 	}).Handler()
 }
 
