--- a/cmd/fescuebankd/serve.go
+++ b/cmd/fescuebankd/serve.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	expvar.Publish("fescuebank", expvar.Func(func() any { return v.Status().Totals }))
+	expvar.Publish("fescuebank", expvar.Func(func() any { return v.Totals() }))
 	fmt.Printf("ready %s %s\n", v.Self().CallerURL, v.OperatorsURL())
 	return v.Run(ctx)
 }
--- a/cmd/fescuectl/load.go
+++ b/cmd/fescuectl/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,8 +11,10 @@
 	"mime/multipart"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -26,21 +29,25 @@
 	"fescuebank/internal/load/driver"
 	"fescuebank/internal/load/recorder"
 	"fescuebank/internal/standin/engineer"
+	"fescuebank/internal/standin/platformer"
 	"fescuebank/internal/standin/stager"
 	"fescuebank/internal/timing/timekeeper"
 )
 
 // loadCommand measures a deployment.
 type loadCommand struct {
-	Scenario string        `arg:"--scenario" default:"lone-star" help:"lone-star or celeste: sizes of an in-process deployment"`
-	Variant  string        `arg:"--variant" default:"twoChoices" help:"parts joined by +: a routing policy (twoChoices, random, roundRobin, leastReported), batch (saturating batch work), greedy (one team sends five times its rate), absent (that team sends nothing)"`
-	Compare  string        `arg:"--compare" placeholder:"A,B" help:"run two variants on the same seed and print ratios"`
-	Seed     uint64        `arg:"--seed" default:"1"`
-	Length   time.Duration `arg:"--length" default:"20s" help:"how long requests are sent"`
-	Share    float64       `arg:"--share" default:"0.5" help:"online load as a share of what the engines generate"`
-	Plot     string        `arg:"--plot" placeholder:"FILE" help:"write the first token's quantiles as SVG or PNG"`
-	Capacity float64       `arg:"--capacity" placeholder:"TOKENS" help:"tokens a second that batch work alone gets; measured first if left out"`
-	Trace    string        `arg:"--log" default:"error" help:"log level of the in-process deployment"`
+	Scenario  string        `arg:"--scenario" default:"lone-star" help:"lone-star or celeste: sizes of an in-process deployment"`
+	Variant   string        `arg:"--variant" default:"twoChoices" help:"parts joined by +: a routing policy (twoChoices, random, roundRobin, leastReported), batch (saturating batch work), greedy (one team sends five times its rate), absent (that team sends nothing)"`
+	Compare   string        `arg:"--compare" placeholder:"A,B" help:"run two variants on the same seed and print ratios"`
+	Seed      uint64        `arg:"--seed" default:"1"`
+	Length    time.Duration `arg:"--length" default:"20s" help:"how long requests are sent"`
+	Share     float64       `arg:"--share" default:"0.5" help:"online load as a share of what the engines generate"`
+	Instances int           `arg:"--instances" placeholder:"N" help:"entry instances instead of the scenario's"`
+	Engines   int           `arg:"--engines" placeholder:"N" help:"engines instead of the scenario's"`
+	Extra     int           `arg:"--extra-teams" placeholder:"N" help:"more teams that send nothing"`
+	Plot      string        `arg:"--plot" placeholder:"FILE" help:"write the first token's quantiles as SVG or PNG"`
+	Capacity  float64       `arg:"--capacity" placeholder:"TOKENS" help:"tokens a second that batch work alone gets; measured first if left out"`
+	Trace     string        `arg:"--log" default:"error" help:"log level of the in-process deployment"`
 }
 
 // scenario is the size of a deployment.
@@ -199,9 +206,14 @@
 	if !ok {
 		return recorder.Report{}, fmt.Errorf("unknown scenario %q", l.Scenario)
 	}
+	s.instances = cmp.Or(l.Instances, s.instances)
+	s.engines = cmp.Or(l.Engines, s.engines)
 	engine := engineConfig()
 	total := capacity(engine) * float64(s.engines)
 	traffic, teams := l.traffic(total, v)
+	for n := range l.Extra {
+		teams = append(teams, fescuebank.Team{ID: fescuebank.TeamID(fmt.Sprintf("quiet-%05d", n)), Rate: 1, Burst: 10, Weight: 1})
+	}
 	if c.Server != "" {
 		return l.measureServer(ctx, c, s, traffic)
 	}
@@ -222,7 +234,7 @@
 	}
 	d := driver.New(driver.Config{Model: s.model, Keys: st.Keys, Quotas: quotas, Recorder: r})
 	address := st.Instances[0].Self().CallerURL
-	if err := d.Locate(ctx, address); err != nil {
+	if err := d.Locate(ctx, address, senders(traffic)); err != nil {
 		return recorder.Report{}, err
 	}
 	if v.batch {
@@ -232,6 +244,7 @@
 	}
 	time.Sleep(settleTime)
 	before := generated(st)
+	control := takeControl(st)
 	started := time.Now()
 	d.Run(ctx, drawer.New(l.Seed).Draw(traffic, l.Length))
 	if rest := l.Length - time.Since(started); rest > 0 {
@@ -240,6 +253,7 @@
 	took := time.Since(started)
 	report := r.Report(took, d.Entitled())
 	report.Name, report.Seed = v.name, l.Seed
+	report.Control = takeControl(st).since(control, took, s.instances)
 	report.BatchTokens = max(0, float64(generated(st)-before)/took.Seconds()-report.OnlineTokens)
 	report.IdleTokens = l.Capacity - report.OnlineTokens
 	for _, i := range st.Instances {
@@ -259,7 +273,7 @@
 		Model: s.model, Keys: map[fescuebank.TeamID]string{one.Team: c.Key},
 		Quotas: map[fescuebank.TeamID]fescuebank.Quota{}, Recorder: r,
 	})
-	if err := d.Locate(ctx, strings.TrimRight(c.Server, "/")); err != nil {
+	if err := d.Locate(ctx, strings.TrimRight(c.Server, "/"), senders([]drawer.Traffic{one})); err != nil {
 		return recorder.Report{}, err
 	}
 	started := time.Now()
@@ -269,6 +283,56 @@
 	return report, nil
 }
 
+// senders are the teams that send something.
+func senders(traffic []drawer.Traffic) []fescuebank.TeamID {
+	var teams []fescuebank.TeamID
+	for _, t := range traffic {
+		teams = append(teams, t.Team)
+	}
+	return teams
+}
+
+// controlCounts are what the control of a whole deployment has cost so far.
+type controlCounts struct {
+	peerRequests, peerBytes int64
+	calls                   platformer.Calls
+	processor               time.Duration
+	memory                  uint64
+}
+
+func takeControl(s *stager.Stager) controlCounts {
+	c := controlCounts{calls: s.Platform.Calls()}
+	for _, v := range s.Instances {
+		totals := v.Totals()
+		c.peerRequests += totals.PeerRequests
+		c.peerBytes += totals.PeerBytes
+	}
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) == nil {
+		c.processor = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	}
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	c.memory = memory.HeapAlloc
+	return c
+}
+
+// since is the cost per instance and second. Requests between instances are
+// counted at both ends.
+func (c controlCounts) since(before controlCounts, d time.Duration, instances int) recorder.Control {
+	per := 1 / d.Seconds() / float64(instances)
+	return recorder.Control{
+		PeerRequests: float64(c.peerRequests-before.peerRequests) * per,
+		PeerBytes:    float64(c.peerBytes-before.peerBytes) * per,
+		StoreReads:   float64(c.calls.Reads-before.calls.Reads) * per,
+		StoreWrites:  float64(c.calls.Writes-before.calls.Writes) * per,
+		StoreWatches: float64(c.calls.Watches-before.calls.Watches) * per,
+		Processor:    (c.processor - before.processor).Seconds() * per,
+		HeapMiB:      float64(c.memory) / float64(fescuebank.MiB) / float64(instances),
+	}
+}
+
 func generated(s *stager.Stager) int64 {
 	total := int64(0)
 	for _, e := range s.Engines {
@@ -363,6 +427,13 @@
 	{"refused within rate", func(r recorder.Report) float64 { return float64(r.Wrongful) }},
 	{"failed", func(r recorder.Report) float64 { return float64(r.Failed) }},
 	{"retries", func(r recorder.Report) float64 { return float64(r.Retries) }},
+	{"peer requests/s per instance", func(r recorder.Report) float64 { return r.Control.PeerRequests }},
+	{"peer bytes/s per instance", func(r recorder.Report) float64 { return r.Control.PeerBytes }},
+	{"store reads/s per instance", func(r recorder.Report) float64 { return r.Control.StoreReads }},
+	{"store writes/s per instance", func(r recorder.Report) float64 { return r.Control.StoreWrites }},
+	{"store watches/s per instance", func(r recorder.Report) float64 { return r.Control.StoreWatches }},
+	{"cores per instance, all included", func(r recorder.Report) float64 { return r.Control.Processor }},
+	{"heap MiB per instance, all included", func(r recorder.Report) float64 { return r.Control.HeapMiB }},
 	{"Jain's index", func(r recorder.Report) float64 { return r.Jain }},
 }
 
--- a/internal/load/driver/driver.go
+++ b/internal/load/driver/driver.go
@@ -64,15 +64,15 @@
 }
 
 // Locate asks an instance which ones each team should use.
-func (d *Driver) Locate(ctx context.Context, address string) error {
+func (d *Driver) Locate(ctx context.Context, address string, teams []fescuebank.TeamID) error {
 	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
 	defer cancel()
-	for team, key := range d.keys {
+	for _, team := range teams {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, address+"/v1/instances", nil)
 		if err != nil {
 			return err
 		}
-		req.Header.Set("Authorization", "Bearer "+key)
+		req.Header.Set("Authorization", "Bearer "+d.keys[team])
 		resp, err := d.client.Do(req)
 		if err != nil {
 			return err
--- a/internal/load/recorder/recorder.go
+++ b/internal/load/recorder/recorder.go
@@ -138,8 +138,9 @@
 	Failed     int64   `json:"failed"`
 	Retries    int64   `json:"retries"`
 	// Jain is Jain's index of the teams' completed share of what they may send.
-	Jain  float64   `json:"jainIndex"`
-	Teams []Summary `json:"teams"`
+	Jain    float64   `json:"jainIndex"`
+	Teams   []Summary `json:"teams"`
+	Control Control   `json:"control"`
 	// Curve holds the first token's quantiles for a plot.
 	Curve []Point `json:"-"`
 }
@@ -154,6 +155,18 @@
 	return Summary{Team: id}
 }
 
+// Control is what control costs, per instance and second. Processor time and
+// memory include the stand-ins and callers of an in-process run.
+type Control struct {
+	PeerRequests float64 `json:"peerRequests"`
+	PeerBytes    float64 `json:"peerBytes"`
+	StoreReads   float64 `json:"storeReads"`
+	StoreWrites  float64 `json:"storeWrites"`
+	StoreWatches float64 `json:"storeWatches"`
+	Processor    float64 `json:"cores"`
+	HeapMiB      float64 `json:"heapMiB"`
+}
+
 // Quantiles are in milliseconds.
 type Quantiles struct {
 	P50 float64 `json:"p50"`
--- a/internal/operate/supervisor/status.go
+++ b/internal/operate/supervisor/status.go
@@ -21,7 +21,7 @@
 		Instance: v.self, Incarnation: v.leaser.Holder().Incarnation, Leaving: v.drainer.Leaving(),
 		LeaseFresh: v.leaser.Fresh(), Generation: v.applier.Current().State.Generation,
 		Assignment: v.registrar.Current().Version, InFlight: v.drainer.InFlight(), Queued: queued,
-		Started: v.started.UTC(), Totals: v.collector.Totals(), Quarantined: v.quarantiner.Quarantined(),
+		Started: v.started.UTC(), Totals: v.Totals(), Quarantined: v.quarantiner.Quarantined(),
 		Levels: v.collector.Levels(),
 	}
 	for n := range fescuebank.ShardCount {
@@ -29,12 +29,18 @@
 			s.OwnedShards++
 		}
 	}
-	traffic := v.messenger.Traffic()
-	s.Totals.PeerRequests, s.Totals.PeerBytes = traffic.Requests, traffic.Bytes
 	s.Endpoints = v.endpointStatus()
 	return s
 }
 
+// Totals returns this instance's counts since its start.
+func (v *Supervisor) Totals() fescuebank.Totals {
+	totals := v.collector.Totals()
+	traffic := v.messenger.Traffic()
+	totals.PeerRequests, totals.PeerBytes = traffic.Requests, traffic.Bytes
+	return totals
+}
+
 func (v *Supervisor) endpointStatus() []fescuebank.EndpointStatus {
 	var list []fescuebank.EndpointStatus
 	for _, t := range v.balancer.Targets() {
