Pick the endpoint with the least expected work

Cause: with owners' counts about 2 ms old, looking at two endpoints of ten leaves a queue at one while another has room; the scheduler's own limit then holds requests back at instances. Ruled out: the engines (time between tokens is the same for all policies). Conclusion: kept; two choices stays as a baseline.

--- a/cmd/fescuectl/load.go
+++ b/cmd/fescuectl/load.go
@@ -37,7 +37,7 @@
 // loadCommand measures a deployment.
 type loadCommand struct {
 	Scenario  string        `arg:"--scenario" default:"lone-star" help:"lone-star or celeste: sizes of an in-process deployment"`
-	Variant   string        `arg:"--variant" default:"twoChoices" help:"parts joined by +: a routing policy (twoChoices, random, roundRobin, leastReported), batch (saturating batch work), greedy (one team sends five times its rate), absent (that team sends nothing)"`
+	Variant   string        `arg:"--variant" default:"leastExpected" help:"parts joined by +: a routing policy (leastExpected, twoChoices, random, roundRobin, leastReported), batch (saturating batch work), greedy (one team sends five times its rate), absent (that team sends nothing)"`
 	Compare   string        `arg:"--compare" placeholder:"A,B" help:"run two variants on the same seed and print ratios"`
 	Seed      uint64        `arg:"--seed" default:"1"`
 	Length    time.Duration `arg:"--length" default:"20s" help:"how long requests are sent"`
@@ -94,7 +94,7 @@
 }
 
 func parseVariant(text string) (variant, error) {
-	v := variant{name: text, policy: fescuebank.PolicyTwoChoices, greedy: 1}
+	v := variant{name: text, policy: fescuebank.PolicyLeastExpected, greedy: 1}
 	for _, part := range strings.Split(text, "+") {
 		switch part {
 		case "batch":
--- a/internal/endpoint/balancer/balancer.go
+++ b/internal/endpoint/balancer/balancer.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// samples is how many endpoints are looked at before all are scanned.
+	// samples is how many endpoints are looked at for two choices.
 	samples = 4
+	// mostLooks bounds the endpoints that are compared for one request.
+	mostLooks = 24
 	// affinityBound is how much busier than another pick the holder of a
 	// prompt's prefix may be, in units of an endpoint's capacity.
 	affinityBound = 0.25
@@ -212,12 +214,37 @@
 	case fescuebank.PolicyLeastReported:
 		return b.leastReported(pool, now, avoid)
 	}
-	return b.twoChoices(pool, now, prefix, avoid)
+	var best *Target
+	if b.policy == fescuebank.PolicyTwoChoices || !pool[0].credited.Load() {
+		// Counts that lie behind would send everybody to the same endpoint.
+		best = b.twoChoices(pool, now, avoid)
+	} else {
+		best = b.leastExpected(pool, now, avoid)
+	}
+	return b.preferHolder(best, pool, now, prefix, avoid)
+}
+
+// leastExpected takes the endpoint with the least expected work among up to
+// mostLooks, from a random start. It needs counts as fresh as owners' credits.
+func (b *Balancer) leastExpected(pool []*Target, now int64, avoid []fescuebank.EndpointID) *Target {
+	var best *Target
+	var bestLoad float64
+	start := b.random(len(pool))
+	for i := range min(len(pool), mostLooks) {
+		t := pool[(start+i)%len(pool)]
+		if !t.open(now, avoid) {
+			continue
+		}
+		if load := b.load(t, now); best == nil || load < bestLoad {
+			best, bestLoad = t, load
+		}
+	}
+	return best
 }
 
 // twoChoices samples until two endpoints with room are found and takes the one
-// with less expected work, unless the holder of the prefix is about as good.
-func (b *Balancer) twoChoices(pool []*Target, now int64, prefix fescuebank.EndpointID, avoid []fescuebank.EndpointID) *Target {
+// with less expected work.
+func (b *Balancer) twoChoices(pool []*Target, now int64, avoid []fescuebank.EndpointID) *Target {
 	var best *Target
 	var bestLoad float64
 	found := 0
@@ -231,14 +258,21 @@
 			best, bestLoad = t, load
 		}
 	}
+	return best
+}
+
+// preferHolder returns the holder of the prompt's prefix if it is about as good
+// as the best pick.
+func (b *Balancer) preferHolder(best *Target, pool []*Target, now int64, prefix fescuebank.EndpointID, avoid []fescuebank.EndpointID) *Target {
 	if prefix == "" || best == nil {
 		return best
 	}
+	bound := b.load(best, now) + affinityBound
 	for _, t := range pool {
 		if t.spec.Load().ID != prefix {
 			continue
 		}
-		if t.open(now, avoid) && b.load(t, now) <= bestLoad+affinityBound {
+		if t.open(now, avoid) && b.load(t, now) <= bound {
 			return t
 		}
 	}
--- a/internal/endpoint/balancer/balancer_test.go
+++ b/internal/endpoint/balancer/balancer_test.go
@@ -88,7 +88,7 @@
 
 func TestFailedEndpointRestsAndComesBackSlowly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := balancer.New("z", fescuebank.PolicyTwoChoices, timekeeper.Timekeeper{})
+		b := balancer.New("z", fescuebank.PolicyLeastExpected, timekeeper.Timekeeper{})
 		b.SetEndpoints(specs(2, 100))
 		bad, _ := b.Target("e0")
 		b.Failed(bad)
@@ -119,7 +119,7 @@
 }
 
 func TestPrefixHolderIsTakenWithinItsBound(t *testing.T) {
-	b := balancer.New("z", fescuebank.PolicyTwoChoices, timekeeper.Timekeeper{})
+	b := balancer.New("z", fescuebank.PolicyLeastExpected, timekeeper.Timekeeper{})
 	b.SetEndpoints(specs(4, 16))
 	var last *balancer.Target
 	for range 4 {
@@ -140,8 +140,11 @@
 func BenchmarkReserve(b *testing.B) {
 	for _, endpoints := range []int{10, 100, 680} {
 		b.Run(fmt.Sprint(endpoints, " endpoints"), func(b *testing.B) {
-			balance := balancer.New("z", fescuebank.PolicyTwoChoices, timekeeper.Timekeeper{})
+			balance := balancer.New("z", fescuebank.PolicyLeastExpected, timekeeper.Timekeeper{})
 			balance.SetEndpoints(specs(endpoints, 16))
+			for _, target := range balance.Targets() {
+				target.Credit(16, 0)
+			}
 			b.ReportAllocs()
 			for b.Loop() {
 				balance.Reserve("m", "", nil).Release()
--- a/internal/operate/supervisor/supervisor.go
+++ b/internal/operate/supervisor/supervisor.go
@@ -67,7 +67,7 @@
 type Options struct {
 	// TLS is the mutual TLS between instances.
 	TLS *tls.Config
-	// Policy picks endpoints; empty means PolicyTwoChoices.
+	// Policy picks endpoints; empty means PolicyLeastExpected.
 	Policy fescuebank.Policy
 	Clock  fescuebank.Clock
 	Log    hclog.Logger
@@ -116,7 +116,7 @@
 // New builds a daemon and opens its addresses.
 func New(s *fescuebank.Settings, o Options) (*Supervisor, error) {
 	if o.Policy == "" {
-		o.Policy = fescuebank.PolicyTwoChoices
+		o.Policy = fescuebank.PolicyLeastExpected
 	}
 	v := &Supervisor{settings: s, clock: o.Clock, log: o.Log, started: o.Clock.Now(), drainer: &drainer.Drainer{}}
 	if err := v.open(o.TLS); err != nil {
--- a/picker.go
+++ b/picker.go
@@ -29,8 +29,9 @@
 // Policy names a way to pick endpoints.
 type Policy string
 
-// The policies. All but PolicyTwoChoices are baselines to measure against.
+// The policies. All but PolicyLeastExpected are baselines to measure against.
 const (
+	PolicyLeastExpected Policy = "leastExpected"
 	PolicyTwoChoices    Policy = "twoChoices"
 	PolicyRandom        Policy = "random"
 	PolicyRoundRobin    Policy = "roundRobin"
@@ -38,4 +39,4 @@
 )
 
 // Policies lists every policy.
-var Policies = []Policy{PolicyTwoChoices, PolicyRandom, PolicyRoundRobin, PolicyLeastReported}
+var Policies = []Policy{PolicyLeastExpected, PolicyTwoChoices, PolicyRandom, PolicyRoundRobin, PolicyLeastReported}
