--- a/cmd/fescuebankd/process_test.go
+++ b/cmd/fescuebankd/process_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -316,29 +317,62 @@
 	}
 	victim := f.owner(job.ID)
 	ask := (victim + 1) % 3
-	f.eventually("some items completed", func() error {
-		if err := f.caller(ask, http.MethodGet, "/v1/batches/"+job.ID, nil, nil, &job); err != nil {
-			return err
-		}
-		if job.Counts.Completed < items/10 {
-			return fmt.Errorf("%d completed", job.Counts.Completed)
-		}
-		return nil
-	})
+	f.awaitCompleted(ask, job.ID, items/10)
+	if err := f.caller(ask, http.MethodGet, "/v1/batches/"+job.ID, nil, nil, &job); err != nil {
+		t.Fatal(err)
+	}
 	if job.Status == "completed" {
 		t.Fatal("the job ended before its owner was killed")
 	}
 	_ = f.daemons[victim].Process.Kill()
-	f.eventually("job completed", func() error {
-		if err := f.caller(ask, http.MethodGet, "/v1/batches/"+job.ID, nil, nil, &job); err != nil {
+	f.awaitCompleted(ask, job.ID, items)
+	f.checkResults(ask, job.ID, items)
+}
+
+// TestOwnerPausedMidJob stops the process that owns a job for longer than its
+// lease and lets it go on: what it does then must not double or lose an item.
+func TestOwnerPausedMidJob(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	const items = 800
+	f := newFleet(t, 3, 3)
+	job, err := f.submit(0, batchLines(items), "job-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	victim := f.owner(job.ID)
+	ask := (victim + 1) % 3
+	f.awaitCompleted(ask, job.ID, items/10)
+	if err := f.daemons[victim].Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("another owner", func() error {
+		if n := f.owner(job.ID); n == victim {
+			return fmt.Errorf("entry-%d still owns the job", n)
+		}
+		return nil
+	})
+	if err := f.daemons[victim].Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitCompleted(ask, job.ID, items)
+	f.checkResults(ask, job.ID, items)
+}
+
+// awaitCompleted waits until so many items of a job are completed.
+func (f *fleet) awaitCompleted(n int, id string, items int) {
+	f.t.Helper()
+	f.eventually("items completed", func() error {
+		var job batchJob
+		if err := f.caller(n, http.MethodGet, "/v1/batches/"+id, nil, nil, &job); err != nil {
 			return err
 		}
-		if job.Status != "completed" {
+		if job.Counts.Completed < items {
 			return fmt.Errorf("%s, %d completed", job.Status, job.Counts.Completed)
 		}
 		return nil
 	})
-	f.checkResults(ask, job.ID, items)
 }
 
 // checkResults wants one result for each custom_id.
--- a/internal/endpoint/coordinator/coordinator.go
+++ b/internal/endpoint/coordinator/coordinator.go
@@ -24,14 +24,14 @@
 	riseWindow = 25 * time.Millisecond
 	// riseHalfLife is how fast a rise is forgotten.
 	riseHalfLife = 300 * time.Millisecond
-	// headroomPart is the part of the slots that batch work always leaves free,
-	// on average over the endpoints.
-	headroomPart = 13
 )
 
 // Coordinator keeps the use of owned endpoints. It does no I/O.
 type Coordinator struct {
 	weight func(fescuebank.TeamID) float64
+	// headroom is the share of slots that batch work always leaves free, on
+	// average over the endpoints.
+	headroom float64
 
 	mu        sync.Mutex
 	endpoints map[fescuebank.EndpointID]*endpoint
@@ -60,9 +60,10 @@
 	at     time.Time
 }
 
-// New returns a coordinator that knows of no use. weight gives a team's share.
-func New(weight func(fescuebank.TeamID) float64) *Coordinator {
-	return &Coordinator{weight: weight, endpoints: make(map[fescuebank.EndpointID]*endpoint)}
+// New returns a coordinator that knows of no use. weight gives a team's share;
+// headroom is the share of slots that batch work always leaves free.
+func New(weight func(fescuebank.TeamID) float64, headroom float64) *Coordinator {
+	return &Coordinator{weight: weight, headroom: headroom, endpoints: make(map[fescuebank.EndpointID]*endpoint)}
 }
 
 func (c *Coordinator) endpoint(id fescuebank.EndpointID) *endpoint {
@@ -201,8 +202,9 @@
 	e := c.endpoint(id)
 	e.forget(now)
 	// Rounding differs by endpoint, so that the average is kept.
-	rounding := int(xxhash.Sum64String(string(id)) % headroomPart)
-	least := max(1, (slots+rounding)/headroomPart)
+	const steps = 1 << 16
+	rounding := float64(xxhash.Sum64String(string(id))%steps) / steps
+	least := max(1, int(float64(slots)*c.headroom+rounding))
 	headroom := max(least, int(math.Ceil(e.risen(now))))
 	return max(0, slots-e.online()-min(headroom, max(least, slots/2)))
 }
--- /dev/null
+++ b/internal/endpoint/coordinator/coordinator_test.go
@@ -0,0 +1,134 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fescuebank"
+	"fescuebank/internal/endpoint/coordinator"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func one(fescuebank.TeamID) float64 { return 1 }
+
+// TestTeamsShareByWeightWherever lets two teams wait at instances in uneven
+// numbers. What each team may have over all instances follows its weight, not
+// the number of instances that it uses.
+func TestTeamsShareByWeightWherever(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		weights map[fescuebank.TeamID]float64
+		// demands by instance and team.
+		demands []map[fescuebank.TeamID]int
+		want    map[fescuebank.TeamID]int
+	}{
+		{
+			"one team at three instances",
+			map[fescuebank.TeamID]float64{"a": 1, "b": 1},
+			[]map[fescuebank.TeamID]int{{"a": 40}, {"a": 40}, {"a": 40}, {"b": 40}},
+			map[fescuebank.TeamID]int{"a": 15, "b": 15},
+		},
+		{
+			"weights",
+			map[fescuebank.TeamID]float64{"a": 2, "b": 1},
+			[]map[fescuebank.TeamID]int{{"a": 40}, {"b": 40}},
+			map[fescuebank.TeamID]int{"a": 20, "b": 10},
+		},
+		{
+			"a small team keeps what it needs",
+			map[fescuebank.TeamID]float64{"a": 1, "b": 1},
+			[]map[fescuebank.TeamID]int{{"a": 100}, {"b": 4}},
+			map[fescuebank.TeamID]int{"a": 26, "b": 4},
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := coordinator.New(func(id fescuebank.TeamID) float64 { return tt.weights[id] }, 0)
+			got := map[fescuebank.TeamID]int{}
+			for round := range 2 {
+				for n, demands := range tt.demands {
+					u := fescuebank.EndpointUse{ID: "e"}
+					for team, count := range demands {
+						u.Demands = append(u.Demands, fescuebank.TeamDemand{Team: team, Count: count})
+					}
+					credit := c.Notice(start, fescuebank.InstanceID(fmt.Sprint(n)), uint64(round+1), u, 29)
+					if round == 0 {
+						continue
+					}
+					for team := range demands {
+						got[team] += credit.Limit
+					}
+				}
+			}
+			for team, want := range tt.want {
+				if got[team] < want-1 || got[team] > want+1 {
+					t.Errorf("%s: got %d slots over all instances, want %d", team, got[team], want)
+				}
+			}
+		})
+	}
+}
+
+// TestWindowLeavesOnlineItsSlots checks the window against plain counts.
+func TestWindowLeavesOnlineItsSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slots = 16
+		c := coordinator.New(one, 0.08)
+		now := start
+		uses := map[fescuebank.InstanceID]int{}
+		sequence := uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"notice": func(t *rapid.T) {
+				sequence++
+				id := fescuebank.InstanceID(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "instance")))
+				uses[id] = rapid.IntRange(0, 8).Draw(t, "online")
+				c.Notice(now, id, sequence, fescuebank.EndpointUse{ID: "e", Online: uses[id]}, slots)
+			},
+			"late": func(t *rapid.T) {
+				if sequence == 0 {
+					return
+				}
+				// A notice that was overtaken changes nothing.
+				id := fescuebank.InstanceID(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "instance")))
+				if _, known := uses[id]; known {
+					c.Notice(now, id, 0, fescuebank.EndpointUse{ID: "e", Online: 16}, slots)
+				}
+			},
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "milliseconds")) * time.Millisecond)
+				for id, online := range uses {
+					sequence++
+					c.Notice(now, id, sequence, fescuebank.EndpointUse{ID: "e", Online: online}, slots)
+				}
+			},
+			"": func(t *rapid.T) {
+				online := 0
+				for _, n := range uses {
+					online += n
+				}
+				got := c.Window(now, "e", slots)
+				if got < 0 || got+online >= slots && got > 0 {
+					t.Fatalf("got a window of %d beside %d online requests, want a slot left of %d", got, online, slots)
+				}
+			},
+		})
+	})
+}
+
+// TestIdleEndpointIsFilled wants batch work to get nearly all of an endpoint
+// that has been without online requests.
+func TestIdleEndpointIsFilled(t *testing.T) {
+	c := coordinator.New(one, 0.08)
+	for n := range 40 {
+		c.Notice(start.Add(time.Duration(n)*time.Millisecond), "i", uint64(n+1), fescuebank.EndpointUse{ID: "e", Online: n % 6}, 16)
+	}
+	if got := c.Window(start.Add(40*time.Millisecond), "e", 16); got > 10 {
+		t.Errorf("after a rise: got %d, want headroom for another", got)
+	}
+	if got := c.Window(start.Add(time.Minute), "e", 16); got < 14 {
+		t.Errorf("a minute later: got %d of 16 slots, want 14 or more", got)
+	}
+}
--- a/internal/operate/supervisor/status.go
+++ b/internal/operate/supervisor/status.go
@@ -131,3 +131,8 @@
 func (v *Supervisor) Edit(ctx context.Context, change func(*fescuebank.DesiredState) error) (fescuebank.Generation, error) {
 	return v.publisher.Edit(ctx, change)
 }
+
+// Apply publishes a document.
+func (v *Supervisor) Apply(ctx context.Context, d *fescuebank.DesiredState) (fescuebank.Generation, error) {
+	return v.publisher.Apply(ctx, d)
+}
--- a/internal/operate/supervisor/supervisor.go
+++ b/internal/operate/supervisor/supervisor.go
@@ -206,7 +206,7 @@
 	s := v.settings
 	v.balancer = balancer.New(s.Instance.Zone, policy, v.clock)
 	v.connector = connector.New(v.balancer, v.clock, s.Timing.Silence)
-	v.coordinator = coordinator.New(v.weight)
+	v.coordinator = coordinator.New(v.weight, s.Limits.BatchHeadroom)
 	v.scheduler = scheduler.New(v.balancer, s.Limits.QueueLength, v.clock, func() { v.notifier.Kick() })
 	v.notifier = notifier.New(notifier.Config{
 		Directory: v.registrar, Peer: v.messenger, Balancer: v.balancer, Coordinator: v.coordinator,
@@ -314,8 +314,12 @@
 	}).Handler()
 }
 
-// contact returns when the store or a peer was last reached.
+// contact returns when the store or a peer was last reached. An instance that
+// is alone in its fleet can't miss what others were told.
 func (v *Supervisor) contact() time.Time {
+	if v.Members() == 1 {
+		return v.clock.Now()
+	}
 	store, peers := v.watcher.Contact(), v.prober.Contact()
 	if store.After(peers) {
 		return store
--- a/internal/standin/stager/faults_test.go
+++ b/internal/standin/stager/faults_test.go
@@ -113,6 +113,26 @@
 	return answer.Choices[0].Text, nil
 }
 
+// askMany sends requests through all instances at once. The returned function
+// waits for their answers and wants each whole and its own.
+func askMany(t *testing.T, s *stager.Stager, key, name string, count, tokens int) (wait func()) {
+	var group sync.WaitGroup
+	for n := range count {
+		group.Go(func() {
+			prompt := fmt.Sprint(name, " ", n)
+			got, refused := ask(s, n%len(s.Instances), key, prompt, tokens)
+			if refused != nil {
+				t.Errorf("%s: got %+v, want an answer", prompt, refused)
+				return
+			}
+			if want := wanted(prompt, tokens); got != want {
+				t.Errorf("%s: got %q, want %q", prompt, got, want)
+			}
+		})
+	}
+	return group.Wait
+}
+
 // wanted is the whole answer to a prompt.
 func wanted(prompt string, tokens int) string {
 	var text strings.Builder
@@ -290,27 +310,14 @@
 	s := newStage(t, 3, 4, nil)
 	key := s.Keys["parishes"]
 	const poison = "please CRASH-THE-ENGINE now"
-	var innocents sync.WaitGroup
-	for n := range 12 {
-		innocents.Go(func() {
-			prompt := fmt.Sprint("innocent ", n)
-			got, refused := ask(s, n%3, key, prompt, 60)
-			if refused != nil {
-				t.Errorf("innocent %d: got %+v, want an answer", n, refused)
-				return
-			}
-			if want := wanted(prompt, 60); got != want {
-				t.Errorf("innocent %d: got %q, want %q", n, got, want)
-			}
-		})
-	}
+	wait := askMany(t, s, key, "innocent", 12, 60)
 	var last *refuser.Detail
 	for n := range 8 {
 		if _, last = ask(s, n%3, key, poison, 5); last == nil {
 			t.Fatalf("poison %d: got an answer, want a refusal", n)
 		}
 	}
-	innocents.Wait()
+	wait()
 	if last.Code != fescuebank.CodeQuarantined || last.RunState != fescuebank.NotRun {
 		t.Errorf("last refusal: got %+v, want quarantined and notRun", last)
 	}
@@ -329,24 +336,11 @@
 	s := newStage(t, 3, 4, nil)
 	key := s.Keys["parishes"]
 	job := submitJob(t, s, key, 200)
-	var group sync.WaitGroup
-	for n := range 16 {
-		group.Go(func() {
-			prompt := fmt.Sprint("heat ", n)
-			got, refused := ask(s, n%3, key, prompt, 150)
-			if refused != nil {
-				t.Errorf("request %d: got %+v, want an answer", n, refused)
-				return
-			}
-			if want := wanted(prompt, 150); got != want {
-				t.Errorf("request %d: got %q, want %q", n, got, want)
-			}
-		})
-	}
+	wait := askMany(t, s, key, "heat", 16, 150)
 	time.Sleep(250 * time.Millisecond)
 	s.Faults[0].Kill()
 	s.Faults[1].Kill()
-	group.Wait()
+	wait()
 	awaitJob(t, s, key, job, 200)
 }
 
@@ -354,25 +348,12 @@
 func TestSilentConnections(t *testing.T) {
 	s := newStage(t, 2, 3, nil)
 	key := s.Keys["parishes"]
-	var group sync.WaitGroup
-	for n := range 6 {
-		group.Go(func() {
-			prompt := fmt.Sprint("silent ", n)
-			got, refused := ask(s, n%2, key, prompt, 120)
-			if refused != nil {
-				t.Errorf("request %d: got %+v, want an answer", n, refused)
-				return
-			}
-			if want := wanted(prompt, 120); got != want {
-				t.Errorf("request %d: got %q, want %q", n, got, want)
-			}
-		})
-	}
+	wait := askMany(t, s, key, "silent", 6, 120)
 	time.Sleep(250 * time.Millisecond)
 	for _, f := range s.Faults {
 		f.Silence()
 	}
-	group.Wait()
+	wait()
 }
 
 // TestKeyWithdrawnWhileStoreIsDown withdraws a key during an outage: it stops
@@ -530,3 +511,83 @@
 		}
 	}
 }
+
+// TestSlowStore makes each call take 5 s: leases lapse, online goes on, and the
+// job ends once the store is quick again.
+func TestSlowStore(t *testing.T) {
+	s := newStage(t, 3, 2, nil)
+	key := s.Keys["parishes"]
+	job := submitJob(t, s, key, 100)
+	s.Platform.SetFaults(platformer.Faults{Delay: 5 * time.Second})
+	for round := range 4 {
+		askMany(t, s, key, fmt.Sprint("slow ", round), 9, 5)()
+		time.Sleep(time.Second)
+	}
+	s.Platform.SetFaults(platformer.Faults{})
+	awaitJob(t, s, key, job, 100)
+}
+
+// TestLostAnswersOfWrites loses the answers of many writes of all kinds.
+func TestLostAnswersOfWrites(t *testing.T) {
+	s := newStage(t, 3, 2, nil)
+	key := s.Keys["parishes"]
+	job := submitJob(t, s, key, 400)
+	for range 10 {
+		s.Platform.SetFaults(platformer.Faults{LoseWrites: 3})
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.Platform.SetFaults(platformer.Faults{})
+	awaitJob(t, s, key, job, 400)
+}
+
+// TestRacingOperators publishes from two instances at once: each change is in
+// the end state, and a document made from an older generation is refused.
+func TestRacingOperators(t *testing.T) {
+	s := newStage(t, 2, 1, nil)
+	old := s.Instances[0].Status().Generation
+	var group sync.WaitGroup
+	for n := range 2 {
+		group.Go(func() {
+			for i := range 5 {
+				_, err := s.Instances[n].Edit(context.Background(), func(d *fescuebank.DesiredState) error {
+					id := fescuebank.TeamID(fmt.Sprintf("team-%d-%d", n, i))
+					d.Teams = append(d.Teams, fescuebank.Team{ID: id, Rate: 1, Burst: 1})
+					return nil
+				})
+				if err != nil {
+					t.Errorf("operator %d: %v", n, err)
+				}
+			}
+		})
+	}
+	group.Wait()
+	eventually(t, "both in force", func() error {
+		for _, v := range s.Instances {
+			if got, want := v.Status().Generation, old+10; got != want {
+				return fmt.Errorf("%s has generation %d, want %d", v.Self().ID, got, want)
+			}
+		}
+		return nil
+	})
+	stale := s.State
+	stale.Generation = old
+	if _, err := s.Instances[0].Apply(context.Background(), &stale); err == nil || !strings.Contains(err.Error(), "is in force") {
+		t.Errorf("stale document: got %v, want a conflict", err)
+	}
+}
+
+// TestLeavingEndpointGetsNoNewWork makes an endpoint leave; a few seconds later
+// nothing new comes to it, online or batch.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	s := newStage(t, 3, 3, nil)
+	key := s.Keys["parishes"]
+	job := submitJob(t, s, key, 600)
+	s.Engines[0].SetLeaving(true)
+	time.Sleep(3 * time.Second)
+	before := s.Engines[0].Totals().Requests
+	askMany(t, s, key, "after leaving", 30, 5)()
+	awaitJob(t, s, key, job, 600)
+	if got := s.Engines[0].Totals().Requests; got != before {
+		t.Errorf("got %d requests at the endpoint that left, want none", got-before)
+	}
+}
--- a/settings.go
+++ b/settings.go
@@ -89,6 +89,9 @@
 	Attempts int `ini:"attempts"`
 	// StoreCallsPerSecond is this instance's own budget of store calls.
 	StoreCallsPerSecond float64 `ini:"storeCallsPerSecond"`
+	// BatchHeadroom is the share of an endpoint's slots that batch work leaves
+	// free at least; the same on all instances.
+	BatchHeadroom float64 `ini:"batchHeadroom"`
 	// ClockError bounds how far clock rates differ between instances, as a share.
 	ClockError float64 `ini:"clockError"`
 }
@@ -135,14 +138,14 @@
 	s.Roles = RoleSettings{Entry: true, Owner: true, Console: true}
 	s.Limits = LimitSettings{
 		BodyBytes: 4 * MiB, FileBytes: 256 * MiB, HeaderBytes: 32 * KiB,
-		QueueLength: 512, Homes: 4, Attempts: 4, StoreCallsPerSecond: 40, ClockError: 0.001,
+		QueueLength: 512, Homes: 4, Attempts: 4, StoreCallsPerSecond: 40, BatchHeadroom: 0.08, ClockError: 0.001,
 	}
 	s.Timing = TimingSettings{
 		LeaseTTL: 10 * time.Second, LeaseRenew: 3 * time.Second, LeaseMargin: time.Second,
 		Probe: time.Second, Suspect: 3 * time.Second, AddressTTL: 10 * time.Second,
 		OnlineDeadline: 2 * time.Minute, Silence: 5 * time.Second,
 		Commit: time.Second, ItemExpiry: 10 * time.Second,
-		OrderFlight: 5 * time.Second, ConfigStale: 5 * time.Minute,
+		OrderFlight: 5 * time.Second, ConfigStale: 10 * time.Second,
 	}
 	s.Log.Level = "info"
 }
@@ -184,6 +187,7 @@
 	f.Check(l.Homes >= 1, "[limits] homes", "want 1 or more")
 	f.Check(l.Attempts >= 1, "[limits] attempts", "want 1 or more")
 	f.Check(l.StoreCallsPerSecond >= 1, "[limits] storeCallsPerSecond", "want 1 or more")
+	f.Check(l.BatchHeadroom >= 0 && l.BatchHeadroom < 1, "[limits] batchHeadroom", "want 0 or more and below 1")
 	f.Check(l.ClockError >= 0 && l.ClockError < 0.1, "[limits] clockError", "want 0 or more and below 0.1")
 }
 
