Judge lost endpoints once all requests under them are known

Cause: a loss was judged with the first request noted under it. An innocent request's loss at a second endpoint, noted first, shared no request with the first loss, was taken for an outage, and acquitted the request at fault; local evidence also took back what other instances had told. Seen: TestPoisonRequest, 3 endpoints lost, in 1 of 3 runs of the whole suite. Ruled out: permits (suspects never ran beside each other).

--- a/internal/endpoint/quarantiner/quarantiner.go
+++ b/internal/endpoint/quarantiner/quarantiner.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -64,15 +65,22 @@
 
 // suspect is what this instance knows of a suspicion.
 type suspect struct {
-	lost map[fescuebank.EndpointID]bool
+	// own are endpoints lost under requests of this instance; evidence of an
+	// outage takes them back. told are those that other instances know of.
+	own  map[fescuebank.EndpointID]bool
+	told map[fescuebank.EndpointID]bool
 	at   time.Time
 }
 
+// lost returns the endpoints lost under the request.
+func (s *suspect) lost() []fescuebank.EndpointID {
+	return unite(slices.Collect(maps.Keys(s.own)), slices.Collect(maps.Keys(s.told)))
+}
+
 // incident is the loss of one endpoint as seen here.
 type incident struct {
-	at     time.Time
-	under  []fescuebank.Fingerprint
-	outage bool
+	at    time.Time
+	under []fescuebank.Fingerprint
 }
 
 // New returns a quarantiner that suspects nothing.
@@ -115,7 +123,7 @@
 	defer q.mu.Unlock()
 	if s, ok := q.suspects[f]; ok {
 		if now.Sub(s.at) < memory {
-			return len(s.lost), nil, false
+			return len(s.lost()), nil, false
 		}
 		delete(q.suspects, f)
 	}
@@ -166,7 +174,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if s, ok := q.suspects[f]; ok {
-		return len(s.lost)
+		return len(s.lost())
 	}
 	return 0
 }
@@ -201,11 +209,11 @@
 	if end != fescuebank.AttemptLost {
 		return
 	}
-	suspicion, fresh := q.note(f, id)
-	if fresh {
+	q.note(f, id)
+	_ = fescuebank.Sleep(context.Background(), q.clock, evidenceWait)
+	if suspicion, fresh := q.judge(f, id); fresh {
 		q.publish(suspicion)
 	}
-	_ = fescuebank.Sleep(context.Background(), q.clock, evidenceWait)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if running, ok := q.first[f]; ok {
@@ -226,33 +234,48 @@
 	q.proven[f] = true
 }
 
-// note records a loss and returns the suspicion to tell, if it is new.
-func (q *Quarantiner) note(f fescuebank.Fingerprint, id fescuebank.EndpointID) (fescuebank.Suspicion, bool) {
+// note records that an endpoint was lost under a request.
+func (q *Quarantiner) note(f fescuebank.Fingerprint, id fescuebank.EndpointID) {
 	now := q.clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.proven, f)
+	for other, in := range q.incidents {
+		if now.Sub(in.at) > outageWindow {
+			delete(q.incidents, other)
+		}
+	}
 	in, ok := q.incidents[id]
-	if !ok || now.Sub(in.at) > outageWindow {
+	if !ok {
 		in = &incident{at: now}
 		q.incidents[id] = in
 	}
 	in.under = append(in.under, f)
-	q.findOutage(id, in, now)
-	if in.outage {
+	q.suspect(f).own[id] = true
+	q.suspect(f).at = now
+}
+
+// judge decides, once all requests of a lost endpoint have been noted, whether
+// the loss is held against f. It returns the suspicion to tell if it is.
+func (q *Quarantiner) judge(f fescuebank.Fingerprint, id fescuebank.EndpointID) (fescuebank.Suspicion, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	in, ok := q.incidents[id]
+	if ok {
+		q.findOutage(id, in)
+	}
+	s, ok := q.suspects[f]
+	if !ok || !s.own[id] {
 		return fescuebank.Suspicion{}, false
 	}
-	s := q.suspect(f)
-	s.at = now
-	known := s.lost[id]
-	s.lost[id] = true
-	return s.suspicion(f), !known
+	return fescuebank.Suspicion{Fingerprint: f, Lost: s.lost()}, true
 }
 
+// suspect returns the entry of f. The caller holds mu.
 func (q *Quarantiner) suspect(f fescuebank.Fingerprint) *suspect {
 	s, ok := q.suspects[f]
 	if !ok {
-		s = &suspect{lost: make(map[fescuebank.EndpointID]bool)}
+		s = &suspect{own: make(map[fescuebank.EndpointID]bool), told: make(map[fescuebank.EndpointID]bool)}
 		if len(q.suspects) < maxSuspects {
 			q.suspects[f] = s
 		}
@@ -260,24 +283,15 @@
 	return s
 }
 
-func (s *suspect) suspicion(f fescuebank.Fingerprint) fescuebank.Suspicion {
-	out := fescuebank.Suspicion{Fingerprint: f}
-	for id := range s.lost {
-		out.Lost = append(out.Lost, id)
-	}
-	slices.Sort(out.Lost)
-	return out
-}
-
 // findOutage takes losses at other endpoints under other requests as evidence
-// that the endpoints went away by themselves. The caller holds mu.
-func (q *Quarantiner) findOutage(id fescuebank.EndpointID, in *incident, now time.Time) {
+// that the endpoints went away by themselves, unless another instance suspects
+// one of the requests. The caller holds mu.
+func (q *Quarantiner) findOutage(id fescuebank.EndpointID, in *incident) {
+	if q.anyTold(in.under) {
+		return
+	}
 	for other, o := range q.incidents {
-		if now.Sub(o.at) > outageWindow {
-			delete(q.incidents, other)
-			continue
-		}
-		if other == id || sharesAny(o.under, in.under) {
+		if other == id || sharesAny(o.under, in.under) || q.anyTold(o.under) {
 			continue
 		}
 		q.acquit(other, o)
@@ -285,20 +299,26 @@
 	}
 }
 
+func (q *Quarantiner) anyTold(list []fescuebank.Fingerprint) bool {
+	return slices.ContainsFunc(list, func(f fescuebank.Fingerprint) bool {
+		s, ok := q.suspects[f]
+		return ok && len(s.told) > 0
+	})
+}
+
 func sharesAny(a, b []fescuebank.Fingerprint) bool {
 	return slices.ContainsFunc(a, func(f fescuebank.Fingerprint) bool { return slices.Contains(b, f) })
 }
 
-// acquit takes a loss back from all requests that it was held against.
+// acquit takes a loss back from all requests that it was held against here.
 func (q *Quarantiner) acquit(id fescuebank.EndpointID, in *incident) {
-	in.outage = true
 	for _, f := range in.under {
 		s, ok := q.suspects[f]
 		if !ok {
 			continue
 		}
-		delete(s.lost, id)
-		if len(s.lost) == 0 {
+		delete(s.own, id)
+		if len(s.lost()) == 0 {
 			delete(q.suspects, f)
 		}
 	}
@@ -393,7 +413,7 @@
 	s := q.suspect(told.Fingerprint)
 	s.at = now
 	for _, id := range told.Lost {
-		s.lost[id] = true
+		s.told[id] = true
 	}
 }
 
@@ -403,7 +423,7 @@
 	defer q.mu.Unlock()
 	var list []fescuebank.Suspicion
 	for f, s := range q.suspects {
-		if out := s.suspicion(f); out.Quarantined() {
+		if out := (fescuebank.Suspicion{Fingerprint: f, Lost: s.lost()}); out.Quarantined() {
 			list = append(list, out)
 		}
 	}
