Tell a conflict of racing operators as one

Cause: a manifest write that met another version went through the read-back for lost answers, which can't tell a later generation built on ours from one that replaced it, so a racing operator was told that the outcome is unknown. Change: a version conflict is a conflict; only a lost answer is read back.

--- a/internal/config/publisher/publisher.go
+++ b/internal/config/publisher/publisher.go
@@ -189,7 +189,10 @@
 		return eris.Wrap(err, "Publisher.putManifest")
 	}
 	written, err := p.store.Put(ctx, fescuebank.ManifestKey, value, version)
-	if errors.Is(err, fescuebank.ErrOutcomeUnknown) || errors.Is(err, fescuebank.ErrVersion) {
+	if errors.Is(err, fescuebank.ErrVersion) {
+		return &ConflictError{Based: m.Generation - 1, Current: max(m.Generation, p.currentGeneration(ctx))}
+	}
+	if errors.Is(err, fescuebank.ErrOutcomeUnknown) {
 		return p.readBack(ctx, m)
 	}
 	if err != nil {
@@ -199,6 +202,16 @@
 	return nil
 }
 
+// currentGeneration returns the generation in the store, or 0 if it can't be read.
+func (p *Publisher) currentGeneration(ctx context.Context) fescuebank.Generation {
+	var m fescuebank.Manifest
+	o, err := p.store.Get(ctx, fescuebank.ManifestKey)
+	if err != nil || json.Unmarshal(o.Value, &m) != nil {
+		return 0
+	}
+	return m.Generation
+}
+
 // readBack finds out whether the manifest in the store is the one just written.
 func (p *Publisher) readBack(ctx context.Context, m fescuebank.Manifest) error {
 	o, err := p.store.Get(ctx, fescuebank.ManifestKey)
