Hedge calls of plain services that may be repeated; leave silent store connections

A lease renewal gives up after 0.6 of the lease's length and drops idle connections, so that one on a connection that fell silent leaves time for a second. fescuectl's load command is split by concern.

--- a/cmd/fescuectl/load.go
+++ b/cmd/fescuectl/load.go
@@ -11,17 +11,11 @@
 	"mime/multipart"
 	"net/http"
 	"os"
-	"runtime"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
 
 	"fescuebank"
 	"fescuebank/internal/endpoint/caller"
@@ -29,7 +23,6 @@
 	"fescuebank/internal/load/driver"
 	"fescuebank/internal/load/recorder"
 	"fescuebank/internal/standin/engineer"
-	"fescuebank/internal/standin/platformer"
 	"fescuebank/internal/standin/stager"
 	"fescuebank/internal/timing/timekeeper"
 )
@@ -50,74 +43,6 @@
 	Trace     string        `arg:"--log" default:"error" help:"log level of the in-process deployment"`
 }
 
-// scenario is the size of a deployment.
-type scenario struct {
-	zones     []fescuebank.Zone
-	instances int
-	engines   int
-	model     fescuebank.ModelName
-}
-
-// scenarios are today's sizes.
-var scenarios = map[string]scenario{
-	"lone-star": {zones: []fescuebank.Zone{"tx-austin", "tx-waco", "tx-sanmarcos", "tx-temple"}, instances: 8, engines: 20, model: "almanac-llm"},
-	"celeste":   {zones: []fescuebank.Zone{"plata-a", "plata-b", "plata-c"}, instances: 8, engines: 10, model: "pesca-lm"},
-}
-
-// teamShares are the eight teams' parts of the online load: a few are large.
-var teamShares = []float64{0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05}
-
-const (
-	medianPrompt = 160
-	medianOutput = 48
-	spread       = 0.4
-	// headroom is a team's rate over the mean of what it sends.
-	headroom = 1.3
-	// minRate lets a team submit its jobs in a run without online load.
-	minRate = 2
-	// burstSeconds is a team's burst in seconds of its rate.
-	burstSeconds = 2
-	greedyFactor = 5
-	// greedyTeam sends too much in the greedy variant.
-	greedyTeam = 2
-	settleTime = 3 * time.Second
-	// batchOutput is the answer's length of a batch item in tokens.
-	batchOutput = 64
-)
-
-// variant is one way to run a scenario.
-type variant struct {
-	name   string
-	policy fescuebank.Policy
-	batch  bool
-	greedy float64
-}
-
-func parseVariant(text string) (variant, error) {
-	v := variant{name: text, policy: fescuebank.PolicyLeastExpected, greedy: 1}
-	for _, part := range strings.Split(text, "+") {
-		switch part {
-		case "batch":
-			v.batch = true
-		case "greedy":
-			v.greedy = greedyFactor
-		case "absent":
-			v.greedy = 0
-		default:
-			found := false
-			for _, p := range fescuebank.Policies {
-				if string(p) == part {
-					v.policy, found = p, true
-				}
-			}
-			if !found {
-				return v, fmt.Errorf("unknown part %q of a variant", part)
-			}
-		}
-	}
-	return v, nil
-}
-
 func (l *loadCommand) run(ctx context.Context, c *client) error {
 	names := []string{l.Variant}
 	if l.Compare != "" {
@@ -186,19 +111,6 @@
 	return nil
 }
 
-// engineConfig describes the emulated engines.
-func engineConfig() engineer.Config {
-	c := engineer.Config{Slots: 16, StepBase: 16 * time.Millisecond, StepPerRequest: 100 * time.Microsecond, EventGap: 50}
-	c.Defaults()
-	return c
-}
-
-// capacity is the number of tokens that one engine generates a second when full.
-func capacity(c engineer.Config) float64 {
-	step := c.StepBase + time.Duration(c.Slots)*c.StepPerRequest
-	return float64(c.Slots) / step.Seconds()
-}
-
 // measure runs one variant against an in-process deployment, or without batch
 // work and policy against a running one.
 func (l *loadCommand) measure(ctx context.Context, c *client, v variant) (recorder.Report, error) {
@@ -283,90 +195,6 @@
 	return report, nil
 }
 
-// senders are the teams that send something.
-func senders(traffic []drawer.Traffic) []fescuebank.TeamID {
-	var teams []fescuebank.TeamID
-	for _, t := range traffic {
-		teams = append(teams, t.Team)
-	}
-	return teams
-}
-
-// controlCounts are what the control of a whole deployment has cost so far.
-type controlCounts struct {
-	peerRequests, peerBytes int64
-	calls                   platformer.Calls
-	processor               time.Duration
-	memory                  uint64
-}
-
-func takeControl(s *stager.Stager) controlCounts {
-	c := controlCounts{calls: s.Platform.Calls()}
-	for _, v := range s.Instances {
-		totals := v.Totals()
-		c.peerRequests += totals.PeerRequests
-		c.peerBytes += totals.PeerBytes
-	}
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) == nil {
-		c.processor = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-	}
-	runtime.GC()
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
-	c.memory = memory.HeapAlloc
-	return c
-}
-
-// since is the cost per instance and second. Requests between instances are
-// counted at both ends.
-func (c controlCounts) since(before controlCounts, d time.Duration, instances int) recorder.Control {
-	per := 1 / d.Seconds() / float64(instances)
-	return recorder.Control{
-		PeerRequests: float64(c.peerRequests-before.peerRequests) * per,
-		PeerBytes:    float64(c.peerBytes-before.peerBytes) * per,
-		StoreReads:   float64(c.calls.Reads-before.calls.Reads) * per,
-		StoreWrites:  float64(c.calls.Writes-before.calls.Writes) * per,
-		StoreWatches: float64(c.calls.Watches-before.calls.Watches) * per,
-		Processor:    (c.processor - before.processor).Seconds() * per,
-		HeapMiB:      float64(c.memory) / float64(fescuebank.MiB) / float64(instances),
-	}
-}
-
-func generated(s *stager.Stager) int64 {
-	total := int64(0)
-	for _, e := range s.Engines {
-		total += e.Totals().Generated
-	}
-	return total
-}
-
-// traffic divides the online load over the teams.
-func (l *loadCommand) traffic(total float64, v variant) ([]drawer.Traffic, []fescuebank.Team) {
-	const meanOverMedian = 1.083 // exp(spread²/2)
-	requests := total * l.Share / (medianOutput * meanOverMedian)
-	var traffic []drawer.Traffic
-	var teams []fescuebank.Team
-	for n, share := range teamShares {
-		id := fescuebank.TeamID(fmt.Sprintf("team-%d", n+1))
-		rate := requests * share
-		sent := rate
-		if n == greedyTeam {
-			sent *= v.greedy
-		}
-		const calm = 0.9
-		traffic = append(traffic, drawer.Traffic{
-			Team: id, Rate: sent * calm, Every: 2 * time.Second, Size: int(sent * 2 * (1 - calm)),
-			Prefixes: 4, Prompt: medianPrompt, Output: medianOutput, Spread: spread,
-		})
-		teams = append(teams, fescuebank.Team{
-			ID: id, Weight: 1, Rate: fescuebank.RequestRate(max(minRate, rate*headroom)),
-			Burst: fescuebank.Requests(max(8, rate*burstSeconds)),
-		})
-	}
-	return traffic, teams
-}
-
 // submitBatch submits jobs of two teams that together outlast the run.
 func submitBatch(ctx context.Context, h *http.Client, address string, s *stager.Stager, model fescuebank.ModelName, tokens int) error {
 	items := min(tokens/batchOutput/2, fescuebank.MaxJobItems)
@@ -404,98 +232,3 @@
 	var j job
 	return c.callerJSON(ctx, http.MethodPost, "/v1/batches", nil, submission{Input: uploaded.ID, Endpoint: "/v1/completions", Window: "24h"}, &j)
 }
-
-// row is one figure of the table.
-type row struct {
-	name  string
-	value func(recorder.Report) float64
-}
-
-var tableRows = []row{
-	{"first token p50 ms", func(r recorder.Report) float64 { return r.First.P50 }},
-	{"first token p95 ms", func(r recorder.Report) float64 { return r.First.P95 }},
-	{"first token p99 ms", func(r recorder.Report) float64 { return r.First.P99 }},
-	{"between tokens p50 ms", func(r recorder.Report) float64 { return r.Gap.P50 }},
-	{"between tokens p95 ms", func(r recorder.Report) float64 { return r.Gap.P95 }},
-	{"between tokens p99 ms", func(r recorder.Report) float64 { return r.Gap.P99 }},
-	{"online tokens/s", func(r recorder.Report) float64 { return r.OnlineTokens }},
-	{"batch tokens/s", func(r recorder.Report) float64 { return r.BatchTokens }},
-	{"batch share of idle capacity", func(r recorder.Report) float64 { return r.BatchTokens / max(1, r.IdleTokens) }},
-	{"requests sent", func(r recorder.Report) float64 { return float64(r.Sent) }},
-	{"answered whole", func(r recorder.Report) float64 { return float64(r.Complete) }},
-	{"refused over rate", func(r recorder.Report) float64 { return float64(r.Limited) }},
-	{"refused within rate", func(r recorder.Report) float64 { return float64(r.Wrongful) }},
-	{"failed", func(r recorder.Report) float64 { return float64(r.Failed) }},
-	{"retries", func(r recorder.Report) float64 { return float64(r.Retries) }},
-	{"peer requests/s per instance", func(r recorder.Report) float64 { return r.Control.PeerRequests }},
-	{"peer bytes/s per instance", func(r recorder.Report) float64 { return r.Control.PeerBytes }},
-	{"store reads/s per instance", func(r recorder.Report) float64 { return r.Control.StoreReads }},
-	{"store writes/s per instance", func(r recorder.Report) float64 { return r.Control.StoreWrites }},
-	{"store watches/s per instance", func(r recorder.Report) float64 { return r.Control.StoreWatches }},
-	{"cores per instance, all included", func(r recorder.Report) float64 { return r.Control.Processor }},
-	{"heap MiB per instance, all included", func(r recorder.Report) float64 { return r.Control.HeapMiB }},
-	{"Jain's index", func(r recorder.Report) float64 { return r.Jain }},
-}
-
-func printReports(w io.Writer, reports []recorder.Report) {
-	fmt.Fprint(w, "MEASURE")
-	for _, r := range reports {
-		fmt.Fprintf(w, "\t%s", r.Name)
-	}
-	if len(reports) == 2 {
-		fmt.Fprint(w, "\tRATIO")
-	}
-	fmt.Fprintln(w)
-	line := func(name string, values ...float64) {
-		fmt.Fprint(w, name)
-		for _, v := range values {
-			fmt.Fprintf(w, "\t%.4g", v)
-		}
-		if len(values) == 2 && values[0] != 0 {
-			fmt.Fprintf(w, "\t%.3f", values[1]/values[0])
-		}
-		fmt.Fprintln(w)
-	}
-	for _, row := range tableRows {
-		var values []float64
-		for _, r := range reports {
-			values = append(values, row.value(r))
-		}
-		line(row.name, values...)
-	}
-	for _, t := range reports[len(reports)-1].Teams {
-		var complete, late []float64
-		for _, r := range reports {
-			of := r.Team(t.Team)
-			complete = append(complete, float64(of.Complete))
-			late = append(late, of.FirstP95)
-		}
-		line(string(t.Team)+" answered", complete...)
-		line(string(t.Team)+" first token p95 ms", late...)
-	}
-}
-
-// plotReports draws the quantiles of the first token.
-func plotReports(file string, reports []recorder.Report) error {
-	p := plot.New()
-	p.Title.Text = "Time to the first token"
-	p.X.Label.Text = "quantile in percent"
-	p.Y.Label.Text = "milliseconds"
-	p.Y.Min = 0
-	for n, r := range reports {
-		points := make(plotter.XYs, len(r.Curve))
-		for i, point := range r.Curve {
-			points[i].X, points[i].Y = point.Quantile, point.Milliseconds
-		}
-		line, err := plotter.NewLine(points)
-		if err != nil {
-			return err
-		}
-		line.Color = plotutil.Color(n)
-		p.Add(line)
-		p.Legend.Add(r.Name, line)
-	}
-	p.Legend.Top = true
-	p.Legend.Left = true
-	return p.Save(8*vg.Inch, 5*vg.Inch, file)
-}
--- /dev/null
+++ b/cmd/fescuectl/loadtable.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"fescuebank/internal/load/recorder"
+)
+
+// row is one figure of the table.
+type row struct {
+	name  string
+	value func(recorder.Report) float64
+}
+
+var tableRows = []row{
+	{"first token p50 ms", func(r recorder.Report) float64 { return r.First.P50 }},
+	{"first token p95 ms", func(r recorder.Report) float64 { return r.First.P95 }},
+	{"first token p99 ms", func(r recorder.Report) float64 { return r.First.P99 }},
+	{"between tokens p50 ms", func(r recorder.Report) float64 { return r.Gap.P50 }},
+	{"between tokens p95 ms", func(r recorder.Report) float64 { return r.Gap.P95 }},
+	{"between tokens p99 ms", func(r recorder.Report) float64 { return r.Gap.P99 }},
+	{"online tokens/s", func(r recorder.Report) float64 { return r.OnlineTokens }},
+	{"batch tokens/s", func(r recorder.Report) float64 { return r.BatchTokens }},
+	{"batch share of idle capacity", func(r recorder.Report) float64 { return r.BatchTokens / max(1, r.IdleTokens) }},
+	{"requests sent", func(r recorder.Report) float64 { return float64(r.Sent) }},
+	{"answered whole", func(r recorder.Report) float64 { return float64(r.Complete) }},
+	{"refused over rate", func(r recorder.Report) float64 { return float64(r.Limited) }},
+	{"refused within rate", func(r recorder.Report) float64 { return float64(r.Wrongful) }},
+	{"failed", func(r recorder.Report) float64 { return float64(r.Failed) }},
+	{"retries", func(r recorder.Report) float64 { return float64(r.Retries) }},
+	{"peer requests/s per instance", func(r recorder.Report) float64 { return r.Control.PeerRequests }},
+	{"peer bytes/s per instance", func(r recorder.Report) float64 { return r.Control.PeerBytes }},
+	{"store reads/s per instance", func(r recorder.Report) float64 { return r.Control.StoreReads }},
+	{"store writes/s per instance", func(r recorder.Report) float64 { return r.Control.StoreWrites }},
+	{"store watches/s per instance", func(r recorder.Report) float64 { return r.Control.StoreWatches }},
+	{"cores per instance, all included", func(r recorder.Report) float64 { return r.Control.Processor }},
+	{"heap MiB per instance, all included", func(r recorder.Report) float64 { return r.Control.HeapMiB }},
+	{"Jain's index", func(r recorder.Report) float64 { return r.Jain }},
+}
+
+func printReports(w io.Writer, reports []recorder.Report) {
+	fmt.Fprint(w, "MEASURE")
+	for _, r := range reports {
+		fmt.Fprintf(w, "\t%s", r.Name)
+	}
+	if len(reports) == 2 {
+		fmt.Fprint(w, "\tRATIO")
+	}
+	fmt.Fprintln(w)
+	line := func(name string, values ...float64) {
+		fmt.Fprint(w, name)
+		for _, v := range values {
+			fmt.Fprintf(w, "\t%.4g", v)
+		}
+		if len(values) == 2 && values[0] != 0 {
+			fmt.Fprintf(w, "\t%.3f", values[1]/values[0])
+		}
+		fmt.Fprintln(w)
+	}
+	for _, row := range tableRows {
+		var values []float64
+		for _, r := range reports {
+			values = append(values, row.value(r))
+		}
+		line(row.name, values...)
+	}
+	for _, t := range reports[len(reports)-1].Teams {
+		var complete, late []float64
+		for _, r := range reports {
+			of := r.Team(t.Team)
+			complete = append(complete, float64(of.Complete))
+			late = append(late, of.FirstP95)
+		}
+		line(string(t.Team)+" answered", complete...)
+		line(string(t.Team)+" first token p95 ms", late...)
+	}
+}
+
+// plotReports draws the quantiles of the first token.
+func plotReports(file string, reports []recorder.Report) error {
+	p := plot.New()
+	p.Title.Text = "Time to the first token"
+	p.X.Label.Text = "quantile in percent"
+	p.Y.Label.Text = "milliseconds"
+	p.Y.Min = 0
+	for n, r := range reports {
+		points := make(plotter.XYs, len(r.Curve))
+		for i, point := range r.Curve {
+			points[i].X, points[i].Y = point.Quantile, point.Milliseconds
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		line.Color = plotutil.Color(n)
+		p.Add(line)
+		p.Legend.Add(r.Name, line)
+	}
+	p.Legend.Top = true
+	p.Legend.Left = true
+	return p.Save(8*vg.Inch, 5*vg.Inch, file)
+}
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -52,13 +52,14 @@
 	// fresh never reuses a connection, so that a call that may not be repeated
 	// isn't offered on one that the other side has given up.
 	fresh    *http.Client
+	hedges   *hedger
 	intender *intender.Intender
 	clock    fescuebank.Clock
 }
 
 // New returns a forwarder.
 func New(i *intender.Intender, clock fescuebank.Clock) *Forwarder {
-	return &Forwarder{client: newClient(true), fresh: newClient(false), intender: i, clock: clock}
+	return &Forwarder{client: newClient(true), fresh: newClient(false), hedges: newHedger(), intender: i, clock: clock}
 }
 
 func newClient(reuse bool) *http.Client {
@@ -148,7 +149,7 @@
 	repeatable := c.Service.Repeatable || isSafe(c.Request.Method)
 	mayHaveRun := false
 	for n := range max(len(addresses), repeatAttempts) {
-		answer, offered, err := f.call(ctx, c, addresses[n%len(addresses)], repeatable)
+		answer, offered, err := f.attempt(ctx, c, addresses[n%len(addresses)], addresses[(n+1)%len(addresses)], repeatable)
 		if err == nil {
 			return answer, nil
 		}
@@ -165,6 +166,52 @@
 		"service %q gave no whole answer", c.Service.Name).WithState(state).After(time.Second)
 }
 
+// attempt makes one attempt. A call that may be repeated and is late is made at
+// a second address too, within the budget; the first answer counts.
+func (f *Forwarder) attempt(ctx context.Context, c *Call, address, other string, repeatable bool) (*Answer, bool, error) {
+	if !repeatable || address == other {
+		return f.call(ctx, c, address, repeatable)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, 2)
+	run := func(to string) {
+		started := f.clock.Now()
+		a, offered, err := f.call(ctx, c, to, true)
+		if err == nil {
+			f.hedges.observe(c.Service.Name, f.clock.Now().Sub(started))
+		}
+		results <- result{answer: a, offered: offered, err: err}
+	}
+	go run(address)
+	running := 1
+	late := f.clock.After(f.hedges.delay(c.Service.Name))
+	offered := false
+	for {
+		select {
+		case r := <-results:
+			running--
+			offered = offered || r.offered
+			if r.err == nil || running == 0 {
+				return r.answer, offered, r.err
+			}
+		case <-late:
+			late = nil
+			if f.hedges.spend() {
+				running++
+				go run(other)
+			}
+		}
+	}
+}
+
+// result is how a call ended.
+type result struct {
+	answer  *Answer
+	offered bool
+	err     error
+}
+
 // call makes one attempt. offered is false only if no byte left.
 func (f *Forwarder) call(ctx context.Context, c *Call, address string, repeatable bool) (answer *Answer, offered bool, err error) {
 	client := f.fresh
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -153,7 +153,9 @@
 }
 
 func (l *Leaser) step(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, l.timing.LeaseTTL)
+	// A renewal on a connection that fell silent leaves time for a second one on a
+	// fresh connection before the lease runs out.
+	ctx, cancel := context.WithTimeout(ctx, l.timing.LeaseTTL*6/10)
 	defer cancel()
 	l.mu.Lock()
 	held := l.held
--- a/internal/platform/storer/storer.go
+++ b/internal/platform/storer/storer.go
@@ -150,16 +150,25 @@
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return nil, nil, transportError(method, err)
+		return nil, nil, s.failed(ctx, method, err)
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
 	if err != nil {
-		return nil, nil, transportError(method, err)
+		return nil, nil, s.failed(ctx, method, err)
 	}
 	return resp, answer, statusError(method, resp.StatusCode)
 }
 
+// failed turns a failure of the transport into an error of ObjectStore. After a
+// timeout other idle connections may have gone silent too; they are dropped.
+func (s *Storer) failed(ctx context.Context, method string, err error) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		s.client.CloseIdleConnections()
+	}
+	return transportError(method, err)
+}
+
 // transportError tells a call that never left from one that may have taken effect.
 func transportError(method string, err error) error {
 	var op *net.OpError
