Measure nothing by stamps from before a suspension

Cause, found by 588,320 runs of the long fuzz: an owner that was suspended counted a confirmation from a stamp it had given out before; its clock had stood still, so it took the home's floor for closed after it had opened. 4 requests at once, burst 3. Change: stamps, questions for an inheritance and lent tokens asked for before the clock was found to have stood still are refused.

--- a/internal/limit/borrower/borrower.go
+++ b/internal/limit/borrower/borrower.go
@@ -28,6 +28,8 @@
 	slot int
 	// floorOpens is when the floor may be used, if there is a slot.
 	floorOpens time.Time
+	// leapt is when the clock was last found to have stood still.
+	leapt time.Time
 	teams      map[fescuebank.TeamID]*purse
 }
 
@@ -79,6 +81,7 @@
 func (b *Borrower) Forget(now time.Time) {
 	b.stamp = 0
 	b.pending = false
+	b.leapt = now
 	b.floorOpens = now.Add(b.timing.FloorWait())
 	for _, p := range b.teams {
 		p.tokens, p.spent = nil, nil
@@ -326,6 +329,9 @@
 // Receive takes in tokens that another instance gave up. asked is when they
 // were asked for; their remaining life counts from then.
 func (b *Borrower) Receive(asked time.Time, team fescuebank.TeamID, lent []fescuebank.LentTokens) {
+	if !asked.After(b.leapt) {
+		return // How long ago that was can't be told.
+	}
 	for _, t := range lent {
 		if t.Owner != b.owner || t.Count <= 0 {
 			continue
--- a/internal/limit/granter/estate.go
+++ b/internal/limit/granter/estate.go
@@ -45,7 +45,7 @@
 
 // Inherit takes in what the former owner left. asked is when it was asked for.
 func (g *Granter) Inherit(asked time.Time, left fescuebank.InheritReply) {
-	if g.estate != nil || left.Age < 0 {
+	if g.estate != nil || left.Age < 0 || !asked.After(g.leapt) {
 		return
 	}
 	e := &estate{rest: left.Rest, stopped: asked.Add(-g.timing.Stretch(left.Age)), levels: make(map[fescuebank.TeamID]fescuebank.Requests)}
--- a/internal/limit/granter/granter.go
+++ b/internal/limit/granter/granter.go
@@ -26,6 +26,9 @@
 	closed []bool
 	steady time.Time
 	next   fescuebank.GrantID
+	// leapt is when the clock was last found to have stood still. Stamps and
+	// questions from before measure nothing.
+	leapt time.Time
 	// estate is what the former owner left, if it told.
 	estate *estate
 	// sequences is the newest request seen of each buyer.
@@ -87,6 +90,8 @@
 	for i := range g.slots {
 		g.slots[i].confirmed = time.Time{}
 	}
+	g.leapt = now
+	g.estate = nil
 	g.settle(now, quota)
 }
 
@@ -233,7 +238,7 @@
 		return
 	}
 	stamped := g.opens.Add(time.Duration(r.Echo - 1))
-	if stamped.After(now) {
+	if stamped.After(now) || !stamped.After(g.leapt) {
 		return
 	}
 	for i := range g.slots {
