--- a/internal/limit/borrower/borrower.go
+++ b/internal/limit/borrower/borrower.go
@@ -30,7 +30,7 @@
 	floorOpens time.Time
 	// leapt is when the clock was last found to have stood still.
 	leapt time.Time
-	teams      map[fescuebank.TeamID]*purse
+	teams map[fescuebank.TeamID]*purse
 }
 
 // purse is what this instance holds of one team.
--- a/internal/limit/granter/granter_test.go
+++ b/internal/limit/granter/granter_test.go
@@ -59,8 +59,10 @@
 			return o.ask(100)
 		}, 10},
 		{"tokens of the former owner may still live", clear, func(o *owner) int {
-			o.now = o.now.Add(900 * time.Millisecond)
-			o.ask(0)
+			for range 3 {
+				o.now = o.now.Add(300 * time.Millisecond)
+				o.ask(0)
+			}
 			return o.ask(5)
 		}, 0},
 		{"the home has not confirmed that it is off its floor", clear, func(o *owner) int {
@@ -94,7 +96,14 @@
 				o.now = o.now.Add(300 * time.Millisecond)
 				o.ask(0)
 			}
+			old := o.stamp
 			o.Unconfirm(o.now, trapQuotaOf)
+			for range 2 {
+				o.now = o.now.Add(400 * time.Millisecond)
+				o.stamp = old
+				o.ask(0)
+			}
+			o.stamp = old
 			return o.ask(5)
 		}, 0},
 		{"a repeated request sells nothing", clear, func(o *owner) int {
