--- a/internal/limit/granter/granter_test.go
+++ b/internal/limit/granter/granter_test.go
@@ -44,28 +44,28 @@
 
 // TestTraps sets up each schedule in which an owner must not sell yet.
 func TestTraps(t *testing.T) {
-	clear := granter.Slot{Holder: trapHome, Clear: true}
+	closable := granter.Slot{Holder: trapHome, Clear: true}
 	for _, tt := range []struct {
 		name string
 		slot granter.Slot
 		run  func(o *owner) int
 		want int
 	}{
-		{"in health the burst is sold", clear, func(o *owner) int {
+		{"in health the burst is sold", closable, func(o *owner) int {
 			for range 20 {
 				o.now = o.now.Add(300 * time.Millisecond)
 				o.ask(0)
 			}
 			return o.ask(100)
 		}, 10},
-		{"tokens of the former owner may still live", clear, func(o *owner) int {
+		{"tokens of the former owner may still live", closable, func(o *owner) int {
 			for range 3 {
 				o.now = o.now.Add(300 * time.Millisecond)
 				o.ask(0)
 			}
 			return o.ask(5)
 		}, 0},
-		{"the home has not confirmed that it is off its floor", clear, func(o *owner) int {
+		{"the home has not confirmed that it is off its floor", closable, func(o *owner) int {
 			o.now = o.now.Add(10 * time.Second)
 			return o.ask(5)
 		}, 0},
@@ -76,7 +76,7 @@
 			}
 			return o.ask(5)
 		}, 0},
-		{"the confirmation has run out", clear, func(o *owner) int {
+		{"the confirmation has run out", closable, func(o *owner) int {
 			for range 20 {
 				o.now = o.now.Add(300 * time.Millisecond)
 				o.ask(0)
@@ -85,13 +85,13 @@
 			o.stamp = 0
 			return o.ask(5)
 		}, 0},
-		{"a stamp echoed after it ran out confirms nothing", clear, func(o *owner) int {
+		{"a stamp echoed after it ran out confirms nothing", closable, func(o *owner) int {
 			o.now = o.now.Add(2 * time.Second)
 			o.ask(0)
 			o.now = o.now.Add(2 * time.Second)
 			return o.ask(5)
 		}, 0},
-		{"a stamp from before the owner was suspended", clear, func(o *owner) int {
+		{"a stamp from before the owner was suspended", closable, func(o *owner) int {
 			for range 20 {
 				o.now = o.now.Add(300 * time.Millisecond)
 				o.ask(0)
@@ -106,7 +106,7 @@
 			o.stamp = old
 			return o.ask(5)
 		}, 0},
-		{"a repeated request sells nothing", clear, func(o *owner) int {
+		{"a repeated request sells nothing", closable, func(o *owner) int {
 			for range 20 {
 				o.now = o.now.Add(300 * time.Millisecond)
 				o.ask(0)
@@ -114,7 +114,7 @@
 			o.sequence--
 			return o.ask(5)
 		}, 0},
-		{"unspent tokens count against the burst", clear, func(o *owner) int {
+		{"unspent tokens count against the burst", closable, func(o *owner) int {
 			for range 20 {
 				o.now = o.now.Add(300 * time.Millisecond)
 				o.ask(0)
