Let instances of a demo leave before its platform does

Cause: one context ended stand-ins and instances together, so leases could not be released and a demo started again on its folder waited for them to lapse. Change: stand-ins end after the instances have left. Before: some 10 s of 'lease held by another run' at each restart.

--- a/cmd/fescuectl/load.go
+++ b/cmd/fescuectl/load.go
@@ -131,14 +131,20 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	// Nobody asks for addresses after the run.
+	leaveAtOnce := func(s *fescuebank.Settings) { s.Timing.AddressTTL = time.Millisecond }
 	st, err := stager.New(ctx, stager.Plan{
 		Zones: s.zones, Instances: s.instances, Engines: s.engines, Engine: engine, Model: s.model, Teams: teams,
-		Listen: "127.0.0.1:0", Policy: v.policy, Clock: timekeeper.Timekeeper{},
+		Listen: "127.0.0.1:0", Policy: v.policy, Adjust: leaveAtOnce, Clock: timekeeper.Timekeeper{},
 		Log: hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(l.Trace)}),
 	})
 	if err != nil {
 		return recorder.Report{}, err
 	}
+	defer func() {
+		stop()
+		st.Wait()
+	}()
 	r := recorder.New()
 	quotas := make(map[fescuebank.TeamID]fescuebank.Quota)
 	for _, t := range teams {
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -72,11 +72,14 @@
 	PlatformURL string
 	State       fescuebank.DesiredState
 
-	plan   Plan
-	certs  *certifier.Certifier
-	stops  []context.CancelFunc
-	group  sync.WaitGroup
-	engine []fescuebank.EndpointSpec
+	plan Plan
+	// standins outlive the instances, so that these can leave gracefully.
+	standins    context.Context
+	endStandins context.CancelFunc
+	certs       *certifier.Certifier
+	stops       []context.CancelFunc
+	group       sync.WaitGroup
+	engine      []fescuebank.EndpointSpec
 }
 
 // operatorName is the user name of the deployment's operators.
@@ -89,8 +92,10 @@
 // state. Stop ends it.
 func New(ctx context.Context, p Plan) (*Stager, error) {
 	s := &Stager{plan: p, Platform: platformer.New(p.Clock), Keys: make(map[fescuebank.TeamID]string), Operator: operatorName}
+	s.standins, s.endStandins = context.WithCancel(context.WithoutCancel(ctx))
 	for _, step := range []func(context.Context) error{s.startPlatform, s.startEngines, s.restoreSecrets, s.publish, s.startInstances, s.waitReady} {
 		if err := step(ctx); err != nil {
+			s.endStandins()
 			return nil, eris.Wrap(err, "stager.New")
 		}
 	}
@@ -109,7 +114,8 @@
 	return "http://" + l.Addr().String(), nil
 }
 
-func (s *Stager) startPlatform(ctx context.Context) error {
+func (s *Stager) startPlatform(context.Context) error {
+	ctx := s.standins
 	if s.plan.Folder != "" {
 		if err := os.MkdirAll(s.plan.Folder, 0o700); err != nil {
 			return err
@@ -117,7 +123,6 @@
 		if err := s.Platform.Load(s.platformFile()); err != nil {
 			return err
 		}
-		context.AfterFunc(ctx, func() { _ = s.Platform.Save(s.platformFile()) })
 		go s.saveRegularly(ctx)
 	}
 	var err error
@@ -136,7 +141,8 @@
 	}
 }
 
-func (s *Stager) startEngines(ctx context.Context) error {
+func (s *Stager) startEngines(context.Context) error {
+	ctx := s.standins
 	store := weigher.New(weightFetches, time.Second, s.plan.Clock)
 	weights, err := serve(ctx, store.Handler())
 	if err != nil {
@@ -205,7 +211,7 @@
 func (s *Stager) publish(ctx context.Context) error {
 	service := servicer.New()
 	s.Service = service
-	address, err := serve(ctx, service.Handler())
+	address, err := serve(s.standins, service.Handler())
 	if err != nil {
 		return err
 	}
@@ -341,7 +347,11 @@
 	s.stops[n]()
 }
 
-// Wait returns once every instance has left.
+// Wait returns once every instance has left; the stand-ins then end.
 func (s *Stager) Wait() {
 	s.group.Wait()
+	if s.plan.Folder != "" {
+		_ = s.Platform.Save(s.platformFile())
+	}
+	s.endStandins()
 }
