Say limitUnknown where nobody can tell whether a team is within its rate

Cause: a request held for 4 s without an owner's word was refused as over rate, which nobody had found, and was not counted as refused within rate.

--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -228,7 +228,8 @@
 		case answered && dry && !told.recovering && told.due.Sub(started) > shortWait:
 			return refuse(told.due.Sub(now))
 		case now.Sub(started) >= maxHold:
-			return refuse(time.Second)
+			return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeLimitUnknown,
+				"nobody can tell now whether the team is within its rate").After(time.Second)
 		}
 		_ = fescuebank.Sleep(ctx, a.clock, min(max(told.due.Sub(now), time.Millisecond), pollInterval))
 	}
@@ -236,7 +237,7 @@
 
 func refuse(wait time.Duration) error {
 	return fescuebank.Refuse(http.StatusTooManyRequests, fescuebank.CodeRateLimited,
-		"the team is over its rate and burst").After(max(wait, time.Second))
+		"the team is over its rate and burst").After(wait)
 }
 
 // retake tries again without counting the demand twice.
--- a/refusal.go
+++ b/refusal.go
@@ -36,6 +36,7 @@
 	CodeUnknownModel  RefusalCode = "unknownModel"
 	CodeTooLarge      RefusalCode = "tooLarge"
 	CodeRateLimited   RefusalCode = "rateLimited"
+	CodeLimitUnknown  RefusalCode = "limitUnknown"
 	CodeOverloaded    RefusalCode = "overloaded"
 	CodeLeaving       RefusalCode = "leaving"
 	CodeStoreDown     RefusalCode = "storeDown"
