Start the first owner of a shard with full buckets

No token was sold and no floor used before the first assignment of a region. The levels wane like inherited ones until every floor is surely closed.

--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -30,6 +30,8 @@
 	maxHold = 4 * time.Second
 	// shortWait is how long a request waits for a token that is about to accrue.
 	shortWait = 100 * time.Millisecond
+	// firstAssignment is the version of a region's first assignment.
+	firstAssignment = fescuebank.FencingNumber(1)
 	// pollInterval is how often a waiting request looks again.
 	pollInterval = 50 * time.Millisecond
 )
@@ -380,7 +382,11 @@
 	slots := a.slotsOf(s.id)
 	if s.granter == nil || s.granter.Owner() != fencing {
 		s.granter = granter.New(a.timing, fencing, now, slots)
-		go a.inherit(s, fencing)
+		if fencing == firstAssignment {
+			s.granter.Found(now)
+		} else {
+			go a.inherit(s, fencing)
+		}
 		return true
 	}
 	s.granter.SetSlots(now, slots, a.quota)
@@ -463,7 +469,7 @@
 		return nil, fescuebank.ErrNotOwner
 	}
 	reply := *s.left
-	reply.Age = now.Sub(s.leftAt)
+	reply.Age += now.Sub(s.leftAt)
 	s.left = nil
 	return &reply, nil
 }
--- a/internal/limit/granter/estate.go
+++ b/internal/limit/granter/estate.go
@@ -20,7 +20,7 @@
 func (g *Granter) Retire(now time.Time, quota QuotaSource) fescuebank.InheritReply {
 	var left fescuebank.InheritReply
 	if now.Before(g.opens) {
-		return left
+		return g.passOn(now)
 	}
 	g.settle(now, quota)
 	for team := range g.teams {
@@ -34,6 +34,27 @@
 	return left
 }
 
+// passOn returns what was inherited by a granter that never sold anything.
+func (g *Granter) passOn(now time.Time) fescuebank.InheritReply {
+	var left fescuebank.InheritReply
+	if g.estate == nil {
+		return left
+	}
+	for team, level := range g.estate.levels {
+		left.Levels = append(left.Levels, fescuebank.TeamLevel{Team: team, Level: level})
+	}
+	left.Rest = g.estate.rest
+	left.Age = g.timing.Stretch(now.Sub(g.estate.stopped))
+	return left
+}
+
+// Found starts the first owner that a shard ever had: no token was sold and no
+// floor used before, so every bucket is full.
+func (g *Granter) Found(now time.Time) {
+	const ever = 10 * 365 * 24 * time.Hour
+	g.estate = &estate{rest: ever, stopped: now}
+}
+
 func (g *Granter) allClosed() bool {
 	for _, closed := range g.closed {
 		if !closed {
--- a/internal/limit/granter/fuzz_test.go
+++ b/internal/limit/granter/fuzz_test.go
@@ -106,6 +106,9 @@
 		m.hold(i, i)
 	}
 	m.startOwner(0)
+	if rapid.Bool().Draw(t, "first") {
+		m.nodes[0].granter.Found(m.clock(m.nodes[0]))
+	}
 	for range rapid.IntRange(0, 6).Draw(t, "rounds") {
 		m.round(t)
 	}
@@ -311,7 +314,7 @@
 				return
 			}
 			given = true
-			left.Age = m.clock(former).Sub(stopped)
+			left.Age += m.clock(former).Sub(stopped)
 			m.send(func() { granter.Inherit(asked, left) })
 		})
 	})
