--- a/internal/batch/ledger/ledger.go
+++ b/internal/batch/ledger/ledger.go
@@ -135,11 +135,6 @@
 	l.pendingN++
 }
 
-// Pending returns the number of items that can be handed out.
-func (l *Ledger) Pending() int {
-	return l.pendingN
-}
-
 // PendingModels returns the models that pending items are for.
 func (l *Ledger) PendingModels() []fescuebank.ModelName {
 	var models []fescuebank.ModelName
@@ -365,11 +360,6 @@
 	return completed, failed
 }
 
-// Busy reports whether a commit is being written.
-func (l *Ledger) Busy() bool {
-	return slices.ContainsFunc(l.chunks, func(c chunk) bool { return c.committing })
-}
-
 // OpenRecord is the record of a chunk that could still change.
 type OpenRecord struct {
 	Chunk   int
--- a/internal/limit/borrower/borrower.go
+++ b/internal/limit/borrower/borrower.go
@@ -93,11 +93,6 @@
 	return b.slot != NoSlot && !now.Before(b.floorOpens)
 }
 
-// FloorOpens returns when the floor opens unless the owner answers before.
-func (b *Borrower) FloorOpens() (time.Time, bool) {
-	return b.floorOpens, b.slot != NoSlot
-}
-
 func (b *Borrower) purse(team fescuebank.TeamID) *purse {
 	p, ok := b.teams[team]
 	if !ok {
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -77,7 +77,6 @@
 	standins    context.Context
 	endStandins context.CancelFunc
 	certs       *certifier.Certifier
-	stops       []context.CancelFunc
 	group       sync.WaitGroup
 	engine      []fescuebank.EndpointSpec
 }
@@ -286,10 +285,8 @@
 	if err != nil {
 		return err
 	}
-	run, stop := context.WithCancel(ctx)
 	s.Instances = append(s.Instances, v)
-	s.stops = append(s.stops, stop)
-	s.group.Go(func() { _ = v.Run(run) })
+	s.group.Go(func() { _ = v.Run(ctx) })
 	return nil
 }
 
@@ -342,11 +339,6 @@
 	}
 }
 
-// StopInstance makes one instance leave gracefully.
-func (s *Stager) StopInstance(n int) {
-	s.stops[n]()
-}
-
 // Wait returns once every instance has left; the stand-ins then end.
 func (s *Stager) Wait() {
 	s.group.Wait()
--- a/picker.go
+++ b/picker.go
@@ -2,8 +2,7 @@
 
 // Candidate is an endpoint as one instance sees it when it picks.
 type Candidate struct {
-	ID   EndpointID
-	Zone Zone
+	ID EndpointID
 	// Slots is how many requests the endpoint generates for at once, 1 or more.
 	Slots int
 	// Own is the number of online requests that this instance has there.
@@ -13,10 +12,6 @@
 	Others int
 	// Ramp is the share of its capacity that a new endpoint may use, 0 to 1.
 	Ramp float64
-	// Local is set when the endpoint stands in this instance's availability zone.
-	Local bool
-	// HoldsPrefix is set when the prompt's start was sent there lately.
-	HoldsPrefix bool
 }
 
 // Load is the expected work in units of the endpoint's capacity.
--- a/refusal.go
+++ b/refusal.go
@@ -43,7 +43,6 @@
 	CodeConflict      RefusalCode = "conflict"
 	CodeQuarantined   RefusalCode = "quarantined"
 	CodeEndpointLost  RefusalCode = "endpointLost"
-	CodeNoEndpoint    RefusalCode = "noEndpoint"
 	CodeDeadline      RefusalCode = "deadline"
 	CodeAlreadySent   RefusalCode = "alreadySent"
 	CodeInternal      RefusalCode = "internal"
