--- /dev/null
+++ b/cmd/fescuebankd/hosted.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"runtime/debug"
+
+	"fescuebank"
+	"fescuebank/internal/operate/hoster"
+	"fescuebank/internal/operate/journaler"
+	"fescuebank/internal/operate/logger"
+	"fescuebank/internal/timing/timekeeper"
+	"fescuebank/platform/caller"
+	"fescuebank/platform/decoder"
+	"fescuebank/platform/gateway"
+	"fescuebank/platform/storer"
+)
+
+// memoryShare is the part of the machine's memory that the runtime may use.
+const memoryShare = 0.6
+
+// serveHosted runs an instance on a platform that lists the configuration and
+// the endpoints itself.
+func serveHosted(ctx context.Context, s *fescuebank.Settings) error {
+	if s.Limits.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(fescuebank.Bytes(s.Limits.MemoryMiB)*fescuebank.MiB)))
+	}
+	clock := timekeeper.Timekeeper{}
+	journal := journaler.New(os.Stdout, clock)
+	defer journal.Close()
+	log := logger.Logger{Settings: s.Log, Output: journal}.Open("fescuebank")
+	store := storer.New(s.Platform.URL)
+	h, err := hoster.New(s, hoster.Platform{
+		Store: store, Reconnect: store.Reconnect,
+		ConfigKey: decoder.ConfigKey, ConfigPrefix: decoder.ConfigPrefix, EndpointPrefix: decoder.EndpointPrefix,
+		DecodeConfig: decoder.Decoder{}.Config, DecodeEndpoint: decoder.Decoder{}.Endpoint, Protocol: caller.Caller{},
+		Handlers: func(e hoster.Entry) hoster.Handlers { return handlers(e, s) },
+	}, clock, log)
+	if err != nil {
+		return err
+	}
+	return h.Run(ctx)
+}
+
+// handlers returns the callers' side as the platform's callers speak it.
+func handlers(e hoster.Entry, s *fescuebank.Settings) hoster.Handlers {
+	g := gateway.New(gateway.Config{
+		Table: e.Table, Relayer: e.Relayer, Admitter: e.Admitter, Batch: e.Batch, Addresses: e.Addresses,
+		Ready: e.Ready, Leaving: e.Leaving, AddressTTL: s.Timing.AddressTTL, Clock: e.Clock, Log: e.Log,
+	})
+	return hoster.Handlers{
+		Callers: g, Ready: http.HandlerFunc(g.ServeReady), Addresses: http.HandlerFunc(g.ServeAddresses),
+	}
+}
--- a/cmd/fescuebankd/serve.go
+++ b/cmd/fescuebankd/serve.go
@@ -25,6 +25,9 @@
 	if err != nil {
 		return err
 	}
+	if settings.Platform.Kind == fescuebank.PlatformObjects {
+		return serveHosted(ctx, settings)
+	}
 	secure, err := certifier.Load(settings.TLS)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/batch/depositor/depositor.go
@@ -0,0 +1,259 @@
+// Package depositor keeps routed batch jobs, their results and the ledgers of
+// the teams' jobs in the platform's store.
+package depositor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+	"github.com/rotisserie/eris"
+
+	"fescuebank"
+)
+
+// The store prefixes.
+const (
+	ledgerPrefix = "batchledgers/"
+	jobPrefix    = "batchjobs/"
+	resultPrefix = "batchresults/"
+)
+
+const (
+	// partBytes is how much of a packed job goes into one object: base64 and the
+	// object's frame stay under fescuebank.MaxValue.
+	partBytes = 700 << 10
+	// writeTries is how often a write whose outcome is open is repeated.
+	writeTries = 4
+	// retryPause is the pause before a write is repeated.
+	retryPause = 60 * time.Millisecond
+)
+
+// ErrTaken means that another writer was first.
+var ErrTaken = errors.New("written by another")
+
+// Depositor reads and writes the objects.
+type Depositor struct {
+	store  fescuebank.ObjectStore
+	clock  fescuebank.Clock
+	packer *zstd.Encoder
+	opener *zstd.Decoder
+}
+
+// New returns a depositor over the store.
+func New(store fescuebank.ObjectStore, clock fescuebank.Clock) (*Depositor, error) {
+	packer, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
+	if err != nil {
+		return nil, eris.Wrap(err, "depositor.New")
+	}
+	opener, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true))
+	if err != nil {
+		return nil, eris.Wrap(err, "depositor.New")
+	}
+	return &Depositor{store: store, clock: clock, packer: packer, opener: opener}, nil
+}
+
+// Entry is one job in a ledger.
+type Entry struct {
+	Job   fescuebank.JobID `json:"job"`
+	Route string           `json:"route"`
+	// Submitted is in Unix milliseconds.
+	Submitted int64             `json:"submitted"`
+	Total     int               `json:"total"`
+	Tokens    fescuebank.Tokens `json:"tokens"`
+	// Ended is set when the caller ended the job, Done when all its results stand.
+	Ended bool `json:"ended,omitempty"`
+	Done  bool `json:"done,omitempty"`
+}
+
+// Ledger lists the accepted jobs of a team. Only what it lists was accepted.
+type Ledger struct {
+	Jobs []Entry `json:"jobs"`
+}
+
+// Find returns the entry of a job, or nil.
+func (l *Ledger) Find(id fescuebank.JobID) *Entry {
+	for i := range l.Jobs {
+		if l.Jobs[i].Job == id {
+			return &l.Jobs[i]
+		}
+	}
+	return nil
+}
+
+// Ledger reads a team's ledger. A team without one has an empty one.
+func (d *Depositor) Ledger(ctx context.Context, team fescuebank.TeamID) (Ledger, fescuebank.StoreVersion, error) {
+	var l Ledger
+	o, err := d.store.Get(ctx, ledgerPrefix+string(team))
+	if errors.Is(err, fescuebank.ErrAbsent) {
+		return l, fescuebank.Absent, nil
+	}
+	if err != nil {
+		return l, 0, eris.Wrap(err, "Depositor.Ledger")
+	}
+	if err := json.Unmarshal(o.Value, &l); err != nil {
+		return l, 0, eris.Wrap(err, "Depositor.Ledger")
+	}
+	return l, o.Version, nil
+}
+
+// PutLedger writes a team's ledger over the version that it was read at. It
+// fails with fescuebank.ErrVersion if another writer was first and with
+// fescuebank.ErrOutcomeUnknown if the write may still take effect.
+func (d *Depositor) PutLedger(ctx context.Context, team fescuebank.TeamID, l Ledger, version fescuebank.StoreVersion) (fescuebank.StoreVersion, error) {
+	value, err := json.Marshal(l)
+	if err != nil {
+		return 0, eris.Wrap(err, "Depositor.PutLedger")
+	}
+	written, err := d.store.Put(ctx, ledgerPrefix+string(team), value, version)
+	return written, eris.Wrap(err, "Depositor.PutLedger")
+}
+
+// part is an object that holds a piece of a packed value.
+type part struct {
+	// Parts is the number of objects that hold the value.
+	Parts int    `json:"parts"`
+	Data  []byte `json:"data"`
+}
+
+// PutJob keeps a job. It is complete once its first part stands, which is
+// written last. A job that is kept already stays as it is.
+func (d *Depositor) PutJob(ctx context.Context, job *fescuebank.RoutedJob) error {
+	packed, err := d.pack(job)
+	if err != nil {
+		return eris.Wrap(err, "Depositor.PutJob")
+	}
+	pieces := split(packed)
+	for i := len(pieces) - 1; i >= 0; i-- {
+		err := d.create(ctx, partKey(jobPrefix, job.ID, i), part{Parts: len(pieces), Data: pieces[i]})
+		if err != nil && !errors.Is(err, ErrTaken) {
+			return eris.Wrap(err, "Depositor.PutJob")
+		}
+	}
+	return nil
+}
+
+func split(b []byte) [][]byte {
+	var pieces [][]byte
+	for len(b) > partBytes {
+		pieces = append(pieces, b[:partBytes])
+		b = b[partBytes:]
+	}
+	return append(pieces, b)
+}
+
+func partKey(prefix string, id fescuebank.JobID, i int) string {
+	return prefix + string(id) + "." + strconv.Itoa(i)
+}
+
+// Job reads a job, or fails with fescuebank.ErrAbsent.
+func (d *Depositor) Job(ctx context.Context, id fescuebank.JobID) (*fescuebank.RoutedJob, error) {
+	var packed []byte
+	for i, parts := 0, 1; i < parts; i++ {
+		p, err := d.read(ctx, partKey(jobPrefix, id, i))
+		if err != nil {
+			return nil, eris.Wrap(err, "Depositor.Job")
+		}
+		parts = p.Parts
+		packed = append(packed, p.Data...)
+	}
+	var job fescuebank.RoutedJob
+	if err := d.unpack(packed, &job); err != nil {
+		return nil, eris.Wrap(err, "Depositor.Job")
+	}
+	return &job, nil
+}
+
+// PutResults keeps the results of one segment of a job. It fails with ErrTaken
+// if the segment stands already.
+func (d *Depositor) PutResults(ctx context.Context, id fescuebank.JobID, segment int, results []fescuebank.RoutedResult) error {
+	packed, err := d.pack(results)
+	if err != nil {
+		return eris.Wrap(err, "Depositor.PutResults")
+	}
+	return eris.Wrap(d.create(ctx, partKey(resultPrefix, id, segment), part{Parts: 1, Data: packed}), "Depositor.PutResults")
+}
+
+// Results reads one segment of a job's results, or fails with
+// fescuebank.ErrAbsent if there is none yet.
+func (d *Depositor) Results(ctx context.Context, id fescuebank.JobID, segment int) ([]fescuebank.RoutedResult, error) {
+	p, err := d.read(ctx, partKey(resultPrefix, id, segment))
+	if err != nil {
+		return nil, eris.Wrap(err, "Depositor.Results")
+	}
+	var results []fescuebank.RoutedResult
+	if err := d.unpack(p.Data, &results); err != nil {
+		return nil, eris.Wrap(err, "Depositor.Results")
+	}
+	return results, nil
+}
+
+// create writes an object that must not exist. A write whose outcome is open is
+// repeated; if it then stands, with the same bytes, it is ours.
+func (d *Depositor) create(ctx context.Context, key string, p part) error {
+	value, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	open := false
+	for try := 1; ; try++ {
+		_, err = d.store.Put(ctx, key, value, fescuebank.Absent)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, fescuebank.ErrVersion):
+			return d.compare(ctx, key, p, open)
+		case errors.Is(err, fescuebank.ErrOutcomeUnknown):
+			open = true
+		case !errors.Is(err, fescuebank.ErrStoreDown):
+			return err
+		}
+		if try == writeTries || fescuebank.Sleep(ctx, d.clock, retryPause) != nil {
+			return err
+		}
+	}
+}
+
+// compare finds out whether the object that stands is the one that was written.
+func (d *Depositor) compare(ctx context.Context, key string, p part, open bool) error {
+	if !open {
+		return ErrTaken
+	}
+	have, err := d.read(ctx, key)
+	if err != nil {
+		return err
+	}
+	if have.Parts == p.Parts && string(have.Data) == string(p.Data) {
+		return nil
+	}
+	return ErrTaken
+}
+
+func (d *Depositor) read(ctx context.Context, key string) (part, error) {
+	var p part
+	o, err := d.store.Get(ctx, key)
+	if err != nil {
+		return p, err
+	}
+	return p, json.Unmarshal(o.Value, &p)
+}
+
+func (d *Depositor) pack(value any) ([]byte, error) {
+	b, err := cbor.Marshal(value)
+	if err != nil {
+		return nil, err
+	}
+	return d.packer.EncodeAll(b, nil), nil
+}
+
+func (d *Depositor) unpack(packed []byte, into any) error {
+	b, err := d.opener.DecodeAll(packed, nil)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(b, into)
+}
--- /dev/null
+++ b/internal/batch/envoy/envoy.go
@@ -0,0 +1,256 @@
+// Package envoy takes callers' calls about routed batch jobs to the owner of
+// their team.
+package envoy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/batch/depositor"
+	"fescuebank/internal/batch/steward"
+)
+
+const (
+	// tries is how often a call is made before it fails.
+	tries = 4
+	// retryPause is the pause before a call is made again.
+	retryPause = 120 * time.Millisecond
+	// callTimeout bounds one call, beyond the time that it may wait.
+	callTimeout = 900 * time.Millisecond
+	// submitTimeout bounds one submission.
+	submitTimeout = 2500 * time.Millisecond
+	// ownerRetry is when a caller should return while no owner answers.
+	ownerRetry = 500 * time.Millisecond
+)
+
+// Owners tells who owns a team.
+type Owners interface {
+	Owner(team fescuebank.TeamID) (fescuebank.Holder, bool)
+}
+
+// Caller calls a member by its id.
+type Caller interface {
+	Call(ctx context.Context, id fescuebank.InstanceID, kind fescuebank.MessageKind, message, reply any) error
+}
+
+// Config is what an envoy works with.
+type Config struct {
+	Self      fescuebank.Holder
+	Owners    Owners
+	Caller    Caller
+	Steward   *steward.Steward
+	Depositor *depositor.Depositor
+	Clock     fescuebank.Clock
+	Log       hclog.Logger
+}
+
+// Envoy makes calls for callers and answers those of other instances.
+type Envoy struct {
+	Config
+}
+
+// New returns an envoy.
+func New(c Config) *Envoy {
+	return &Envoy{Config: c}
+}
+
+// jobCall is a call about a job that was submitted.
+type jobCall struct {
+	Team  fescuebank.TeamID `cbor:"1,keyasint"`
+	Job   fescuebank.JobID  `cbor:"2,keyasint"`
+	After int               `cbor:"3,keyasint,omitempty"`
+	Wait  time.Duration     `cbor:"4,keyasint,omitempty"`
+	Item  string            `cbor:"5,keyasint,omitempty"`
+}
+
+// itemReply carries the body of an item.
+type itemReply struct {
+	Body []byte `cbor:"1,keyasint"`
+}
+
+// done is the reply to a call that returns nothing.
+type done struct{}
+
+// call makes a call to the team's owner until it answers. local is used if this
+// run is the owner.
+func (v *Envoy) call(ctx context.Context, team fescuebank.TeamID, kind fescuebank.MessageKind, timeout time.Duration, message, reply any, local func(context.Context) error) error {
+	var err error
+	open := false
+	for range tries {
+		err = v.callOnce(ctx, team, kind, timeout, message, reply, local)
+		var refusal *fescuebank.Refusal
+		if errors.As(err, &refusal) && open && refusal.State == fescuebank.NotRun {
+			return errOpen // An earlier try may still be at work.
+		}
+		if err == nil || refusal != nil || ctx.Err() != nil {
+			return err
+		}
+		open = open || isOpen(err)
+		if fescuebank.Sleep(ctx, v.Clock, retryPause) != nil {
+			return err
+		}
+	}
+	v.Log.Warn("Owner does not answer.", "team", string(team), "kind", int(kind), "err", err.Error())
+	if open {
+		return errOpen
+	}
+	return err
+}
+
+// errOpen means that a call may have been carried out or may be yet.
+var errOpen = errors.New("outcome of the call is open")
+
+func isOpen(err error) bool {
+	return errors.Is(err, fescuebank.ErrPeerLost) || errors.Is(err, context.DeadlineExceeded)
+}
+
+func (v *Envoy) callOnce(ctx context.Context, team fescuebank.TeamID, kind fescuebank.MessageKind, timeout time.Duration, message, reply any, local func(context.Context) error) error {
+	owner, ok := v.Owners.Owner(team)
+	if !ok {
+		return fescuebank.ErrNotOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if owner == v.Self {
+		return local(ctx)
+	}
+	return v.Caller.Call(ctx, owner.ID, kind, message, reply)
+}
+
+// Submit keeps a job whole or returns a refusal. A call whose outcome is open
+// is refused as one that may have run.
+func (v *Envoy) Submit(ctx context.Context, job *fescuebank.RoutedJob) error {
+	var reply done
+	err := v.call(ctx, job.Team, fescuebank.KindSubmit, submitTimeout, job, &reply, func(ctx context.Context) error {
+		return v.Steward.Submit(ctx, job)
+	})
+	if errors.Is(err, errOpen) || isOpen(err) {
+		return fescuebank.Refuse(http.StatusGatewayTimeout, fescuebank.CodeDeadline, "the owner of the team did not answer").WithState(fescuebank.MayHaveRun)
+	}
+	return refuse(err)
+}
+
+// refuse turns an error that is not a refusal into one of a call that did nothing.
+func refuse(err error) error {
+	var r *fescuebank.Refusal
+	if err == nil || errors.As(err, &r) {
+		return err
+	}
+	return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeStoreDown, "the owner of the team is not reached").After(ownerRetry)
+}
+
+// Read returns results. Without an owner that answers they are read from the store.
+func (v *Envoy) Read(ctx context.Context, team fescuebank.TeamID, id fescuebank.JobID, after int, wait time.Duration) (*fescuebank.ResultPage, error) {
+	page := &fescuebank.ResultPage{}
+	message := &jobCall{Team: team, Job: id, After: after, Wait: wait}
+	err := v.call(ctx, team, fescuebank.KindRead, wait+callTimeout, message, page, func(ctx context.Context) error {
+		found, err := v.Steward.Read(ctx, team, id, after, wait)
+		if err == nil {
+			*page = *found
+		}
+		return err
+	})
+	var refusal *fescuebank.Refusal
+	if err == nil || ctx.Err() != nil {
+		return page, err
+	}
+	if errors.As(err, &refusal) && refusal.Status != http.StatusServiceUnavailable {
+		return nil, err
+	}
+	return v.readStore(ctx, team, id, after)
+}
+
+// readStore reads results without the owner.
+func (v *Envoy) readStore(ctx context.Context, team fescuebank.TeamID, id fescuebank.JobID, after int) (*fescuebank.ResultPage, error) {
+	ledger, _, err := v.Depositor.Ledger(ctx, team)
+	if err != nil {
+		return nil, refuse(err)
+	}
+	entry := ledger.Find(id)
+	if entry == nil {
+		return nil, fescuebank.Refuse(http.StatusNotFound, fescuebank.CodeNotFound, "no such batch job")
+	}
+	var results []fescuebank.RoutedResult
+	for segment := 0; ; segment++ {
+		more, err := v.Depositor.Results(ctx, id, segment)
+		if errors.Is(err, fescuebank.ErrAbsent) {
+			break
+		}
+		if err != nil {
+			return nil, refuse(err)
+		}
+		results = append(results, more...)
+	}
+	page := &fescuebank.ResultPage{Total: entry.Total}
+	if after < len(results) {
+		page.Results = steward.Cut(results[after:])
+	}
+	return page, nil
+}
+
+// Item returns the body of an item without a listed result.
+func (v *Envoy) Item(ctx context.Context, team fescuebank.TeamID, id fescuebank.JobID, item string) ([]byte, error) {
+	var reply itemReply
+	message := &jobCall{Team: team, Job: id, Item: item}
+	err := v.call(ctx, team, fescuebank.KindItem, callTimeout, message, &reply, func(ctx context.Context) error {
+		var err error
+		reply.Body, err = v.Steward.Item(ctx, team, id, item)
+		return err
+	})
+	return reply.Body, refuse(err)
+}
+
+// End ends a job.
+func (v *Envoy) End(ctx context.Context, team fescuebank.TeamID, id fescuebank.JobID) error {
+	var reply done
+	message := &jobCall{Team: team, Job: id}
+	err := v.call(ctx, team, fescuebank.KindEnd, callTimeout, message, &reply, func(ctx context.Context) error {
+		return v.Steward.End(ctx, team, id)
+	})
+	return refuse(err)
+}
+
+// HandleSubmit answers a submission that another instance passed on.
+func (v *Envoy) HandleSubmit(ctx context.Context, decode func(into any) error) (any, error) {
+	var job fescuebank.RoutedJob
+	if err := decode(&job); err != nil {
+		return nil, err
+	}
+	return &done{}, v.Steward.Submit(ctx, &job)
+}
+
+// HandleRead answers a read that another instance passed on.
+func (v *Envoy) HandleRead(ctx context.Context, decode func(into any) error) (any, error) {
+	var c jobCall
+	if err := decode(&c); err != nil {
+		return nil, err
+	}
+	return v.Steward.Read(ctx, c.Team, c.Job, c.After, c.Wait)
+}
+
+// HandleItem answers a call for an item's body that another instance passed on.
+func (v *Envoy) HandleItem(ctx context.Context, decode func(into any) error) (any, error) {
+	var c jobCall
+	if err := decode(&c); err != nil {
+		return nil, err
+	}
+	body, err := v.Steward.Item(ctx, c.Team, c.Job, c.Item)
+	if err != nil {
+		return nil, err
+	}
+	return &itemReply{Body: body}, nil
+}
+
+// HandleEnd answers a call that ends a job and that another instance passed on.
+func (v *Envoy) HandleEnd(ctx context.Context, decode func(into any) error) (any, error) {
+	var c jobCall
+	if err := decode(&c); err != nil {
+		return nil, err
+	}
+	return &done{}, v.Steward.End(ctx, c.Team, c.Job)
+}
--- /dev/null
+++ b/internal/batch/runner/order.go
@@ -0,0 +1,16 @@
+package runner
+
+import "strconv"
+
+// follows reports whether the event numbered next comes right after last.
+func follows(last, next string) bool {
+	n, err := strconv.ParseInt(next, 10, 64)
+	if err != nil {
+		return false
+	}
+	if last == "" {
+		return true
+	}
+	l, err := strconv.ParseInt(last, 10, 64)
+	return err == nil && n == l+1
+}
--- /dev/null
+++ b/internal/batch/steward/steward.go
@@ -0,0 +1,460 @@
+// Package steward keeps the routed batch jobs of the teams that this instance
+// owns: it accepts them, hands out their items and commits the results.
+package steward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/batch/depositor"
+)
+
+const (
+	// commitAge is how long a finished item may wait for others before its result
+	// is committed.
+	commitAge = 800 * time.Millisecond
+	// commitRetry is the pause after a commit that failed.
+	commitRetry = 250 * time.Millisecond
+	// loadTimeout bounds the reading of a team's jobs.
+	loadTimeout = 8 * time.Second
+	// ledgerTries is how often a ledger is written over newer versions.
+	ledgerTries = 6
+	// capRetry is when a caller should return whose job did not fit.
+	capRetry = time.Second
+	// storeRetry is when a caller should return while the store is out of reach.
+	storeRetry = 500 * time.Millisecond
+	// pageBytes bounds the outputs of one page of results.
+	pageBytes = 1 << 20
+)
+
+// Config is what a steward works with.
+type Config struct {
+	// Owns reports whether this run owns a team.
+	Owns      func(fescuebank.TeamID) bool
+	Depositor *depositor.Depositor
+	// Table returns the configuration in force, or nil.
+	Table func() *fescuebank.RouteTable
+	Clock fescuebank.Clock
+	Log   hclog.Logger
+	// Kick is called when items wait.
+	Kick func()
+}
+
+// Steward holds an account for each team.
+type Steward struct {
+	Config
+
+	mu       sync.Mutex
+	accounts map[fescuebank.TeamID]*account
+}
+
+// account is the state of one team's jobs.
+type account struct {
+	team fescuebank.TeamID
+	// writing is held while the ledger is read or written.
+	writing sync.Mutex
+
+	mu      sync.Mutex
+	loaded  bool
+	ledger  depositor.Ledger
+	version fescuebank.StoreVersion
+	jobs    map[fescuebank.JobID]*job
+	// closed is set once this run doesn't own the team any more.
+	closed bool
+}
+
+// New returns a steward without jobs.
+func New(c Config) *Steward {
+	return &Steward{Config: c, accounts: make(map[fescuebank.TeamID]*account)}
+}
+
+// account returns the account of a team that this run owns, read from the store.
+func (s *Steward) account(ctx context.Context, team fescuebank.TeamID) (*account, error) {
+	if !s.Owns(team) {
+		return nil, fescuebank.ErrNotOwner
+	}
+	s.mu.Lock()
+	a := s.accounts[team]
+	if a == nil {
+		a = &account{team: team, jobs: make(map[fescuebank.JobID]*job)}
+		s.accounts[team] = a
+	}
+	s.mu.Unlock()
+	a.mu.Lock()
+	loaded := a.loaded
+	a.mu.Unlock()
+	if loaded {
+		return a, nil
+	}
+	a.writing.Lock()
+	defer a.writing.Unlock()
+	return a, s.refresh(ctx, a)
+}
+
+// refresh reads the ledger and the jobs that it lists and this run lacks. The
+// caller holds the account's writing lock.
+func (s *Steward) refresh(ctx context.Context, a *account) error {
+	ledger, version, err := s.Depositor.Ledger(ctx, a.team)
+	if err != nil {
+		return err
+	}
+	var missing []depositor.Entry
+	a.mu.Lock()
+	for _, e := range ledger.Jobs {
+		have := a.jobs[e.Job]
+		if have == nil {
+			missing = append(missing, e)
+			continue
+		}
+		if e.Ended {
+			have.end()
+		}
+	}
+	a.mu.Unlock()
+	jobs := make([]*job, 0, len(missing))
+	for _, e := range missing {
+		j, err := s.load(ctx, a, e)
+		if err != nil {
+			return err
+		}
+		jobs = append(jobs, j)
+	}
+	a.mu.Lock()
+	for _, j := range jobs {
+		a.jobs[j.spec.ID] = j
+	}
+	a.ledger, a.version, a.loaded = ledger, version, true
+	a.mu.Unlock()
+	if len(jobs) > 0 {
+		s.Log.Info("Jobs loaded.", "team", string(a.team), "jobs", len(jobs), "version", uint64(version))
+	}
+	s.Kick()
+	return nil
+}
+
+// load reads a job and its results.
+func (s *Steward) load(ctx context.Context, a *account, e depositor.Entry) (*job, error) {
+	spec, err := s.Depositor.Job(ctx, e.Job)
+	if err != nil {
+		return nil, err
+	}
+	j := newJob(a, spec)
+	for {
+		results, err := s.Depositor.Results(ctx, e.Job, j.segments)
+		if errors.Is(err, fescuebank.ErrAbsent) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		j.take(results)
+	}
+	if e.Ended {
+		j.end()
+	}
+	return j, nil
+}
+
+// Reassign drops the accounts of teams that this run doesn't own any more and
+// reads those that it owns now.
+func (s *Steward) Reassign() {
+	s.mu.Lock()
+	for team, a := range s.accounts {
+		if s.Owns(team) {
+			continue
+		}
+		delete(s.accounts, team)
+		a.close()
+		s.Log.Info("Jobs given up.", "team", string(team))
+	}
+	s.mu.Unlock()
+	t := s.Table()
+	if t == nil {
+		return
+	}
+	for team := range t.Teams {
+		if s.Owns(team) && !s.has(team) {
+			go s.preload(team)
+		}
+	}
+}
+
+func (s *Steward) has(team fescuebank.TeamID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accounts[team] != nil
+}
+
+func (s *Steward) preload(team fescuebank.TeamID) {
+	for s.Owns(team) {
+		ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+		_, err := s.account(ctx, team)
+		cancel()
+		if err == nil || errors.Is(err, fescuebank.ErrNotOwner) {
+			return
+		}
+		s.Log.Warn("Jobs not loaded.", "team", string(team), "err", err.Error())
+		_ = fescuebank.Sleep(context.Background(), s.Clock, storeRetry)
+	}
+}
+
+// close ends the work on an account's jobs.
+func (a *account) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+	for _, j := range a.jobs {
+		j.stopAll()
+	}
+}
+
+// Submit keeps a job whole. It returns a refusal, fescuebank.ErrNotOwner, or nil
+// if the job is accepted, now or earlier.
+func (s *Steward) Submit(ctx context.Context, spec *fescuebank.RoutedJob) error {
+	a, err := s.account(ctx, spec.Team)
+	if err != nil {
+		return s.refuse(err)
+	}
+	a.writing.Lock()
+	defer a.writing.Unlock()
+	if a.knows(spec.ID) {
+		return nil
+	}
+	if err := s.checkCap(a, spec); err != nil {
+		return err
+	}
+	if err := s.Depositor.PutJob(ctx, spec); err != nil {
+		s.Log.Warn("Job not kept.", "job", string(spec.ID), "team", string(spec.Team), "err", err.Error())
+		return s.refuse(err)
+	}
+	err = s.editLedger(ctx, a, func(l *depositor.Ledger) bool {
+		if l.Find(spec.ID) != nil {
+			return false
+		}
+		l.Jobs = append(l.Jobs, depositor.Entry{
+			Job: spec.ID, Route: spec.Route, Submitted: spec.Submitted.UnixMilli(), Total: len(spec.Items), Tokens: spec.Tokens(),
+		})
+		return true
+	})
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	if a.jobs[spec.ID] == nil {
+		a.jobs[spec.ID] = newJob(a, spec)
+	}
+	a.mu.Unlock()
+	s.Log.Info("Job accepted.", "job", string(spec.ID), "team", string(spec.Team), "items", len(spec.Items),
+		"tokens", int64(spec.Tokens()), "waiting", int64(a.waiting(spec.Route)), "ledger", uint64(a.version))
+	s.Kick()
+	return nil
+}
+
+func (a *account) knows(id fescuebank.JobID) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ledger.Find(id) != nil
+}
+
+// refuse turns an error of the store into a refusal of a call that changed nothing.
+func (s *Steward) refuse(err error) error {
+	if errors.Is(err, fescuebank.ErrNotOwner) {
+		return err
+	}
+	return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeStoreDown, "the store is out of reach").After(storeRetry)
+}
+
+// checkCap refuses a job that doesn't fit under the route's cap.
+func (s *Steward) checkCap(a *account, spec *fescuebank.RoutedJob) error {
+	route := s.route(spec)
+	if route == nil {
+		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeConfigStale, "the route is not known here yet").After(storeRetry)
+	}
+	waiting := a.waiting(spec.Route)
+	if route.Cap > 0 && waiting+spec.Tokens() > route.Cap {
+		s.Log.Info("Job refused.", "job", string(spec.ID), "team", string(spec.Team), "waiting", int64(waiting),
+			"tokens", int64(spec.Tokens()), "cap", int64(route.Cap))
+		return fescuebank.Refuse(http.StatusTooManyRequests, fescuebank.CodeRateLimited, "the team has too many tokens waiting").After(capRetry)
+	}
+	return nil
+}
+
+// route returns the route of a job as the configuration has it now, or nil.
+func (s *Steward) route(spec *fescuebank.RoutedJob) *fescuebank.Route {
+	t := s.Table()
+	if t == nil {
+		return nil
+	}
+	r, ok := t.Match(spec.Host, spec.Path)
+	if !ok || r.Kind != fescuebank.RouteBatch {
+		return nil
+	}
+	return r
+}
+
+// waiting sums the tokens of a route's items without a listed result.
+func (a *account) waiting(route string) fescuebank.Tokens {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var sum fescuebank.Tokens
+	for _, j := range a.jobs {
+		if j.spec.Route == route {
+			sum += j.waitingTokens()
+		}
+	}
+	return sum
+}
+
+// editLedger changes the ledger by conditional writes until one takes effect or
+// there is nothing to change. Its refusal says what is known of the change. The
+// caller holds the account's writing lock.
+func (s *Steward) editLedger(ctx context.Context, a *account, edit func(*depositor.Ledger) bool) error {
+	open := false
+	for range ledgerTries {
+		next := a.nextLedger()
+		if !edit(&next) {
+			return nil
+		}
+		version, err := s.Depositor.PutLedger(ctx, a.team, next, a.version)
+		if err == nil {
+			a.mu.Lock()
+			a.ledger, a.version = next, version
+			a.mu.Unlock()
+			return nil
+		}
+		switch {
+		case errors.Is(err, fescuebank.ErrVersion):
+			// The ledger moved on: by another owner, or by our own open write.
+			if err := s.refresh(ctx, a); err != nil {
+				s.Log.Warn("Ledger not read.", "team", string(a.team), "err", err.Error())
+			}
+		case errors.Is(err, fescuebank.ErrOutcomeUnknown):
+			open = true
+		}
+		if fescuebank.Sleep(ctx, s.Clock, commitRetry/4) != nil {
+			break
+		}
+	}
+	s.Log.Warn("Ledger not written.", "team", string(a.team), "open", open)
+	if open {
+		return fescuebank.Refuse(http.StatusGatewayTimeout, fescuebank.CodeStoreDown, "the store did not answer").WithState(fescuebank.MayHaveRun)
+	}
+	return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeStoreDown, "the store is out of reach").After(storeRetry)
+}
+
+// nextLedger returns a copy of the ledger in which finished jobs are marked and
+// old ones are left out.
+func (a *account) nextLedger() depositor.Ledger {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var next depositor.Ledger
+	for _, e := range a.ledger.Jobs {
+		if j := a.jobs[e.Job]; j != nil && j.isDone() {
+			e.Done = true
+		}
+		next.Jobs = append(next.Jobs, e)
+	}
+	return next
+}
+
+// End ends a job.
+func (s *Steward) End(ctx context.Context, team fescuebank.TeamID, id fescuebank.JobID) error {
+	a, err := s.account(ctx, team)
+	if err != nil {
+		return s.refuse(err)
+	}
+	if _, err := s.find(ctx, a, id); err != nil {
+		return err
+	}
+	a.writing.Lock()
+	defer a.writing.Unlock()
+	err = s.editLedger(ctx, a, func(l *depositor.Ledger) bool {
+		e := l.Find(id)
+		if e == nil || e.Ended {
+			return false
+		}
+		e.Ended = true
+		return true
+	})
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	j := a.jobs[id]
+	a.mu.Unlock()
+	if j != nil {
+		j.end()
+	}
+	s.Log.Info("Job ended by its caller.", "job", string(id), "team", string(team), "ledger", uint64(a.version))
+	return nil
+}
+
+// find returns a job. Before it says that there is none it reads the ledger.
+func (s *Steward) find(ctx context.Context, a *account, id fescuebank.JobID) (*job, error) {
+	a.mu.Lock()
+	j := a.jobs[id]
+	a.mu.Unlock()
+	if j != nil {
+		return j, nil
+	}
+	a.writing.Lock()
+	defer a.writing.Unlock()
+	if err := s.refresh(ctx, a); err != nil {
+		return nil, s.refuse(err)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if j := a.jobs[id]; j != nil {
+		return j, nil
+	}
+	return nil, fescuebank.Refuse(http.StatusNotFound, fescuebank.CodeNotFound, "no such batch job")
+}
+
+// Read returns the results at position after and later, waiting up to wait for one.
+func (s *Steward) Read(ctx context.Context, team fescuebank.TeamID, id fescuebank.JobID, after int, wait time.Duration) (*fescuebank.ResultPage, error) {
+	a, err := s.account(ctx, team)
+	if err != nil {
+		return nil, s.refuse(err)
+	}
+	j, err := s.find(ctx, a, id)
+	if err != nil {
+		return nil, err
+	}
+	due := s.Clock.After(wait)
+	for {
+		page, changed := j.page(after)
+		if len(page.Results) > 0 || wait <= 0 || after >= page.Total {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-due:
+			return page, nil
+		case <-ctx.Done():
+			return page, nil
+		}
+	}
+}
+
+// Item returns the body of an item without a listed result.
+func (s *Steward) Item(ctx context.Context, team fescuebank.TeamID, id fescuebank.JobID, item string) ([]byte, error) {
+	a, err := s.account(ctx, team)
+	if err != nil {
+		return nil, s.refuse(err)
+	}
+	j, err := s.find(ctx, a, id)
+	if err != nil {
+		return nil, err
+	}
+	body, ok := j.body(item)
+	if !ok {
+		return nil, fescuebank.Refuse(http.StatusNotFound, fescuebank.CodeNotFound, "no such item without a result")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/batch/steward/task.go
@@ -0,0 +1,300 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"fescuebank"
+	"fescuebank/internal/batch/depositor"
+)
+
+const (
+	// failurePause is the pause after an answer that says that an item failed.
+	failurePause = 200 * time.Millisecond
+	// breakPause is the pause after an attempt that broke without progress; it
+	// doubles with each.
+	breakPause = 100 * time.Millisecond
+	// maxBreakPause bounds breakPause.
+	maxBreakPause = 5 * time.Second
+	// suspectBreaks is the number of breaks without progress after which an item
+	// may be what ends its endpoints; suspectPause then separates its attempts.
+	suspectBreaks = 3
+	suspectPause  = 15 * time.Second
+)
+
+// Task is one item that is handed out to be run.
+type Task struct {
+	Request *fescuebank.Request
+	// Progress is what earlier attempts generated.
+	Progress fescuebank.Progress
+	// Due is when the job's results are due.
+	Due  time.Time
+	job  *job
+	item *item
+}
+
+// Take hands out the most urgent waiting item, or nil. stop will be called if
+// the attempt should end.
+func (s *Steward) Take(stop func()) *Task {
+	now := s.Clock.Now()
+	best := s.mostUrgent(now)
+	if best == nil {
+		return nil
+	}
+	j, it := best.job, best.item
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if it.phase != phaseWaiting || j.ended {
+		return nil
+	}
+	it.phase = phaseRunning
+	it.stop = stop
+	best.Progress = it.progress
+	return best
+}
+
+// Waiting reports whether an item could be handed out now.
+func (s *Steward) Waiting() bool {
+	return s.mostUrgent(s.Clock.Now()) != nil
+}
+
+// mostUrgent returns the waiting item whose job is due first. Jobs that are late
+// come after those that are not.
+func (s *Steward) mostUrgent(now time.Time) *Task {
+	var best *Task
+	for _, j := range s.openJobs() {
+		route := s.route(j.spec)
+		if route == nil {
+			continue
+		}
+		due := j.spec.Submitted.Add(route.RunObjective)
+		if best != nil && !dueBefore(due, best.Due, now) {
+			continue
+		}
+		if it := j.firstWaiting(now); it != nil {
+			best = &Task{job: j, item: it, Due: due, Request: s.request(j, it, route, now)}
+		}
+	}
+	return best
+}
+
+// dueBefore orders by due time, those that are late last.
+func dueBefore(a, b, now time.Time) bool {
+	lateA, lateB := a.Before(now), b.Before(now)
+	if lateA != lateB {
+		return lateB
+	}
+	return a.Before(b)
+}
+
+func (s *Steward) openJobs() []*job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*job
+	for _, a := range s.accounts {
+		a.mu.Lock()
+		for _, j := range a.jobs {
+			if !a.closed && !j.isEnded() && !j.isDone() {
+				list = append(list, j)
+			}
+		}
+		a.mu.Unlock()
+	}
+	return list
+}
+
+func (j *job) firstWaiting(now time.Time) *item {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for i := range j.spec.Items {
+		it := j.items[j.spec.Items[i].ID]
+		if it.phase == phaseWaiting && !it.notBefore.After(now) {
+			return it
+		}
+	}
+	return nil
+}
+
+// request shapes an item as a request to an endpoint.
+func (s *Steward) request(j *job, it *item, route *fescuebank.Route, now time.Time) *fescuebank.Request {
+	h := make(map[string][]string, len(it.spec.Header))
+	for name, value := range it.spec.Header {
+		h[name] = []string{value}
+	}
+	return &fescuebank.Request{
+		ID: fescuebank.RequestID(it.spec.ID), Team: j.spec.Team, Route: route, Service: route.Choose(0),
+		Method: "POST", Target: it.spec.Target, Host: j.spec.Host, Header: h, Body: it.spec.Body,
+		Arrived: now, Deadline: j.spec.Submitted.Add(route.Retention), Priority: route.Priority,
+	}
+}
+
+// Finish takes the outcome of an item and commits it with others.
+func (s *Steward) Finish(t *Task, failed bool, output []byte) {
+	j := t.job
+	j.mu.Lock()
+	if t.item.phase != phaseRunning {
+		j.mu.Unlock()
+		return
+	}
+	t.item.stop = nil
+	j.finish(t.item, failed, output, s.Clock.Now())
+	start := !j.committing
+	j.committing = true
+	j.mu.Unlock()
+	if start {
+		go s.commit(j)
+	}
+}
+
+// finish notes an outcome. The caller holds the lock.
+func (j *job) finish(it *item, failed bool, output []byte, now time.Time) {
+	it.phase = phaseFinished
+	it.progress = fescuebank.Progress{}
+	if len(j.pending) == 0 {
+		j.pendingSince = now
+	}
+	j.pending = append(j.pending, fescuebank.RoutedResult{Item: it.spec.ID, Failed: failed, Output: output})
+}
+
+// Cause says why an attempt ended without an outcome.
+type Cause uint8
+
+// The causes.
+const (
+	// CauseYield means that the attempt was ended here.
+	CauseYield Cause = iota
+	// CauseNotRun means that no endpoint ran the item.
+	CauseNotRun
+	// CauseBroken means that the endpoint or the connection failed.
+	CauseBroken
+	// CauseFailed means that the endpoint answered that the item failed.
+	CauseFailed
+)
+
+// Return gives an item back with what was generated.
+func (s *Steward) Return(t *Task, cause Cause, progress fescuebank.Progress) {
+	j, it := t.job, t.item
+	now := s.Clock.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if it.phase != phaseRunning {
+		return
+	}
+	advanced := progress.Events > it.progress.Events
+	it.phase, it.stop, it.progress = phaseWaiting, nil, progress
+	switch cause {
+	case CauseFailed:
+		it.failures++
+		it.notBefore = now.Add(failurePause)
+	case CauseBroken:
+		it.breaks++
+		if advanced {
+			it.breaks = 0
+		}
+		it.notBefore = now.Add(pauseAfter(it.breaks))
+	case CauseNotRun:
+		it.notBefore = now.Add(breakPause)
+	}
+	if cause == CauseFailed && it.failures >= t.Request.Route.Attempts {
+		j.finish(it, true, nil, now)
+		if !j.committing {
+			j.committing = true
+			go s.commit(j)
+		}
+	}
+}
+
+// pauseAfter returns the pause after a number of breaks without progress.
+func pauseAfter(breaks int) time.Duration {
+	if breaks >= suspectBreaks {
+		return suspectPause
+	}
+	return min(breakPause<<max(0, breaks), maxBreakPause)
+}
+
+// commit writes the pending outcomes of a job until none is left.
+func (s *Steward) commit(j *job) {
+	ctx := context.Background()
+	for {
+		_ = fescuebank.Sleep(ctx, s.Clock, j.commitWait(s.Clock.Now()))
+		batch, segment, goOn := j.nextSegment()
+		if !goOn {
+			return
+		}
+		err := s.Depositor.PutResults(ctx, j.spec.ID, segment, batch)
+		switch {
+		case err == nil:
+			s.Log.Info("Results committed.", "job", string(j.spec.ID), "segment", segment, "results", len(batch))
+			j.take(batch)
+		case errors.Is(err, depositor.ErrTaken):
+			s.adopt(ctx, j, segment)
+		default:
+			s.Log.Warn("Results not committed.", "job", string(j.spec.ID), "segment", segment, "err", err.Error())
+			_ = fescuebank.Sleep(ctx, s.Clock, commitRetry)
+		}
+	}
+}
+
+// commitWait returns how long to wait for more outcomes.
+func (j *job) commitWait(now time.Time) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.pending)+len(j.results) >= len(j.spec.Items) {
+		return 0
+	}
+	return max(0, j.pendingSince.Add(commitAge).Sub(now))
+}
+
+// nextSegment returns the outcomes to commit next, or false if none is left or
+// the team has another owner.
+func (j *job) nextSegment() (batch []fescuebank.RoutedResult, segment int, ok bool) {
+	j.account.mu.Lock()
+	closed := j.account.closed
+	j.account.mu.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.pending) == 0 || closed {
+		j.committing = false
+		return nil, 0, false
+	}
+	return append(batch, Cut(j.pending)...), j.segments, true
+}
+
+// adopt takes in a segment that another owner wrote.
+func (s *Steward) adopt(ctx context.Context, j *job, segment int) {
+	results, err := s.Depositor.Results(ctx, j.spec.ID, segment)
+	if err != nil {
+		s.Log.Warn("Results of another owner not read.", "job", string(j.spec.ID), "segment", segment, "err", err.Error())
+		_ = fescuebank.Sleep(ctx, s.Clock, commitRetry)
+		return
+	}
+	s.Log.Info("Results of another owner taken in.", "job", string(j.spec.ID), "segment", segment, "results", len(results))
+	j.take(results)
+}
+
+// Expire gives up the items that are kept no longer.
+func (s *Steward) Expire() {
+	now := s.Clock.Now()
+	for _, j := range s.openJobs() {
+		route := s.route(j.spec)
+		if route == nil || route.Retention <= 0 || now.Before(j.spec.Submitted.Add(route.Retention)) {
+			continue
+		}
+		s.expire(j, now)
+	}
+}
+
+func (s *Steward) expire(j *job, now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, it := range j.items {
+		if it.phase == phaseWaiting {
+			j.finish(it, true, nil, now)
+		}
+	}
+	if len(j.pending) > 0 && !j.committing {
+		j.committing = true
+		go s.commit(j)
+	}
+}
--- /dev/null
+++ b/internal/entry/allotter/allotter.go
@@ -0,0 +1,380 @@
+// Package allotter gives requests a place at an endpoint, or has them wait for one.
+package allotter
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuebank"
+)
+
+// Errors of Acquire.
+var (
+	// ErrNoEndpoint means that no endpoint of the service is known.
+	ErrNoEndpoint = errors.New("no endpoint")
+	// ErrFull means that a place would come too late.
+	ErrFull = errors.New("all places taken")
+)
+
+const (
+	// initialHold is the time that a request is taken to hold a place before any
+	// has ended.
+	initialHold = 700 * time.Millisecond
+	// holdWeight is the weight of the newest hold in the moving average.
+	holdWeight = 0.05
+	// retryBase is the least time after which a refused caller is told to return.
+	retryBase = 300 * time.Millisecond
+	// retrySpread is over how long the return of refused callers is spread.
+	retrySpread = 700 * time.Millisecond
+	// shunDefault is how long an endpoint is left out after a failure.
+	shunDefault = time.Second
+)
+
+// Ask is what a request wants.
+type Ask struct {
+	Service fescuebank.ServiceName
+	// Prefix picks among equally loaded endpoints, so that requests which share
+	// a prompt's start meet. Empty for none.
+	Prefix string
+	// Except are endpoints that the request already tried.
+	Except []fescuebank.EndpointID
+	// Until is when the place must have been given at the latest.
+	Until time.Time
+	// Priority is the rank, 0 for the most urgent.
+	Priority int
+}
+
+// Place is a place at an endpoint. It must be released once.
+type Place struct {
+	Endpoint fescuebank.ServedEndpoint
+	// Load is the number of requests there, this one included, as counted here.
+	Load   int
+	began  time.Time
+	state  *endpoint
+	parent *Allotter
+	once   sync.Once
+}
+
+// endpoint is the state of one endpoint.
+type endpoint struct {
+	fescuebank.ServedEndpoint
+	// own and others count the requests of this and of other instances there.
+	own    int
+	others int
+	// shunned is until when the endpoint gets nothing.
+	shunned time.Time
+	gone    bool
+}
+
+func (e *endpoint) load() int {
+	return e.own + e.others
+}
+
+func (e *endpoint) usable(now time.Time) bool {
+	return !e.gone && !e.Leaving && !e.shunned.After(now)
+}
+
+// waiter is a request that waits.
+type waiter struct {
+	ask   Ask
+	order uint64
+	given chan *Place
+}
+
+// Allotter counts the requests at each endpoint.
+type Allotter struct {
+	clock fescuebank.Clock
+	zone  fescuebank.Zone
+	// changed is called without the lock when the counts of this instance change.
+	changed func()
+
+	mu        sync.Mutex
+	endpoints map[fescuebank.EndpointID]*endpoint
+	waiting   []*waiter
+	order     uint64
+	// hold is the moving average of how long a place is held.
+	hold time.Duration
+	// others counts the waiting requests of other instances.
+	othersWaiting int
+}
+
+// New returns an allotter without endpoints.
+func New(zone fescuebank.Zone, clock fescuebank.Clock, changed func()) *Allotter {
+	return &Allotter{
+		clock: clock, zone: zone, changed: changed, hold: initialHold,
+		endpoints: make(map[fescuebank.EndpointID]*endpoint),
+	}
+}
+
+// SetEndpoints replaces the list of endpoints. Counts of those that stay the
+// same run are kept.
+func (a *Allotter) SetEndpoints(list []fescuebank.ServedEndpoint) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	next := make(map[fescuebank.EndpointID]*endpoint, len(list))
+	for _, spec := range list {
+		old := a.endpoints[spec.ID]
+		if old != nil && old.Started == spec.Started && old.Addr == spec.Addr {
+			old.ServedEndpoint = spec
+			next[spec.ID] = old
+			continue
+		}
+		next[spec.ID] = &endpoint{ServedEndpoint: spec}
+	}
+	for id, old := range a.endpoints {
+		if next[id] != old {
+			old.gone = true
+		}
+	}
+	a.endpoints = next
+	a.serve()
+}
+
+// Endpoints returns the known endpoints.
+func (a *Allotter) Endpoints() []fescuebank.ServedEndpoint {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list := make([]fescuebank.ServedEndpoint, 0, len(a.endpoints))
+	for _, e := range a.endpoints {
+		list = append(list, e.ServedEndpoint)
+	}
+	return list
+}
+
+// Shun leaves an endpoint out for a while after a failure.
+func (a *Allotter) Shun(id fescuebank.EndpointID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e := a.endpoints[id]; e != nil {
+		e.shunned = a.clock.Now().Add(shunDefault)
+	}
+}
+
+// Counts returns the number of requests that this instance has at each endpoint
+// and how many wait.
+func (a *Allotter) Counts() (counts fescuebank.EndpointCounts, waiting int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	counts = make(fescuebank.EndpointCounts, len(a.endpoints))
+	for id, e := range a.endpoints {
+		if e.own > 0 {
+			counts[id.Tag()] += e.own
+		}
+	}
+	return counts, len(a.waiting)
+}
+
+// SetOthers takes in what the other instances have at the endpoints.
+func (a *Allotter) SetOthers(counts fescuebank.EndpointCounts, waiting int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, e := range a.endpoints {
+		e.others = counts[id.Tag()]
+	}
+	a.othersWaiting = waiting
+	a.serve()
+}
+
+// Acquire gives a place, waiting for one until the ask's latest time. It fails
+// with ErrFull at once if the wait is predicted to be longer, and with
+// ErrNoEndpoint if there is no endpoint to wait for.
+func (a *Allotter) Acquire(ctx context.Context, ask Ask) (*Place, error) {
+	a.mu.Lock()
+	now := a.clock.Now()
+	if len(a.waiting) == 0 {
+		if p := a.give(ask, now); p != nil {
+			a.mu.Unlock()
+			a.changed()
+			return p, nil
+		}
+	}
+	wait, ok := a.predict(ask, now)
+	if !ok || now.Add(wait).After(ask.Until) {
+		a.mu.Unlock()
+		if !ok {
+			return nil, ErrNoEndpoint
+		}
+		return nil, ErrFull
+	}
+	w := &waiter{ask: ask, order: a.order, given: make(chan *Place, 1)}
+	a.order++
+	a.enqueue(w)
+	a.mu.Unlock()
+	a.changed()
+	return a.await(ctx, w)
+}
+
+// enqueue keeps the waiting requests ordered by rank, then by latest time.
+func (a *Allotter) enqueue(w *waiter) {
+	i, _ := slices.BinarySearchFunc(a.waiting, w, func(x, y *waiter) int {
+		if x.ask.Priority != y.ask.Priority {
+			return x.ask.Priority - y.ask.Priority
+		}
+		if c := x.ask.Until.Compare(y.ask.Until); c != 0 {
+			return c
+		}
+		return int(x.order) - int(y.order)
+	})
+	a.waiting = slices.Insert(a.waiting, i, w)
+}
+
+func (a *Allotter) await(ctx context.Context, w *waiter) (*Place, error) {
+	var cause error
+	select {
+	case p := <-w.given:
+		a.changed()
+		return p, nil
+	case <-a.clock.After(w.ask.Until.Sub(a.clock.Now())):
+		cause = ErrFull
+	case <-ctx.Done():
+		cause = ctx.Err()
+	}
+	a.mu.Lock()
+	a.waiting = slices.DeleteFunc(a.waiting, func(x *waiter) bool { return x == w })
+	a.mu.Unlock()
+	select {
+	case p := <-w.given:
+		if ctx.Err() == nil {
+			return p, nil
+		}
+		p.Release()
+	default:
+	}
+	a.changed()
+	return nil, cause
+}
+
+// predict estimates how long a new request would wait for a place. It reports
+// false if there is no endpoint.
+func (a *Allotter) predict(ask Ask, now time.Time) (time.Duration, bool) {
+	slots := 0
+	for _, e := range a.endpoints {
+		if e.Service == ask.Service && e.usable(now) && !slices.Contains(ask.Except, e.ID) {
+			slots += e.Slots
+		}
+	}
+	if slots == 0 {
+		return 0, false
+	}
+	ahead := len(a.waiting) + a.othersWaiting + 1
+	return a.hold * time.Duration(ahead) / time.Duration(slots), true
+}
+
+// RetryAfter returns when a refused caller should come back.
+func (a *Allotter) RetryAfter() time.Duration {
+	return retryBase + rand.N(retrySpread)
+}
+
+// give takes a place for the ask, or returns nil.
+func (a *Allotter) give(ask Ask, now time.Time) *Place {
+	best := a.pick(ask, now)
+	if best == nil {
+		return nil
+	}
+	best.own++
+	return &Place{Endpoint: best.ServedEndpoint, Load: best.load(), began: now, state: best, parent: a}
+}
+
+// pick returns the usable endpoint with a free place and the least load. Among
+// those that are equal, the ask's prefix decides.
+func (a *Allotter) pick(ask Ask, now time.Time) *endpoint {
+	var best *endpoint
+	var bestKey pickKey
+	for _, e := range a.endpoints {
+		if e.Service != ask.Service || !e.usable(now) || e.load() >= e.Slots || slices.Contains(ask.Except, e.ID) {
+			continue
+		}
+		key := pickKey{load: float64(e.load()) / float64(e.Slots), hash: xxhash.Sum64String(ask.Prefix + "/" + string(e.ID))}
+		if best == nil || key.before(bestKey) {
+			best, bestKey = e, key
+		}
+	}
+	return best
+}
+
+// pickKey orders endpoints.
+type pickKey struct {
+	load float64
+	hash uint64
+}
+
+func (k pickKey) before(other pickKey) bool {
+	if k.load != other.load {
+		return k.load < other.load
+	}
+	return k.hash < other.hash
+}
+
+// serve gives places to waiting requests. The caller holds the lock.
+func (a *Allotter) serve() {
+	now := a.clock.Now()
+	for i := 0; i < len(a.waiting); {
+		w := a.waiting[i]
+		p := a.give(w.ask, now)
+		if p == nil {
+			i++
+			continue
+		}
+		a.waiting = slices.Delete(a.waiting, i, i+1)
+		w.given <- p
+	}
+}
+
+// Release gives the place back.
+func (p *Place) Release() {
+	p.once.Do(func() {
+		a := p.parent
+		a.mu.Lock()
+		p.state.own--
+		held := a.clock.Now().Sub(p.began)
+		a.hold += time.Duration(holdWeight * float64(held-a.hold))
+		a.serve()
+		a.mu.Unlock()
+		a.changed()
+	})
+}
+
+// AcquireSpare gives a place for work that can wait, without waiting. It returns
+// nil unless the share headroom of the service's places stays free.
+func (a *Allotter) AcquireSpare(service fescuebank.ServiceName, headroom float64) *Place {
+	a.mu.Lock()
+	now := a.clock.Now()
+	slots, free := a.room(service, now)
+	if a.othersWaiting > 0 || float64(free) < 1+headroom*float64(slots) {
+		a.mu.Unlock()
+		return nil
+	}
+	p := a.give(Ask{Service: service}, now)
+	a.mu.Unlock()
+	if p != nil {
+		a.changed()
+	}
+	return p
+}
+
+// Excess returns how many places must become free so that no request waits and
+// the share headroom of the service's places is free. It is 0 or more.
+func (a *Allotter) Excess(service fescuebank.ServiceName, headroom float64) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	slots, free := a.room(service, a.clock.Now())
+	return max(0, a.othersWaiting+int(headroom*float64(slots))-free)
+}
+
+// room sums the places of a service's usable endpoints. The caller holds the lock.
+func (a *Allotter) room(service fescuebank.ServiceName, now time.Time) (slots, free int) {
+	for _, e := range a.endpoints {
+		if e.Service != service || !e.usable(now) {
+			continue
+		}
+		slots += e.Slots
+		free += max(0, e.Slots-e.load())
+	}
+	return slots, free
+}
--- /dev/null
+++ b/internal/entry/relayer/relayer.go
@@ -0,0 +1,253 @@
+// Package relayer takes a caller's request from its place in the queue to the
+// last byte of the answer.
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/entry/allotter"
+)
+
+const (
+	// startShare is the part of the objective that a request may wait for a place.
+	startShare = 0.75
+	// defaultObjective stands where a route has none.
+	defaultObjective = time.Second
+	// maxOffers bounds the endpoints tried, those that did not run the request too.
+	maxOffers = 4
+	// minGap is the least silence after which a resumable stream moves.
+	minGap = time.Second
+	// gapFactor is the silence after which a resumable stream moves, as a multiple
+	// of the route's objective for gaps.
+	gapFactor = 2
+	// readBytes is the size of a read from an endpoint.
+	readBytes = 4 << 10
+	// holdBytes bounds the whole answers that are read before they are passed on,
+	// so that a broken one can be asked for again.
+	holdBytes = 64 << 10
+)
+
+// Relayer relays requests.
+type Relayer struct {
+	allotter  *allotter.Allotter
+	exchanger *exchanger.Exchanger
+	protocol  fescuebank.EndpointProtocol
+	clock     fescuebank.Clock
+	log       hclog.Logger
+}
+
+// Config is what a relayer works with.
+type Config struct {
+	Allotter  *allotter.Allotter
+	Exchanger *exchanger.Exchanger
+	Protocol  fescuebank.EndpointProtocol
+	Clock     fescuebank.Clock
+	Log       hclog.Logger
+}
+
+// New returns a relayer.
+func New(c Config) *Relayer {
+	return &Relayer{allotter: c.Allotter, exchanger: c.Exchanger, protocol: c.Protocol, clock: c.Clock, log: c.Log}
+}
+
+// ErrAbandoned means that the answer began and can't be ended properly.
+var ErrAbandoned = errors.New("answer broken off")
+
+// flight is one request on its way.
+type flight struct {
+	*Relayer
+	request *fescuebank.Request
+	writer  fescuebank.AnswerWriter
+	// tried are the endpoints that were offered the request; offers counts the
+	// offers, runs those after which it may have run.
+	tried  []fescuebank.EndpointID
+	offers int
+	runs   int
+	// last is the number of the last event passed on, and started whether the
+	// answer's head was.
+	last    string
+	started bool
+	// trace of the decision that counted.
+	endpoint fescuebank.ServedEndpoint
+	load     int
+	waited   time.Duration
+	first    time.Duration
+	status   int
+}
+
+// Relay answers the request on w. It returns a *fescuebank.Refusal if nothing
+// was written, ErrAbandoned if the answer broke off, or the context's error.
+func (y *Relayer) Relay(ctx context.Context, r *fescuebank.Request, w fescuebank.AnswerWriter) error {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	f := &flight{Relayer: y, request: r, writer: w}
+	err := f.run(ctx)
+	f.report(err)
+	return err
+}
+
+func (f *flight) run(ctx context.Context) error {
+	for {
+		place, err := f.acquire(ctx)
+		if err != nil {
+			return f.giveUp(ctx, err)
+		}
+		done, err := f.attempt(ctx, place)
+		place.Release()
+		if done {
+			return err
+		}
+		if ctx.Err() != nil || f.offers >= maxOffers || (f.runs > 0 && !f.mayRepeat()) {
+			return f.giveUp(ctx, err)
+		}
+	}
+}
+
+// mayRepeat reports whether the request may run once more.
+func (f *flight) mayRepeat() bool {
+	return f.request.Route.Repeatable() && f.runs < f.request.Route.Attempts
+}
+
+func (f *flight) acquire(ctx context.Context) (*allotter.Place, error) {
+	r := f.request
+	objective := r.Route.Objective
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	now := f.clock.Now()
+	until := r.Arrived.Add(time.Duration(startShare * float64(objective)))
+	if f.offers > 0 {
+		until = now.Add(time.Duration(startShare * float64(objective)))
+	}
+	if until.After(r.Deadline) {
+		until = r.Deadline
+	}
+	place, err := f.allotter.Acquire(ctx, allotter.Ask{
+		Service: r.Service, Prefix: r.PrefixKey(), Except: f.tried, Until: until, Priority: r.Priority,
+	})
+	if err != nil {
+		return nil, err
+	}
+	f.waited = f.clock.Now().Sub(now)
+	f.endpoint, f.load = place.Endpoint, place.Load
+	return place, nil
+}
+
+// attempt offers the request to one endpoint. It reports whether the request is
+// done, with its outcome.
+func (f *flight) attempt(ctx context.Context, place *allotter.Place) (done bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e := place.Endpoint
+	f.tried = append(f.tried, e.ID)
+	f.offers++
+	h := make(http.Header, len(f.request.Header)+4)
+	f.protocol.Encode(h, f.request, e, f.request.Deadline.Sub(f.clock.Now()))
+	if f.last != "" {
+		f.protocol.Resume(h, f.last)
+	}
+	stop := f.boundHead(cancel)
+	answer, err := f.exchanger.Send(ctx, e.Addr, f.request, h)
+	stop()
+	if err != nil {
+		f.fail(e, err)
+		return false, err
+	}
+	defer answer.Finish()
+	if answer.Facts.NotRun {
+		return false, f.notRun(e, answer)
+	}
+	f.runs++
+	return f.pass(ctx, answer)
+}
+
+// boundHead cancels an attempt of a resumable stream whose answer does not begin.
+func (f *flight) boundHead(cancel context.CancelFunc) (stop func()) {
+	if !f.request.Route.Resumable {
+		return func() {}
+	}
+	timer := time.AfterFunc(f.silence(), cancel)
+	return func() { timer.Stop() }
+}
+
+// silence is how long a resumable stream may be silent before it moves.
+func (f *flight) silence() time.Duration {
+	return max(minGap, gapFactor*f.request.Route.GapObjective)
+}
+
+// fail counts an attempt without an answer.
+func (f *flight) fail(e fescuebank.ServedEndpoint, err error) {
+	f.allotter.Shun(e.ID)
+	f.exchanger.Drop(e.Addr)
+	if !errors.Is(err, exchanger.ErrUnreached) {
+		f.runs++
+	}
+	f.log.Info("Attempt failed.", "request", string(f.request.ID), "endpoint", string(e.ID), "started", e.Started, "err", err.Error())
+}
+
+// errNotRun is the cause of an attempt that the endpoint refused.
+var errNotRun = errors.New("endpoint refused")
+
+func (f *flight) notRun(e fescuebank.ServedEndpoint, a *exchanger.Answer) error {
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, holdBytes))
+	if a.Facts.Misdirected {
+		f.allotter.Shun(e.ID)
+	}
+	f.log.Debug("Endpoint refused.", "request", string(f.request.ID), "endpoint", string(e.ID), "status", a.StatusCode)
+	return errNotRun
+}
+
+// giveUp turns the cause of the last failure into what the caller is told.
+func (f *flight) giveUp(ctx context.Context, cause error) error {
+	if f.started {
+		return ErrAbandoned
+	}
+	if f.runs > 0 {
+		return f.refuseRun(ctx)
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return ctx.Err()
+	}
+	switch {
+	case errors.Is(cause, allotter.ErrFull), errors.Is(cause, errNotRun):
+		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeOverloaded,
+			"all endpoints are busy").After(f.allotter.RetryAfter())
+	case errors.Is(cause, context.DeadlineExceeded):
+		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeDeadline, "the deadline passed before a place was free")
+	}
+	return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeEndpointLost,
+		"no endpoint was reached").After(f.allotter.RetryAfter())
+}
+
+func (f *flight) refuseRun(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return ctx.Err()
+	}
+	if ctx.Err() != nil {
+		return fescuebank.Refuse(http.StatusGatewayTimeout, fescuebank.CodeDeadline,
+			"the answer did not come in time").WithState(fescuebank.MayHaveRun)
+	}
+	return fescuebank.Refuse(http.StatusBadGateway, fescuebank.CodeEndpointLost,
+		"the endpoint was lost").WithState(fescuebank.MayHaveRun)
+}
+
+// report writes the line of the request's end.
+func (f *flight) report(err error) {
+	outcome := "answered"
+	if err != nil {
+		outcome = err.Error()
+	}
+	r := f.request
+	f.log.Info("Request ended.", "request", string(r.ID), "team", string(r.Team), "route", r.Route.Name,
+		"endpoint", string(f.endpoint.ID), "started", f.endpoint.Started, "load", f.load, "offers", f.offers, "runs", f.runs,
+		"waitMs", f.waited.Milliseconds(), "firstMs", f.first.Milliseconds(),
+		"totalMs", f.clock.Now().Sub(r.Arrived).Milliseconds(), "status", f.status, "outcome", outcome)
+}
--- /dev/null
+++ b/internal/fleet/elector/elector.go
@@ -0,0 +1,429 @@
+// Package elector keeps the list of owners and tells when this instance may act
+// as one.
+package elector
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/fleet/roster"
+)
+
+const (
+	// lease is how long a run acts after it has read the list.
+	lease = 8 * time.Second
+	// leaseMargin is kept between the end of acting and a takeover.
+	leaseMargin = 500 * time.Millisecond
+	// confirmInterval is how often a run that is listed reads the list.
+	confirmInterval = 2500 * time.Millisecond
+	// floorLife is how long a run uses its floor slot after it has read the list.
+	floorLife = 25 * time.Second
+	// tendInterval is how often the list is compared with the members.
+	tendInterval = 300 * time.Millisecond
+	// dropAfter is how long an owner is silent before it leaves the list.
+	dropAfter = 1500 * time.Millisecond
+	// formWait is how long the first list waits for members to be heard.
+	formWait = 1500 * time.Millisecond
+)
+
+// Members is what the elector needs to know of the fleet.
+type Members interface {
+	Peers() []roster.Peer
+}
+
+// Config is what an elector works with.
+type Config struct {
+	Self    fescuebank.MemberEntry
+	Store   fescuebank.ObjectStore
+	Members Members
+	Clock   fescuebank.Clock
+	Log     hclog.Logger
+	// Changed is called after a new list was applied.
+	Changed func()
+}
+
+// Elector holds the newest list.
+type Elector struct {
+	Config
+	me      fescuebank.Holder
+	started time.Time
+	wake    chan struct{}
+
+	mu   sync.Mutex
+	list *fescuebank.OwnerList
+	// version is the store's of the list.
+	version fescuebank.StoreVersion
+	// seen is when the list was first seen here, floorsSeen when its slots were.
+	seen       time.Time
+	floorsSeen time.Time
+	// confirmed is when the newest read of the list was about to be sent.
+	confirmed time.Time
+	// acked is the newest epoch that each run is known to have applied.
+	acked map[fescuebank.Holder]fescuebank.FencingNumber
+	// silent is since when each listed owner has not been heard.
+	silent map[fescuebank.Holder]time.Time
+	// leaving makes this run leave the list.
+	leaving bool
+}
+
+// New returns an elector that knows no list.
+func New(c Config) *Elector {
+	return &Elector{
+		Config: c, me: fescuebank.Holder{ID: c.Self.ID, Incarnation: c.Self.Incarnation},
+		started: c.Clock.Now(), wake: make(chan struct{}, 1),
+		acked:  make(map[fescuebank.Holder]fescuebank.FencingNumber),
+		silent: make(map[fescuebank.Holder]time.Time),
+	}
+}
+
+// List returns the newest list applied, or nil.
+func (e *Elector) List() *fescuebank.OwnerList {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.list
+}
+
+// Epoch returns the epoch of the newest list applied, or 0.
+func (e *Elector) Epoch() fescuebank.FencingNumber {
+	if l := e.List(); l != nil {
+		return l.Epoch
+	}
+	return 0
+}
+
+// Acknowledge records that a run has applied an epoch and acts by no older one.
+func (e *Elector) Acknowledge(h fescuebank.Holder, epoch fescuebank.FencingNumber) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if epoch > e.acked[h] {
+		e.acked[h] = epoch
+	}
+}
+
+// Owner returns the run that the newest list names for a team.
+func (e *Elector) Owner(team fescuebank.TeamID) (fescuebank.Holder, bool) {
+	l := e.List()
+	if l == nil {
+		return fescuebank.Holder{}, false
+	}
+	return l.Owner(team)
+}
+
+// elapsed returns how long ago t was, on the clock that ran furthest: the
+// monotonic one stands still while the machine is suspended.
+func (e *Elector) elapsed(t time.Time) time.Duration {
+	now := e.Clock.Now()
+	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+}
+
+// Acts reports whether this run may act as the owner of a team that it did not
+// own before, and under which epoch.
+func (e *Elector) Acts(team fescuebank.TeamID) (fescuebank.FencingNumber, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.isOwner(team) {
+		return 0, false
+	}
+	for _, h := range e.list.Predecessors(team) {
+		if !e.hasStopped(h) {
+			return 0, false
+		}
+	}
+	return e.list.Epoch, true
+}
+
+// Holds reports whether this run still owns a team that it acted for before.
+func (e *Elector) Holds(team fescuebank.TeamID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isOwner(team)
+}
+
+func (e *Elector) isOwner(team fescuebank.TeamID) bool {
+	if e.list == nil || e.elapsed(e.confirmed) >= lease {
+		return false
+	}
+	owner, ok := e.list.Owner(team)
+	return ok && owner == e.me
+}
+
+// hasStopped reports whether a run surely doesn't act by an older list. The
+// caller holds the lock.
+func (e *Elector) hasStopped(h fescuebank.Holder) bool {
+	return h == e.me || e.acked[h] >= e.list.Epoch || e.isSuperseded(h) || e.elapsed(e.seen) >= lease+leaseMargin
+}
+
+// isSuperseded reports whether a later run of the same instance is known, which
+// begins only after the end of the run before.
+func (e *Elector) isSuperseded(h fescuebank.Holder) bool {
+	if h.ID == e.me.ID {
+		return h.Incarnation != e.me.Incarnation
+	}
+	for _, p := range e.Members.Peers() {
+		if p.ID == h.ID {
+			return p.Incarnation != h.Incarnation && p.News.Incarnation == p.Incarnation
+		}
+	}
+	return false
+}
+
+// FloorSlot returns this run's floor slot and the number of slots, or false.
+func (e *Elector) FloorSlot() (slot, slots int, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.list == nil || e.elapsed(e.confirmed) >= floorLife {
+		return 0, 0, false
+	}
+	// Runs that know fewer slots have larger ones, until their own life ends.
+	if e.list.FloorsSince > 1 && e.elapsed(e.floorsSeen) < floorLife {
+		return 0, 0, false
+	}
+	slot = e.list.FloorSlot(e.me)
+	return slot, len(e.list.Floors), slot >= 0
+}
+
+// Apply takes in the list as the store showed it to a read that was about to be
+// sent at asked. A zero time confirms nothing.
+func (e *Elector) Apply(o fescuebank.Object, asked time.Time) {
+	var next fescuebank.OwnerList
+	if err := json.Unmarshal(o.Value, &next); err != nil {
+		e.Log.Error("List of owners is damaged.", "err", err.Error())
+		return
+	}
+	e.mu.Lock()
+	if o.Version >= e.version && asked.After(e.confirmed) {
+		e.confirmed = asked
+	}
+	newer := o.Version > e.version
+	if newer {
+		if e.list == nil || e.list.FloorsSince != next.FloorsSince {
+			e.floorsSeen = e.Clock.Now()
+		}
+		e.list, e.version, e.seen = &next, o.Version, e.Clock.Now()
+	}
+	e.mu.Unlock()
+	if newer {
+		e.Log.Info("List of owners applied.", "epoch", uint64(next.Epoch), "owners", len(next.Owners), "floors", len(next.Floors))
+		e.Changed()
+	}
+}
+
+// SetLeaving makes this run leave the list.
+func (e *Elector) SetLeaving() {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.Wake()
+}
+
+// Wake compares the list with the members at once.
+func (e *Elector) Wake() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run reads the list regularly and rewrites it as members come and go.
+func (e *Elector) Run(ctx context.Context) {
+	read := e.started
+	for ctx.Err() == nil {
+		now := e.Clock.Now()
+		if !now.Before(read) && e.needsRead() {
+			read = now.Add(confirmInterval)
+			if err := e.read(ctx); err != nil && !errors.Is(err, fescuebank.ErrAbsent) {
+				e.Log.Warn("List of owners not read.", "err", err.Error())
+				read = now.Add(tendInterval)
+			}
+		}
+		if err := e.tend(ctx); err != nil {
+			e.Log.Warn("List of owners not written.", "err", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+		case <-e.wake:
+		case <-e.Clock.After(tendInterval):
+		}
+	}
+}
+
+// needsRead reports whether this run acts by the list. Others follow its changes.
+func (e *Elector) needsRead() bool {
+	return e.Self.Owner
+}
+
+func (e *Elector) read(ctx context.Context) error {
+	asked := e.Clock.Now()
+	o, err := e.Store.Get(ctx, fescuebank.OwnerListKey)
+	if err != nil {
+		return err
+	}
+	e.Apply(o, asked)
+	return nil
+}
+
+// tend rewrites the list if this run is the first live owner and the list differs
+// from the members.
+func (e *Elector) tend(ctx context.Context) error {
+	if !e.Self.Owner {
+		return nil
+	}
+	peers := e.Members.Peers()
+	e.mu.Lock()
+	now := e.Clock.Now()
+	current, version, leaving := e.list, e.version, e.leaving
+	e.noteSilence(peers, now)
+	next, changed := e.rewrite(peers, now)
+	e.mu.Unlock()
+	forming := current == nil && now.Sub(e.started) < formWait
+	if !changed || forming || (!leaving && !e.isFirst(peers)) {
+		return nil
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	asked := e.Clock.Now()
+	written, err := e.Store.Put(ctx, fescuebank.OwnerListKey, value, version)
+	if errors.Is(err, fescuebank.ErrVersion) || errors.Is(err, fescuebank.ErrOutcomeUnknown) {
+		return e.read(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	e.Apply(fescuebank.Object{Key: fescuebank.OwnerListKey, Value: value, Version: written}, asked)
+	return nil
+}
+
+// isFirst reports whether no live owner has a lower id.
+func (e *Elector) isFirst(peers []roster.Peer) bool {
+	for _, p := range peers {
+		if p.Owner && p.Alive && !p.News.Leaving && p.ID < e.Self.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// noteSilence keeps since when owners are not heard. The caller holds the lock.
+func (e *Elector) noteSilence(peers []roster.Peer, now time.Time) {
+	for _, p := range peers {
+		h := fescuebank.Holder{ID: p.ID, Incarnation: p.Incarnation}
+		if p.Alive {
+			delete(e.silent, h)
+			continue
+		}
+		if _, ok := e.silent[h]; !ok {
+			e.silent[h] = now
+		}
+	}
+}
+
+// rewrite returns the list that the members call for. The caller holds the lock.
+func (e *Elector) rewrite(peers []roster.Peer, now time.Time) (*fescuebank.OwnerList, bool) {
+	old := e.list
+	if old == nil {
+		old = &fescuebank.OwnerList{}
+	}
+	next := &fescuebank.OwnerList{
+		Epoch: old.Epoch + 1, Previous: old.Owners, Floors: slices.Clone(old.Floors), FloorsSince: old.FloorsSince,
+	}
+	present := make(map[fescuebank.InstanceID]bool)
+	if !e.leaving {
+		next.Owners = append(next.Owners, e.me)
+	}
+	for _, p := range peers {
+		present[p.ID] = true
+		h := fescuebank.Holder{ID: p.ID, Incarnation: p.Incarnation}
+		if p.Owner && !p.News.Leaving && e.keeps(old, h, p.Alive, now) {
+			next.Owners = append(next.Owners, h)
+		}
+		if p.CallerAddr != "" {
+			seat(next, h, p.Alive)
+		}
+	}
+	for i, f := range next.Floors {
+		if f.ID != "" && !present[f.ID] {
+			next.Floors[i] = fescuebank.Holder{}
+		}
+	}
+	slices.SortFunc(next.Owners, func(a, b fescuebank.Holder) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if len(next.Floors) > len(old.Floors) {
+		next.FloorsSince = next.Epoch
+	}
+	same := slices.Equal(next.Owners, old.Owners) && slices.Equal(next.Floors, old.Floors)
+	if same || len(next.Owners) == 0 || !e.allApplied(old, next) {
+		return nil, false
+	}
+	next.Former = e.stillActing(old, next)
+	return next, true
+}
+
+// allApplied reports whether the owners that stay have applied the old list. The
+// caller holds the lock.
+func (e *Elector) allApplied(old, next *fescuebank.OwnerList) bool {
+	for _, h := range old.Owners {
+		if h != e.me && next.Has(h) && e.acked[h] < old.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// stillActing returns the runs that are on no list any more and may act by an
+// older one. The caller holds the lock.
+func (e *Elector) stillActing(old, next *fescuebank.OwnerList) []fescuebank.Holder {
+	var list []fescuebank.Holder
+	for _, h := range old.Former {
+		if !e.hasStopped(h) {
+			list = append(list, h)
+		}
+	}
+	for _, h := range old.Owners {
+		if !next.Has(h) && !e.isSuperseded(h) && h != e.me {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// keeps reports whether a run belongs on the list. The caller holds the lock.
+func (e *Elector) keeps(old *fescuebank.OwnerList, h fescuebank.Holder, alive bool, now time.Time) bool {
+	if alive {
+		return true
+	}
+	since, ok := e.silent[h]
+	return old.Has(h) && ok && now.Sub(since) < dropAfter
+}
+
+// seat gives a run a floor slot: that of its instance's former run, an empty one,
+// or a new one.
+func seat(l *fescuebank.OwnerList, h fescuebank.Holder, alive bool) {
+	empty := -1
+	for i, f := range l.Floors {
+		if f.ID == h.ID {
+			if alive {
+				l.Floors[i] = h
+			}
+			return
+		}
+		if f.ID == "" && empty < 0 {
+			empty = i
+		}
+	}
+	switch {
+	case !alive:
+	case empty >= 0:
+		l.Floors[empty] = h
+	default:
+		l.Floors = append(l.Floors, h)
+	}
+}
--- /dev/null
+++ b/internal/fleet/follower/follower.go
@@ -0,0 +1,296 @@
+// Package follower keeps a mirror of a prefix of the platform's store.
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+)
+
+const (
+	// firstRetry and longestRetry bound the wait after a failed call.
+	firstRetry   = 50 * time.Millisecond
+	longestRetry = 800 * time.Millisecond
+	// quietGap is the least time that a watch without events takes.
+	quietGap = 200 * time.Millisecond
+	// outageAfter is how long the store must have been out of reach before
+	// missing objects are taken for lapsed.
+	outageAfter = time.Second
+	// holdMissing is how long after an outage missing objects are kept: those
+	// whose writer lives are written again by then.
+	holdMissing = 2200 * time.Millisecond
+)
+
+// Follower mirrors the objects below a prefix.
+type Follower struct {
+	store   fescuebank.ObjectStore
+	clock   fescuebank.Clock
+	log     hclog.Logger
+	prefix  string
+	changed func([]fescuebank.Object)
+	hint    chan struct{}
+
+	mu sync.Mutex
+	// objects is the mirror.
+	objects map[string]fescuebank.Object
+	// missing are objects that vanished in an outage, kept until then.
+	missing map[string]time.Time
+	// newest is the highest version of the mirror's objects and deletions.
+	newest fescuebank.StoreVersion
+	// contact is when the store last answered; back is when it last came back
+	// from an outage.
+	contact time.Time
+	back    time.Time
+	down    bool
+	listed  bool
+}
+
+// New returns a follower of prefix that passes the whole mirror to changed
+// after each change.
+func New(store fescuebank.ObjectStore, prefix string, clock fescuebank.Clock, log hclog.Logger, changed func([]fescuebank.Object)) *Follower {
+	return &Follower{
+		store: store, clock: clock, log: log, prefix: prefix, changed: changed,
+		hint: make(chan struct{}, 1), objects: make(map[string]fescuebank.Object), missing: make(map[string]time.Time),
+	}
+}
+
+// Hint says that the store holds a version that the mirror may lack.
+func (f *Follower) Hint(version fescuebank.StoreVersion) {
+	if version <= f.Newest() {
+		return
+	}
+	f.Restart()
+}
+
+// Restart lists again on a fresh call.
+func (f *Follower) Restart() {
+	select {
+	case f.hint <- struct{}{}:
+	default:
+	}
+}
+
+// Newest returns the highest version that the mirror has taken in.
+func (f *Follower) Newest() fescuebank.StoreVersion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest
+}
+
+// Objects returns the mirror.
+func (f *Follower) Objects() []fescuebank.Object {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]fescuebank.Object, 0, len(f.objects))
+	for _, o := range f.objects {
+		list = append(list, o)
+	}
+	slices.SortFunc(list, func(a, b fescuebank.Object) int { return strings.Compare(a.Key, b.Key) })
+	return list
+}
+
+// Adopt takes in newer objects that another instance's mirror holds.
+func (f *Follower) Adopt(objects []fescuebank.Object) {
+	f.mu.Lock()
+	changed := false
+	for _, o := range objects {
+		changed = f.put(o) || changed
+	}
+	f.listed = f.listed || len(objects) > 0
+	f.mu.Unlock()
+	if changed {
+		f.tell()
+	}
+}
+
+// Listed reports whether the prefix has been read at least once.
+func (f *Follower) Listed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
+}
+
+// Run follows the prefix until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	wait := firstRetry
+	for ctx.Err() == nil {
+		err := f.follow(ctx)
+		if errors.Is(err, errAgain) {
+			wait = firstRetry
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.lost(err)
+		_ = fescuebank.Sleep(ctx, f.clock, wait/2+rand.N(wait))
+		wait = min(2*wait, longestRetry)
+	}
+}
+
+// errAgain asks for a new list at once.
+var errAgain = errors.New("list again")
+
+func (f *Follower) follow(ctx context.Context) error {
+	objects, version, err := f.store.List(ctx, f.prefix)
+	if err != nil {
+		return err
+	}
+	f.touch()
+	f.replace(objects)
+	for ctx.Err() == nil {
+		events, next, err := f.watch(ctx, version)
+		if err != nil {
+			return err
+		}
+		f.touch()
+		f.apply(events)
+		version = next
+	}
+	return ctx.Err()
+}
+
+// watch waits for events, a hint, or the time at which missing objects are due.
+func (f *Follower) watch(ctx context.Context, from fescuebank.StoreVersion) ([]fescuebank.Object, fescuebank.StoreVersion, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := f.interrupt(ctx, cancel)
+	defer stop()
+	started := f.clock.Now()
+	events, next, err := f.store.Watch(ctx, f.prefix, from)
+	if errors.Is(context.Cause(ctx), errAgain) || errors.Is(err, fescuebank.ErrWatchLost) {
+		return nil, 0, errAgain
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	if len(events) == 0 && f.clock.Now().Sub(started) < quietGap {
+		_ = fescuebank.Sleep(ctx, f.clock, quietGap)
+	}
+	return events, next, nil
+}
+
+// interrupt ends a watch at a hint or when missing objects are due.
+func (f *Follower) interrupt(ctx context.Context, cancel context.CancelCauseFunc) (stop func()) {
+	done := make(chan struct{})
+	var due <-chan time.Time
+	f.mu.Lock()
+	if len(f.missing) > 0 {
+		due = f.clock.After(f.back.Add(holdMissing).Sub(f.clock.Now()))
+	}
+	f.mu.Unlock()
+	go func() {
+		select {
+		case <-f.hint:
+			cancel(errAgain)
+		case <-due:
+			cancel(errAgain)
+		case <-done:
+		case <-ctx.Done():
+		}
+	}()
+	return func() { close(done) }
+}
+
+func (f *Follower) touch() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	if f.down {
+		f.down = false
+		f.back = now
+		f.log.Info("Store is back.", "prefix", f.prefix, "awayMs", now.Sub(f.contact).Milliseconds())
+	}
+	f.contact = now
+}
+
+func (f *Follower) lost(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down || f.clock.Now().Sub(f.contact) < outageAfter {
+		return
+	}
+	f.down = true
+	f.log.Warn("Store is lost.", "prefix", f.prefix, "err", err.Error())
+}
+
+// replace takes in a whole list.
+func (f *Follower) replace(objects []fescuebank.Object) {
+	f.mu.Lock()
+	listed := make(map[string]bool, len(objects))
+	changed := !f.listed
+	f.listed = true
+	for _, o := range objects {
+		if o.Deleted {
+			continue
+		}
+		listed[o.Key] = true
+		changed = f.put(o) || changed
+	}
+	for key := range f.objects {
+		if !listed[key] {
+			changed = f.remove(key) || changed
+		}
+	}
+	f.mu.Unlock()
+	if changed {
+		f.tell()
+	}
+}
+
+// apply takes in events in order.
+func (f *Follower) apply(events []fescuebank.Object) {
+	f.mu.Lock()
+	changed := false
+	for _, o := range events {
+		if o.Deleted {
+			f.newest = max(f.newest, o.Version)
+			changed = f.remove(o.Key) || changed
+			continue
+		}
+		changed = f.put(o) || changed
+	}
+	f.mu.Unlock()
+	if changed {
+		f.tell()
+	}
+}
+
+// put takes in an object that is not older than the mirror's.
+func (f *Follower) put(o fescuebank.Object) (changed bool) {
+	delete(f.missing, o.Key)
+	f.newest = max(f.newest, o.Version)
+	if have, ok := f.objects[o.Key]; ok && have.Version >= o.Version {
+		return false
+	}
+	f.objects[o.Key] = o
+	return true
+}
+
+// remove drops an object, or keeps it for a while if it may have lapsed in an
+// outage of the store.
+func (f *Follower) remove(key string) (changed bool) {
+	if _, ok := f.objects[key]; !ok {
+		return false
+	}
+	until := f.back.Add(holdMissing)
+	if f.clock.Now().Before(until) {
+		f.missing[key] = until
+		return false
+	}
+	delete(f.missing, key)
+	delete(f.objects, key)
+	return true
+}
+
+func (f *Follower) tell() {
+	f.changed(f.Objects())
+}
--- /dev/null
+++ b/internal/limit/buyer/buyer.go
@@ -0,0 +1,295 @@
+// Package buyer lets requests through against tokens that it buys from the
+// owners of the teams, and sells them where this instance is the owner.
+package buyer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/limit/seller"
+)
+
+const (
+	// tokenLife is how long a bought token is good, from before it was asked for.
+	tokenLife = time.Second
+	// buyTimeout bounds one call to an owner.
+	buyTimeout = 300 * time.Millisecond
+	// settleWait is how long a request waits while the owner can't sell yet.
+	settleWait = 150 * time.Millisecond
+	// shortWait is how long a request waits for a token that is about to accrue.
+	shortWait = 60 * time.Millisecond
+	// aheadTime is the time for whose expected demand tokens are bought ahead.
+	aheadTime = 100 * time.Millisecond
+	// demandWeight is the weight of the newest gap between two requests of a team.
+	demandWeight = 0.2
+	// unknownRetry is when a caller should return while nobody can sell.
+	unknownRetry = 700 * time.Millisecond
+	// shardCount is the number of locks that the teams are spread over.
+	shardCount = 16
+)
+
+// Owners tells who owns a team and when this run may act.
+type Owners interface {
+	Owner(team fescuebank.TeamID) (fescuebank.Holder, bool)
+	Acts(team fescuebank.TeamID) (fescuebank.FencingNumber, bool)
+	Holds(team fescuebank.TeamID) bool
+	FloorSlot() (slot, slots int, ok bool)
+}
+
+// Caller calls a member by its id.
+type Caller interface {
+	Call(ctx context.Context, id fescuebank.InstanceID, kind fescuebank.MessageKind, message, reply any) error
+}
+
+// Config is what a buyer works with.
+type Config struct {
+	Self   fescuebank.Holder
+	Owners Owners
+	Caller Caller
+	Seller *seller.Seller
+	// Table returns the configuration in force, or nil.
+	Table func() *fescuebank.RouteTable
+	Clock fescuebank.Clock
+	Log   hclog.Logger
+}
+
+// Buyer holds the unspent tokens and the floors of the teams.
+type Buyer struct {
+	Config
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu    sync.Mutex
+	teams map[fescuebank.TeamID]*team
+}
+
+// team is the state of one team here.
+type team struct {
+	// tokens are unspent and good until expires.
+	tokens  int
+	expires time.Time
+	// floor is the level of this instance's floor, as of filled.
+	floor  float64
+	filled time.Time
+	// gap is the moving average of the time between two requests.
+	gap  time.Duration
+	last time.Time
+}
+
+// New returns a buyer without tokens.
+func New(c Config) *Buyer {
+	b := &Buyer{Config: c}
+	for i := range b.shards {
+		b.shards[i].teams = make(map[fescuebank.TeamID]*team)
+	}
+	return b
+}
+
+func (b *Buyer) shard(id fescuebank.TeamID) *shard {
+	return &b.shards[uint32(fescuebank.ShardOf(string(id)))%shardCount]
+}
+
+func (b *Buyer) quota(id fescuebank.TeamID) (fescuebank.Quota, bool) {
+	t := b.Table()
+	if t == nil {
+		return fescuebank.Quota{}, false
+	}
+	grant, ok := t.Teams[id]
+	return grant.Quota, ok
+}
+
+// Admit lets one request of the team through or returns a refusal.
+func (b *Buyer) Admit(ctx context.Context, id fescuebank.TeamID) error {
+	q, ok := b.quota(id)
+	if !ok {
+		return fescuebank.Refuse(http.StatusUnauthorized, fescuebank.CodeUnauthorized, "the team does not exist any more")
+	}
+	if q.Rate <= 0 {
+		return nil
+	}
+	ahead := b.note(id)
+	if b.take(id, q) {
+		return nil
+	}
+	return b.buy(ctx, id, q, ahead)
+}
+
+// note counts a request and returns how many tokens to buy ahead.
+func (b *Buyer) note(id fescuebank.TeamID) int {
+	s := b.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := b.Clock.Now()
+	t := s.teams[id]
+	if t == nil {
+		t = &team{filled: now, gap: time.Hour}
+		s.teams[id] = t
+	}
+	if !t.last.IsZero() {
+		gap := min(now.Sub(t.last), time.Hour)
+		if t.gap == time.Hour {
+			t.gap = gap
+		}
+		t.gap += time.Duration(demandWeight * float64(gap-t.gap))
+	}
+	t.last = now
+	return int(aheadTime / max(t.gap, time.Millisecond))
+}
+
+// take spends a token or lets the request through on the floor.
+func (b *Buyer) take(id fescuebank.TeamID, q fescuebank.Quota) bool {
+	slot, slots, seated := b.Owners.FloorSlot()
+	s := b.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.teams[id]
+	now := b.Clock.Now()
+	if t.tokens > 0 && b.elapsedBefore(now, t.expires) {
+		t.tokens--
+		return true
+	}
+	t.tokens = 0
+	if !seated {
+		t.floor, t.filled = 0, now
+		return false
+	}
+	part := fescuebank.SlotQuota(id, q, slot, slots)
+	t.floor = min(t.floor+float64(part.Rate.Over(now.Sub(t.filled))), float64(part.Burst))
+	t.filled = now
+	if t.floor < 1 {
+		return false
+	}
+	t.floor--
+	return true
+}
+
+// elapsedBefore reports whether t is ahead on the monotonic and the wall clock.
+func (b *Buyer) elapsedBefore(now, t time.Time) bool {
+	return now.Before(t) && now.Round(0).Before(t.Round(0))
+}
+
+// Return gives a token back whose request surely did not run.
+func (b *Buyer) Return(id fescuebank.TeamID) {
+	s := b.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.teams[id]; t != nil && b.elapsedBefore(b.Clock.Now(), t.expires) {
+		t.tokens++
+	}
+}
+
+// buy asks the owner for a token, once more after a short wait if one is due.
+func (b *Buyer) buy(ctx context.Context, id fescuebank.TeamID, q fescuebank.Quota, ahead int) error {
+	var reply fescuebank.BuyReply
+	for try := 0; ; try++ {
+		asked := b.Clock.Now()
+		err := b.ask(ctx, id, ahead, &reply)
+		if err == nil && reply.Count > 0 {
+			b.receive(id, reply.Count-1, asked.Add(tokenLife))
+			return nil
+		}
+		wait := time.Duration(reply.Wait)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err == nil && (try > 0 || wait > shortWait):
+			return fescuebank.Refuse(http.StatusTooManyRequests, fescuebank.CodeRateLimited,
+				"the team is over its rate and burst").After(wait)
+		case err != nil && try > 0:
+			b.Log.Warn("Owner does not sell.", "team", string(id), "err", err.Error())
+			return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeLimitUnknown,
+				"nobody can tell now whether the team is within its rate").After(unknownRetry)
+		case err != nil:
+			wait = settleWait
+		}
+		_ = fescuebank.Sleep(ctx, b.Clock, wait)
+		if b.take(id, q) {
+			return nil
+		}
+	}
+}
+
+func (b *Buyer) receive(id fescuebank.TeamID, tokens int, expires time.Time) {
+	if tokens <= 0 {
+		return
+	}
+	s := b.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.teams[id]
+	if !b.elapsedBefore(b.Clock.Now(), t.expires) {
+		t.tokens = 0
+	}
+	t.tokens += tokens
+	t.expires = expires
+}
+
+func (b *Buyer) ask(ctx context.Context, id fescuebank.TeamID, ahead int, reply *fescuebank.BuyReply) error {
+	owner, ok := b.Owners.Owner(id)
+	if !ok {
+		return fescuebank.ErrNotOwner
+	}
+	request := &fescuebank.BuyRequest{Team: id, Need: 1, Ahead: ahead}
+	if owner == b.Self {
+		sold, err := b.sell(request)
+		if err == nil {
+			*reply = *sold
+		}
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, buyTimeout)
+	defer cancel()
+	return b.Caller.Call(ctx, owner.ID, fescuebank.KindBuy, request, reply)
+}
+
+// Handle answers a BuyRequest of another instance.
+func (b *Buyer) Handle(_ context.Context, decode func(into any) error) (any, error) {
+	var request fescuebank.BuyRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	return b.sell(&request)
+}
+
+// sell answers as the owner of the team.
+func (b *Buyer) sell(r *fescuebank.BuyRequest) (*fescuebank.BuyReply, error) {
+	q, ok := b.quota(r.Team)
+	if !ok || !b.Owners.Holds(r.Team) {
+		return nil, fescuebank.ErrNotOwner
+	}
+	sold := fescuebank.SoldQuota(q)
+	if b.Seller.Began(r.Team) == 0 {
+		epoch, acts := b.Owners.Acts(r.Team)
+		if !acts {
+			return nil, errNotYet
+		}
+		b.Seller.Begin(r.Team, epoch, sold, epoch == 1)
+		b.Log.Info("Bucket begins.", "team", string(r.Team), "epoch", uint64(epoch))
+	}
+	count, wait := b.Seller.Sell(r.Team, sold, r.Need, r.Ahead)
+	return &fescuebank.BuyReply{Count: count, Wait: int64(wait)}, nil
+}
+
+// errNotYet means that a former owner may still sell.
+var errNotYet = errors.New("former owner may still sell")
+
+// Reassign drops the buckets of teams that this run doesn't own any more. It is
+// called before a new list is acknowledged.
+func (b *Buyer) Reassign() {
+	t := b.Table()
+	if t == nil {
+		return
+	}
+	for id := range t.Teams {
+		if owner, ok := b.Owners.Owner(id); ok && owner != b.Self {
+			b.Seller.End(id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operate/hoster/hoster.go
@@ -0,0 +1,257 @@
+// Package hoster runs an instance on a platform that lists the configuration
+// and the endpoints itself.
+package hoster
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"fescuebank"
+	"fescuebank/internal/batch/depositor"
+	"fescuebank/internal/batch/envoy"
+	"fescuebank/internal/batch/runner"
+	"fescuebank/internal/batch/steward"
+	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/entry/allotter"
+	"fescuebank/internal/entry/relayer"
+	"fescuebank/internal/fleet/elector"
+	"fescuebank/internal/fleet/follower"
+	"fescuebank/internal/fleet/roster"
+	"fescuebank/internal/limit/buyer"
+	"fescuebank/internal/limit/seller"
+	"fescuebank/internal/wire/detourer"
+	"fescuebank/internal/wire/linker"
+)
+
+// Platform is what the platform's adapter brings.
+type Platform struct {
+	// Store is the object API. Reconnect gives up all its connections.
+	Store     fescuebank.ObjectStore
+	Reconnect func()
+	// ConfigKey is the configuration's key; the prefixes are those of the
+	// configuration and of the endpoints.
+	ConfigKey      string
+	ConfigPrefix   string
+	EndpointPrefix string
+	DecodeConfig   func(value []byte) (table *fescuebank.RouteTable, skipped []error, err error)
+	DecodeEndpoint func(o fescuebank.Object) (fescuebank.ServedEndpoint, error)
+	Protocol       fescuebank.EndpointProtocol
+	// Handlers returns the callers' side.
+	Handlers func(Entry) Handlers
+}
+
+// Handlers are the callers' side of an instance.
+type Handlers struct {
+	Callers   http.Handler
+	Ready     http.Handler
+	Addresses http.Handler
+}
+
+// Entry is what the callers' side works with.
+type Entry struct {
+	// Table returns the configuration in force, or nil while none is known.
+	Table     func() *fescuebank.RouteTable
+	Relayer   *relayer.Relayer
+	Admitter  *buyer.Buyer
+	Batch     *envoy.Envoy
+	Addresses func(zone fescuebank.Zone) []string
+	Ready     func() bool
+	Leaving   func() bool
+	Clock     fescuebank.Clock
+	Log       hclog.Logger
+}
+
+// Hoster is one instance.
+type Hoster struct {
+	settings *fescuebank.Settings
+	platform Platform
+	clock    fescuebank.Clock
+	log      hclog.Logger
+	self     fescuebank.MemberEntry
+
+	table   atomic.Pointer[fescuebank.RouteTable]
+	leaving atomic.Bool
+	flights atomic.Int64
+
+	linker    *linker.Linker
+	roster    *roster.Roster
+	config    *follower.Follower
+	endpoints *follower.Follower
+	members   *follower.Follower
+	owners    *follower.Follower
+	elector   *elector.Elector
+	allotter  *allotter.Allotter
+	exchanger *exchanger.Exchanger
+	buyer     *buyer.Buyer
+	steward   *steward.Steward
+	runner    *runner.Runner
+	entry     Entry
+	// catching is set while newer state is fetched from a peer.
+	catching atomic.Bool
+}
+
+// New makes an instance and opens its address for peers.
+func New(s *fescuebank.Settings, p Platform, clock fescuebank.Clock, log hclog.Logger) (*Hoster, error) {
+	h := &Hoster{settings: s, platform: p, clock: clock, log: log}
+	h.self = fescuebank.MemberEntry{
+		ID: s.Instance.ID, Incarnation: fescuebank.Incarnation(fescuebank.NewRandomID("")), Zone: s.Instance.Zone,
+		PeerAddr: s.Listen.Peers, Owner: s.Roles.Owner, Weight: s.Instance.Weight,
+	}
+	if s.Roles.Entry {
+		h.self.CallerAddr = s.Listen.Callers
+	}
+	var err error
+	if h.linker, err = linker.New(s.Listen.Peers, clock, h.part("link")); err != nil {
+		return nil, eris.Wrap(err, "hoster.New")
+	}
+	if err := h.build(); err != nil {
+		return nil, eris.Wrap(err, "hoster.New")
+	}
+	return h, nil
+}
+
+func (h *Hoster) part(name string) hclog.Logger {
+	return h.log.Named(name)
+}
+
+func (h *Hoster) build() error {
+	h.buildFleet()
+	me := fescuebank.Holder{ID: h.self.ID, Incarnation: h.self.Incarnation}
+	h.exchanger = exchanger.New(h.platform.Protocol, h.clock)
+	h.allotter = allotter.New(h.self.Zone, h.clock, h.roster.Kick)
+	calls := detourer.New(h.linker, h.roster)
+	h.linker.Handle(fescuebank.KindDetour, calls.Handle)
+	h.linker.Handle(fescuebank.KindMirror, h.handleMirror)
+	h.buyer = buyer.New(buyer.Config{
+		Self: me, Owners: h.elector, Caller: calls, Seller: seller.New(h.clock), Table: h.table.Load,
+		Clock: h.clock, Log: h.part("limit"),
+	})
+	h.linker.Handle(fescuebank.KindBuy, h.buyer.Handle)
+	deposits, err := depositor.New(h.platform.Store, h.clock)
+	if err != nil {
+		return err
+	}
+	h.steward = steward.New(steward.Config{
+		Owns: func(team fescuebank.TeamID) bool {
+			owner, ok := h.elector.Owner(team)
+			return ok && owner == me && !h.leaving.Load()
+		},
+		Depositor: deposits, Table: h.table.Load, Clock: h.clock, Log: h.part("batch"),
+		Kick: func() { h.runner.Kick() },
+	})
+	h.runner = runner.New(runner.Config{
+		Steward: h.steward, Allotter: h.allotter, Exchanger: h.exchanger, Protocol: h.platform.Protocol,
+		OthersBatch: h.othersBatch, Clock: h.clock, Log: h.part("run"),
+	})
+	batch := envoy.New(envoy.Config{
+		Self: me, Owners: h.elector, Caller: calls, Steward: h.steward, Depositor: deposits, Clock: h.clock, Log: h.part("batch"),
+	})
+	h.linker.Handle(fescuebank.KindSubmit, batch.HandleSubmit)
+	h.linker.Handle(fescuebank.KindRead, batch.HandleRead)
+	h.linker.Handle(fescuebank.KindItem, batch.HandleItem)
+	h.linker.Handle(fescuebank.KindEnd, batch.HandleEnd)
+	h.entry = Entry{
+		Table: h.table.Load,
+		Relayer: relayer.New(relayer.Config{
+			Allotter: h.allotter, Exchanger: h.exchanger, Protocol: h.platform.Protocol, Clock: h.clock, Log: h.part("entry"),
+		}),
+		Admitter: h.buyer, Batch: batch, Addresses: h.addresses, Ready: h.ready, Leaving: h.leaving.Load,
+		Clock: h.clock, Log: h.part("entry"),
+	}
+	return nil
+}
+
+func (h *Hoster) buildFleet() {
+	store := h.platform.Store
+	h.roster = roster.New(roster.Config{
+		Self: h.self, Store: store, Linker: h.linker, Clock: h.clock, Log: h.part("fleet"),
+		Fill: h.fillNews, Heard: h.heard, Silent: h.reconnect,
+	})
+	h.elector = elector.New(elector.Config{
+		Self: h.self, Store: store, Members: h.roster, Clock: h.clock, Log: h.part("owner"), Changed: h.reassign,
+	})
+	h.config = follower.New(store, h.platform.ConfigPrefix, h.clock, h.part("config"), h.applyConfig)
+	h.endpoints = follower.New(store, h.platform.EndpointPrefix, h.clock, h.part("endpoint"), h.applyEndpoints)
+	h.members = follower.New(store, fescuebank.MemberPrefix, h.clock, h.part("fleet"), h.roster.Apply)
+	h.owners = follower.New(store, fescuebank.OwnerListPrefix, h.clock, h.part("owner"), h.applyOwners)
+}
+
+// Run serves until ctx ends, then leaves without cutting a request.
+func (h *Hoster) Run(ctx context.Context) error {
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group sync.WaitGroup
+	for _, run := range []func(context.Context){
+		h.linker.Run, h.config.Run, h.endpoints.Run, h.members.Run, h.owners.Run, h.roster.Run, h.elector.Run,
+	} {
+		group.Go(func() { run(parts) })
+	}
+	if h.settings.Roles.Owner {
+		group.Go(func() { h.runner.Run(parts) })
+	}
+	var servers []*http.Server
+	if h.settings.Roles.Entry {
+		started, err := h.serve()
+		if err != nil {
+			return err
+		}
+		servers = started
+	}
+	h.log.Info("Instance serves.", "instance", string(h.self.ID), "incarnation", string(h.self.Incarnation),
+		"callers", h.self.CallerAddr, "peers", h.self.PeerAddr, "owner", h.self.Owner)
+	<-ctx.Done()
+	h.leave(servers)
+	stop()
+	group.Wait()
+	h.log.Info("Instance left.", "instance", string(h.self.ID))
+	return nil
+}
+
+// readHeaderTimeout and idleTimeout bound connections of callers.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 30 * time.Second
+)
+
+// serve opens the callers' addresses. The last server returned is that of requests.
+func (h *Hoster) serve() ([]*http.Server, error) {
+	handlers := h.platform.Handlers(h.entry)
+	var servers []*http.Server
+	for _, part := range []struct {
+		addr    string
+		handler http.Handler
+	}{
+		{h.settings.Listen.Ready, handlers.Ready},
+		{h.settings.Listen.Addresses, handlers.Addresses},
+		{h.settings.Listen.Callers, h.count(handlers.Callers)},
+	} {
+		l, err := net.Listen("tcp", part.addr)
+		if err != nil {
+			return nil, eris.Wrap(err, "Hoster.serve")
+		}
+		server := &http.Server{
+			Handler: part.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: int(h.settings.Limits.HeaderBytes),
+			ErrorLog:       h.part("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		}
+		servers = append(servers, server)
+		go func() { _ = server.Serve(l) }()
+	}
+	return servers, nil
+}
+
+// count keeps the number of requests in flight.
+func (h *Hoster) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.flights.Add(1)
+		defer h.flights.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/operate/hoster/state.go
@@ -0,0 +1,247 @@
+package hoster
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fescuebank"
+)
+
+const (
+	// maxAddresses is how many addresses an answer to a caller holds.
+	maxAddresses = 64
+	// catchUpAfter is how long newer state may be missing before a peer is asked.
+	catchUpAfter = 250 * time.Millisecond
+	// catchUpTimeout bounds the call to the peer.
+	catchUpTimeout = 500 * time.Millisecond
+	// leaveAtLeast is how long a leaving instance goes on to serve callers that
+	// hold an older answer of addresses.
+	leaveAtLeast = 2500 * time.Millisecond
+	// leaveMargin is kept between the end of leaving and the end of the grace.
+	leaveMargin = 900 * time.Millisecond
+	// leaveLook is how often a leaving instance looks whether it is idle.
+	leaveLook = 100 * time.Millisecond
+)
+
+func (h *Hoster) applyConfig(objects []fescuebank.Object) {
+	for _, o := range objects {
+		if o.Key != h.platform.ConfigKey {
+			continue
+		}
+		table, skipped, err := h.platform.DecodeConfig(o.Value)
+		if err != nil {
+			h.part("config").Error("Configuration not read.", "version", uint64(o.Version), "err", err.Error())
+			return
+		}
+		for _, err := range skipped {
+			h.part("config").Warn("Route left out.", "err", err.Error())
+		}
+		current := h.table.Load()
+		if current != nil && table.Version <= current.Version {
+			return
+		}
+		h.table.Store(table)
+		h.part("config").Info("Configuration in force.", "version", uint64(table.Version), "revision", uint64(o.Version), "teams", len(table.Teams))
+		h.roster.Kick()
+		h.reassign()
+	}
+}
+
+func (h *Hoster) applyEndpoints(objects []fescuebank.Object) {
+	var list []fescuebank.ServedEndpoint
+	for _, o := range objects {
+		e, err := h.platform.DecodeEndpoint(o)
+		if err != nil {
+			h.part("endpoint").Warn("Entry of an endpoint is left out.", "key", o.Key, "err", err.Error())
+			continue
+		}
+		list = append(list, e)
+	}
+	h.allotter.SetEndpoints(list)
+	h.part("endpoint").Info("Endpoints known.", "endpoints", len(list), "revision", uint64(h.endpoints.Newest()))
+	h.roster.Kick()
+	h.runner.Kick()
+}
+
+func (h *Hoster) applyOwners(objects []fescuebank.Object) {
+	for _, o := range objects {
+		if o.Key == fescuebank.OwnerListKey {
+			h.elector.Apply(o, time.Time{})
+		}
+	}
+}
+
+// reassign takes in a new list of owners or new teams.
+func (h *Hoster) reassign() {
+	if h.steward == nil {
+		return
+	}
+	h.buyer.Reassign()
+	h.steward.Reassign()
+	h.roster.Kick()
+}
+
+// fillNews completes what this instance tells the others.
+func (h *Hoster) fillNews(n *fescuebank.News) {
+	counts, waiting := h.allotter.Counts()
+	if h.settings.Roles.Entry {
+		n.Online, n.Waiting = counts, waiting
+	} else {
+		n.Batch = counts
+	}
+	n.Ready = h.ready()
+	n.Leaving = h.leaving.Load()
+	n.Config, n.Endpoints = h.config.Newest(), h.endpoints.Newest()
+	n.Epoch = h.elector.Epoch()
+}
+
+// heard takes in the news of a peer.
+func (h *Hoster) heard(n *fescuebank.News) {
+	h.elector.Acknowledge(fescuebank.Holder{ID: n.From, Incarnation: n.Incarnation}, n.Epoch)
+	online, batch, waiting := h.roster.Others()
+	online.Add(batch)
+	h.allotter.SetOthers(online, waiting)
+	h.runner.Kick()
+	if n.Config > h.config.Newest() || n.Endpoints > h.endpoints.Newest() {
+		h.catchUp(n)
+	}
+}
+
+// catchUp reads what a peer knows and this instance doesn't: from the store, or
+// else from the peer.
+func (h *Hoster) catchUp(n *fescuebank.News) {
+	if !h.catching.CompareAndSwap(false, true) {
+		return
+	}
+	from, config, endpoints := n.From, n.Config, n.Endpoints
+	go func() {
+		defer h.catching.Store(false)
+		ctx := context.Background()
+		_ = fescuebank.Sleep(ctx, h.clock, catchUpAfter)
+		h.config.Hint(config)
+		h.endpoints.Hint(endpoints)
+		_ = fescuebank.Sleep(ctx, h.clock, catchUpAfter)
+		if config > h.config.Newest() {
+			h.adopt(ctx, from, h.platform.ConfigPrefix)
+		}
+		if endpoints > h.endpoints.Newest() {
+			h.adopt(ctx, from, h.platform.EndpointPrefix)
+		}
+	}()
+}
+
+// mirrorRequest asks a peer for its mirror of a prefix.
+type mirrorRequest struct {
+	Prefix string `cbor:"1,keyasint"`
+}
+
+// mirrorReply holds the objects of a mirror.
+type mirrorReply struct {
+	Objects []fescuebank.Object `cbor:"1,keyasint"`
+}
+
+// adopt takes in a peer's mirror.
+func (h *Hoster) adopt(ctx context.Context, from fescuebank.InstanceID, prefix string) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	for _, p := range h.roster.Peers() {
+		if p.ID != from {
+			continue
+		}
+		var reply mirrorReply
+		if err := h.linker.Call(ctx, p.PeerAddr, fescuebank.KindMirror, &mirrorRequest{Prefix: prefix}, &reply); err != nil {
+			h.log.Debug("Mirror of a peer not read.", "peer", string(from), "err", err.Error())
+			return
+		}
+		h.log.Info("Mirror of a peer taken in.", "peer", string(from), "prefix", prefix, "objects", len(reply.Objects))
+		if prefix == h.platform.ConfigPrefix {
+			h.config.Adopt(reply.Objects)
+			return
+		}
+		h.endpoints.Adopt(reply.Objects)
+	}
+}
+
+func (h *Hoster) handleMirror(_ context.Context, decode func(into any) error) (any, error) {
+	var request mirrorRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	if request.Prefix == h.platform.ConfigPrefix {
+		return &mirrorReply{Objects: h.config.Objects()}, nil
+	}
+	return &mirrorReply{Objects: h.endpoints.Objects()}, nil
+}
+
+// reconnect gives up connections that may have fallen silent like those to peers.
+func (h *Hoster) reconnect() {
+	h.log.Warn("Connections fell silent; all are made anew.")
+	h.platform.Reconnect()
+	h.exchanger.DropAll()
+	for _, f := range []interface{ Restart() }{h.config, h.endpoints, h.members, h.owners} {
+		f.Restart()
+	}
+}
+
+// othersBatch returns the number of batch items that other instances run.
+func (h *Hoster) othersBatch() int {
+	_, batch, _ := h.roster.Others()
+	sum := 0
+	for _, n := range batch {
+		sum += n
+	}
+	return sum
+}
+
+// ready reports whether this instance takes requests.
+func (h *Hoster) ready() bool {
+	return h.settings.Roles.Entry && h.table.Load() != nil && h.endpoints.Listed() && !h.leaving.Load()
+}
+
+// addresses returns the callers' addresses of the instances to use.
+func (h *Hoster) addresses(fescuebank.Zone) []string {
+	var list []string
+	if h.ready() {
+		list = append(list, h.self.CallerAddr)
+	}
+	for _, p := range h.roster.Peers() {
+		if p.CallerAddr != "" && p.Alive && p.News.Ready && !p.News.Leaving && len(list) < maxAddresses {
+			list = append(list, p.CallerAddr)
+		}
+	}
+	return list
+}
+
+// leave ends the instance: out of the addresses first, then ownership, then the
+// requests in flight, then the entry.
+func (h *Hoster) leave(servers []*http.Server) {
+	began := h.clock.Now()
+	h.log.Info("Instance leaves.", "instance", string(h.self.ID), "inFlight", h.flights.Load(), "items", h.runner.Running())
+	h.leaving.Store(true)
+	h.roster.Send()
+	h.elector.SetLeaving()
+	h.runner.Stop()
+	h.steward.Reassign()
+	ctx := context.Background()
+	until := began.Add(h.settings.Timing.Grace - leaveMargin)
+	for h.clock.Now().Before(until) {
+		idle := h.flights.Load() == 0 && h.clock.Now().Sub(began) >= leaveAtLeast
+		if idle || (len(servers) == 0 && h.hasHandedOver()) {
+			break
+		}
+		_ = fescuebank.Sleep(ctx, h.clock, leaveLook)
+	}
+	ctx, cancel := context.WithDeadline(ctx, began.Add(h.settings.Timing.Grace-leaveMargin/2))
+	defer cancel()
+	for _, s := range servers {
+		_ = s.Shutdown(ctx) // What is left at the end of the grace is cut.
+	}
+	h.roster.Leave(ctx)
+}
+
+// hasHandedOver reports whether the list of owners doesn't name this run.
+func (h *Hoster) hasHandedOver() bool {
+	l := h.elector.List()
+	return l == nil || !l.Has(fescuebank.Holder{ID: h.self.ID, Incarnation: h.self.Incarnation})
+}
--- /dev/null
+++ b/internal/wire/linker/codec.go
@@ -0,0 +1,99 @@
+package linker
+
+import (
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"fescuebank"
+)
+
+// Errors of the protocol.
+var (
+	errUnknownKind = errors.New("unknown message kind")
+	errFailed      = errors.New("peer failed")
+)
+
+// outcome is the first byte of a reply.
+type outcome byte
+
+const (
+	outcomeDone outcome = iota
+	outcomeNotOwner
+	outcomeRefused
+	outcomeFailed
+)
+
+// maxElements bounds what a message may make the receiver allocate.
+const maxElements = 1 << 16
+
+var decoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: 16}.DecMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return mode
+}()
+
+// refusal is a fescuebank.Refusal on the wire.
+type refusal struct {
+	Status     int                    `cbor:"1,keyasint"`
+	Code       fescuebank.RefusalCode `cbor:"2,keyasint"`
+	Message    string                 `cbor:"3,keyasint"`
+	State      fescuebank.RunState    `cbor:"4,keyasint"`
+	RetryAfter time.Duration          `cbor:"5,keyasint,omitempty"`
+}
+
+func encodeBody(message any) ([]byte, error) {
+	return cbor.Marshal(message)
+}
+
+func decodeBody(body []byte, into any) error {
+	return decoder.Unmarshal(body, into)
+}
+
+func encodeReply(reply any) []byte {
+	body, err := encodeBody(reply)
+	if err != nil {
+		return encodeFailure(err)
+	}
+	return append([]byte{byte(outcomeDone)}, body...)
+}
+
+func encodeFailure(err error) []byte {
+	if errors.Is(err, fescuebank.ErrNotOwner) {
+		return []byte{byte(outcomeNotOwner)}
+	}
+	var r *fescuebank.Refusal
+	if errors.As(err, &r) {
+		if body, err := encodeBody(refusal(*r)); err == nil {
+			return append([]byte{byte(outcomeRefused)}, body...)
+		}
+	}
+	return append([]byte{byte(outcomeFailed)}, err.Error()...)
+}
+
+func decodeReply(answer []byte, reply any) error {
+	if len(answer) == 0 {
+		return fescuebank.ErrPeerLost
+	}
+	switch outcome(answer[0]) {
+	case outcomeDone:
+		if err := decodeBody(answer[1:], reply); err != nil {
+			return eris.Wrapf(fescuebank.ErrPeerLost, "reply: %v", err)
+		}
+		return nil
+	case outcomeNotOwner:
+		return fescuebank.ErrNotOwner
+	case outcomeRefused:
+		var r refusal
+		if err := decodeBody(answer[1:], &r); err != nil {
+			return eris.Wrapf(fescuebank.ErrPeerLost, "refusal: %v", err)
+		}
+		refused := fescuebank.Refusal(r)
+		return &refused
+	}
+	return eris.Wrap(errFailed, string(answer[1:]))
+}
--- /dev/null
+++ b/news.go
@@ -0,0 +1,63 @@
+package fescuebank
+
+import "github.com/cespare/xxhash/v2"
+
+// EndpointTag is a short name of an endpoint for messages between instances.
+// Two endpoints may share one; counts are then seen too high.
+type EndpointTag uint32
+
+// Tag returns the short name of an endpoint.
+func (e EndpointID) Tag() EndpointTag {
+	return EndpointTag(xxhash.Sum64String(string(e)))
+}
+
+// EndpointCounts are numbers of requests by endpoint.
+type EndpointCounts map[EndpointTag]int
+
+// Add adds other to c.
+func (c EndpointCounts) Add(other EndpointCounts) {
+	for tag, n := range other {
+		c[tag] += n
+	}
+}
+
+// News is what an instance tells all others, at each change and regularly.
+type News struct {
+	From        InstanceID  `cbor:"1,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
+	// Sequence grows with each message of an incarnation.
+	Sequence uint64 `cbor:"3,keyasint"`
+	// Ready instances take callers' requests; Leaving ones are about to end.
+	Ready   bool `cbor:"4,keyasint,omitempty"`
+	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// Online and Batch count the requests that the instance has at endpoints.
+	Online EndpointCounts `cbor:"6,keyasint,omitempty"`
+	Batch  EndpointCounts `cbor:"7,keyasint,omitempty"`
+	// Waiting is the number of online requests that wait for a place.
+	Waiting int `cbor:"8,keyasint,omitempty"`
+	// Config and Endpoints are the newest store versions taken in.
+	Config    StoreVersion `cbor:"9,keyasint"`
+	Endpoints StoreVersion `cbor:"10,keyasint"`
+	// Heard holds the newest sequence received from each instance. It is left
+	// out of messages that only tell a change.
+	Heard map[InstanceID]uint64 `cbor:"11,keyasint,omitempty"`
+	// Epoch is that of the newest list of owners applied.
+	Epoch FencingNumber `cbor:"12,keyasint,omitempty"`
+}
+
+// MemberEntry is an instance's entry in the store.
+type MemberEntry struct {
+	ID          InstanceID  `json:"id"`
+	Incarnation Incarnation `json:"incarnation"`
+	Zone        Zone        `json:"zone"`
+	// CallerAddr is where callers connect, empty if the instance takes none.
+	CallerAddr string `json:"callerAddr,omitempty"`
+	PeerAddr   string `json:"peerAddr"`
+	// Owner instances own batch jobs and limits.
+	Owner bool `json:"owner,omitempty"`
+	// Weight is the capacity relative to other instances.
+	Weight float64 `json:"weight"`
+}
+
+// MemberPrefix is the store prefix of the instances' entries.
+const MemberPrefix = "instances/"
--- /dev/null
+++ b/owners.go
@@ -0,0 +1,110 @@
+package fescuebank
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// OwnerListKey is the store key of the list of owners.
+const OwnerListKey = OwnerListPrefix + "list"
+
+// OwnerListPrefix is the store prefix of the list of owners.
+const OwnerListPrefix = "owners/"
+
+// OwnerList names the runs that own teams: each team's limits and batch jobs
+// have one owner. It is written by conditional write only.
+type OwnerList struct {
+	// Epoch is one more than that of the list it replaces.
+	Epoch FencingNumber `json:"epoch"`
+	// Owners are the runs that may own, by id.
+	Owners []Holder `json:"owners"`
+	// Previous are the owners of the list before. All of them but those in Former
+	// had applied that list when this one was written.
+	Previous []Holder `json:"previous,omitempty"`
+	// Former are runs that left the list and may still act by an older one.
+	Former []Holder `json:"former,omitempty"`
+	// Floors are the runs that hold the floor slots. A slot without a holder is
+	// empty; the number of slots never shrinks.
+	Floors []Holder `json:"floors"`
+	// FloorsSince is the epoch at which the number of slots last grew.
+	FloorsSince FencingNumber `json:"floorsSince"`
+}
+
+// Owner returns the run that owns a team, by rendezvous hashing over the ids.
+func (l *OwnerList) Owner(team TeamID) (Holder, bool) {
+	return chooseOwner(l.Owners, team)
+}
+
+// Predecessors returns the runs that may have owned a team before the list.
+func (l *OwnerList) Predecessors(team TeamID) []Holder {
+	list := slices.Clone(l.Former)
+	if before, ok := chooseOwner(l.Previous, team); ok {
+		list = append(list, before)
+	}
+	return list
+}
+
+func chooseOwner(owners []Holder, team TeamID) (Holder, bool) {
+	var best Holder
+	var bestScore uint64
+	for _, h := range owners {
+		score := xxhash.Sum64String(string(team) + "/" + string(h.ID))
+		if best.ID == "" || score > bestScore {
+			best, bestScore = h, score
+		}
+	}
+	return best, best.ID != ""
+}
+
+// Has reports whether the run is an owner.
+func (l *OwnerList) Has(h Holder) bool {
+	return slices.Contains(l.Owners, h)
+}
+
+// FloorSlot returns the floor slot of a run, or -1.
+func (l *OwnerList) FloorSlot(h Holder) int {
+	return slices.Index(l.Floors, h)
+}
+
+// floorShare is the part of a team's quota that is dealt out over the floor
+// slots, to be used there without asking the owner.
+const floorShare = 0.25
+
+// FloorQuota returns the part of a team's quota that is dealt out over all floor
+// slots. Its burst is whole requests; a team whose burst is too small has none.
+func FloorQuota(q Quota) Quota {
+	whole := Requests(int(float64(q.Burst) * floorShare))
+	if whole < 1 {
+		return Quota{}
+	}
+	return Quota{Rate: RequestRate(float64(q.Rate) * floorShare), Burst: whole}
+}
+
+// SoldQuota returns the part of a team's quota that its owner sells.
+func SoldQuota(q Quota) Quota {
+	floor := FloorQuota(q)
+	return Quota{Rate: q.Rate - floor.Rate, Burst: q.Burst - floor.Burst}
+}
+
+// SlotQuota returns the part of a team's quota that one of the floor slots has.
+func SlotQuota(team TeamID, q Quota, slot, slots int) Quota {
+	floor := FloorQuota(q)
+	part := SlotPart(team, floor, slot, slots)
+	return Quota{Rate: RequestRate(float64(floor.Rate) * part), Burst: Requests(float64(floor.Burst) * part)}
+}
+
+// BuyRequest asks the owner of a team for tokens.
+type BuyRequest struct {
+	Team TeamID `cbor:"1,keyasint"`
+	// Need is the number of requests that wait; Ahead more may be used soon.
+	Need  int `cbor:"2,keyasint"`
+	Ahead int `cbor:"3,keyasint,omitempty"`
+}
+
+// BuyReply answers a BuyRequest.
+type BuyReply struct {
+	Count int `cbor:"1,keyasint"`
+	// Wait is when the next token accrues, if Count is below the need.
+	Wait int64 `cbor:"2,keyasint,omitempty"`
+}
--- a/peer.go
+++ b/peer.go
@@ -22,6 +22,14 @@
 	KindSuspect
 	KindPermit
 	KindInherit
+	KindNews
+	KindBuy
+	KindSubmit
+	KindRead
+	KindItem
+	KindEnd
+	KindDetour
+	KindMirror
 )
 
 // ProbeRequest asks whether an instance is alive and passes knowledge on.
--- /dev/null
+++ b/route.go
@@ -0,0 +1,175 @@
+package fescuebank
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// RouteKind says what may be repeated of the requests on a route.
+type RouteKind uint8
+
+// The kinds of routes.
+const (
+	RouteIdempotent RouteKind = iota + 1
+	RouteNonIdempotent
+	RouteStreaming
+	RouteBatch
+)
+
+// ServiceShare is the part of a route's requests that goes to one service.
+type ServiceShare struct {
+	Service ServiceName
+	// Weight is relative to the other shares of the route, 0 or more.
+	Weight int
+}
+
+// Route sends the requests of one host below one path prefix to services.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   RouteKind
+	// Resumable streams may go on at another endpoint after a break.
+	Resumable bool
+	// Timeout is the longest time a caller waits for the end of the answer.
+	Timeout time.Duration
+	// Objective is the time to the first byte of the answer that callers expect.
+	Objective time.Duration
+	// GapObjective is the longest pause within a stream that callers expect.
+	GapObjective time.Duration
+	// Priority is the rank of the route, 0 for the most urgent.
+	Priority int
+	// Shares has at least one entry.
+	Shares []ServiceShare
+	// Attempts is how many endpoints may run one request, 1 or more.
+	Attempts int
+	// Open routes need no key.
+	Open bool
+	// Cap bounds the waiting tokens of a team's batch jobs; 0 means no bound.
+	Cap Tokens
+	// RunObjective is the time from the first submission of a batch job to its
+	// last result that callers expect.
+	RunObjective time.Duration
+	// Retention is how long after its first submission an item of a batch job is
+	// kept before it may be given up.
+	Retention time.Duration
+}
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == RouteIdempotent || r.Kind == RouteBatch || (r.Kind == RouteStreaming && r.Resumable)
+}
+
+// Serves reports whether the route sends requests to a service.
+func (r *Route) Serves(service ServiceName) bool {
+	return slices.ContainsFunc(r.Shares, func(s ServiceShare) bool { return s.Service == service })
+}
+
+// Choose returns the service for a number drawn evenly from 0 to 1.
+func (r *Route) Choose(drawn float64) ServiceName {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	left := drawn * float64(total)
+	for _, s := range r.Shares {
+		left -= float64(s.Weight)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// RoutedService is a group of endpoints that routes name.
+type RoutedService struct {
+	Name ServiceName
+	// HealthPath is where an endpoint tells whether it is healthy.
+	HealthPath string
+	// MaxConnections bounds the connections to one endpoint, all instances together.
+	MaxConnections int
+	// CacheTokens is the memory of one endpoint; 0 if it runs no model.
+	CacheTokens Tokens
+}
+
+// TeamGrant is what a team may do.
+type TeamGrant struct {
+	ID    TeamID
+	Quota Quota
+	// Priority goes before that of a route where HasPriority is set.
+	Priority    int
+	HasPriority bool
+}
+
+// CallerLimits bound what callers may send.
+type CallerLimits struct {
+	HeaderBytes   Bytes
+	BodyBytes     Bytes
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// RouteTable is one version of the configuration of routes. It is never
+// changed once made.
+type RouteTable struct {
+	Version  Generation
+	Services map[ServiceName]RoutedService
+	// Teams is empty where requests need no key.
+	Teams  map[TeamID]TeamGrant
+	Keys   map[KeyHash]TeamID
+	Limits CallerLimits
+	// hosts holds the routes of each host, longest prefix first.
+	hosts map[string][]Route
+}
+
+// SetRoutes indexes the routes of a table that is being made.
+func (t *RouteTable) SetRoutes(routes []Route) {
+	t.hosts = make(map[string][]Route)
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+}
+
+// Match returns the route of a host and path.
+func (t *RouteTable) Match(host, path string) (*Route, bool) {
+	list := t.hosts[strings.ToLower(host)]
+	for i := range list {
+		if strings.HasPrefix(path, list[i].Prefix) {
+			return &list[i], true
+		}
+	}
+	return nil, false
+}
+
+// HasHost reports whether a route has the host.
+func (t *RouteTable) HasHost(host string) bool {
+	return len(t.hosts[strings.ToLower(host)]) > 0
+}
+
+// TeamOf returns the team that a key belongs to.
+func (t *RouteTable) TeamOf(key string) (TeamID, bool) {
+	team, ok := t.Keys[HashKey(key)]
+	return team, ok
+}
+
+// ServedEndpoint is an endpoint that announced itself.
+type ServedEndpoint struct {
+	ID      EndpointID
+	Service ServiceName
+	// Addr is IP:PORT.
+	Addr string
+	Zone Zone
+	// Slots is how many requests it runs at once, 1 or more.
+	Slots int
+	// Leaving endpoints take no new requests.
+	Leaving bool
+	// Started is when the run of the endpoint began, in Unix milliseconds; a
+	// later run of the same id knows nothing of the former.
+	Started int64
+}
--- a/settings.go
+++ b/settings.go
@@ -37,10 +37,17 @@
 	Peers     string `ini:"peers"`
 	// CallersURL is what callers are told; empty means http://CALLERS.
 	CallersURL string `ini:"callersUrl"`
+	// Ready answers whether the instance is ready; Addresses tells callers which
+	// instances to use. Both are used with the platform kind "objects" alone.
+	Ready     string `ini:"ready"`
+	Addresses string `ini:"addresses"`
 }
 
 // PlatformSettings are section [platform].
 type PlatformSettings struct {
+	// Kind is "own" for the object API of this project, or "objects" for the one
+	// of deployments whose configuration and endpoints are objects there.
+	Kind string `ini:"kind"`
 	// URL is the base address of the object API and the instance list.
 	URL string `ini:"url"`
 	// WeightsURL is the base address of the weight store.
@@ -94,6 +101,8 @@
 	BatchHeadroom float64 `ini:"batchHeadroom"`
 	// ClockError bounds how far clock rates differ between instances, as a share.
 	ClockError float64 `ini:"clockError"`
+	// MemoryMiB is the memory of the machine; 0 means unknown.
+	MemoryMiB int `ini:"memoryMiB"`
 }
 
 // TimingSettings are section [timing], in Go's duration format.
@@ -121,6 +130,8 @@
 	OrderFlight time.Duration `ini:"orderFlight"`
 	// ConfigStale is how long without store and peers makes keyed work refused.
 	ConfigStale time.Duration `ini:"configStale"`
+	// Grace is how long a process may take to leave after SIGTERM.
+	Grace time.Duration `ini:"grace"`
 }
 
 // LogSettings are section [log].
@@ -145,16 +156,27 @@
 		Probe: time.Second, Suspect: 3 * time.Second, AddressTTL: 10 * time.Second,
 		OnlineDeadline: 2 * time.Minute, Silence: 5 * time.Second,
 		Commit: time.Second, ItemExpiry: 10 * time.Second,
-		OrderFlight: 5 * time.Second, ConfigStale: 10 * time.Second,
+		OrderFlight: 5 * time.Second, ConfigStale: 10 * time.Second, Grace: 8 * time.Second,
 	}
+	s.Platform.Kind = PlatformOwn
 	s.Log.Level = "info"
 }
 
 var sha256Pattern = regexp.MustCompile(`^[0-9a-fA-F]{64}$`)
 
+// The kinds of platform.
+const (
+	PlatformOwn     = "own"
+	PlatformObjects = "objects"
+)
+
 // Validate returns every fault as *Faults, or nil.
 func (s *Settings) Validate() error {
 	var f Faults
+	f.Check(s.Platform.Kind == PlatformOwn || s.Platform.Kind == PlatformObjects, "[platform] kind", "want own or objects")
+	if s.Platform.Kind == PlatformObjects {
+		return s.validateObjects()
+	}
 	f.Check(namePattern.MatchString(string(s.Instance.ID)), "[instance] id", "want letters, digits, dots, dashes or underscores")
 	f.Check(s.Instance.Zone != "", "[instance] zone", "want an availability zone")
 	f.Check(s.Instance.Region != "", "[instance] region", "want a region")
@@ -177,6 +199,27 @@
 	return f.Err()
 }
 
+// validateObjects checks the settings of an instance on a platform that lists
+// configuration and endpoints itself. Certificates and operators have no part there.
+func (s *Settings) validateObjects() error {
+	var f Faults
+	f.Check(namePattern.MatchString(string(s.Instance.ID)), "[instance] id", "want letters, digits, dots, dashes or underscores")
+	f.Check(s.Instance.Zone != "", "[instance] zone", "want an availability zone")
+	f.Check(s.Instance.Weight > 0, "[instance] weight", "want above 0")
+	checkAddr(&f, "[listen] peers", s.Listen.Peers)
+	if s.Roles.Entry {
+		checkAddr(&f, "[listen] callers", s.Listen.Callers)
+		checkAddr(&f, "[listen] ready", s.Listen.Ready)
+		checkAddr(&f, "[listen] addresses", s.Listen.Addresses)
+	}
+	checkURL(&f, "[platform] url", s.Platform.URL)
+	f.Check(s.Limits.MemoryMiB >= 0, "[limits] memoryMiB", "want 0 or more")
+	f.Check(s.Timing.Grace > 0, "[timing] grace", "want a duration above 0, such as 8s")
+	f.Check(s.Timing.AddressTTL > 0, "[timing] addressTtl", "want a duration above 0, such as 5s")
+	f.Check(logLevels[s.Log.Level], "[log] level", "want trace, debug, info, warn or error")
+	return f.Err()
+}
+
 var logLevels = map[string]bool{"trace": true, "debug": true, "info": true, "warn": true, "error": true}
 
 func (l *LimitSettings) validate(f *Faults) {
