--- a/cmd/fescuebankd/hosted.go
+++ b/cmd/fescuebankd/hosted.go
@@ -4,9 +4,14 @@
 	"context"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
 
 	"fescuebank"
+	"fescuebank/internal/config/loader"
 	"fescuebank/internal/operate/hoster"
 	"fescuebank/internal/operate/journaler"
 	"fescuebank/internal/operate/logger"
@@ -22,7 +27,7 @@
 
 // serveHosted runs an instance on a platform that lists the configuration and
 // the endpoints itself.
-func serveHosted(ctx context.Context, s *fescuebank.Settings) error {
+func serveHosted(ctx context.Context, path string, s *fescuebank.Settings) error {
 	if s.Limits.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(fescuebank.Bytes(s.Limits.MemoryMiB)*fescuebank.MiB)))
 	}
@@ -30,9 +35,9 @@
 	journal := journaler.New(os.Stdout, clock)
 	defer journal.Close()
 	log := logger.Logger{Settings: s.Log, Output: journal}.Open("fescuebank")
-	store := storer.New(s.Platform.URL)
+	store := storer.New(s.Platform.URL, clock)
 	h, err := hoster.New(s, hoster.Platform{
-		Store: store, Reconnect: store.Reconnect,
+		Store: store, Reconnect: store.Reconnect, OnBack: store.OnBack, State: store.State,
 		ConfigKey: decoder.ConfigKey, ConfigPrefix: decoder.ConfigPrefix, EndpointPrefix: decoder.EndpointPrefix,
 		DecodeConfig: decoder.Decoder{}.Config, DecodeEndpoint: decoder.Decoder{}.Endpoint, Protocol: caller.Caller{},
 		Handlers: func(e hoster.Entry) hoster.Handlers { return handlers(e, s) },
@@ -40,9 +45,31 @@
 	if err != nil {
 		return err
 	}
+	go reloadOnHangup(ctx, path, s, log.Named("settings"))
 	return h.Run(ctx)
 }
 
+// reloadOnHangup checks the settings file at each SIGHUP. Settings are read at
+// start; a change is told, and takes effect at the next start.
+func reloadOnHangup(ctx context.Context, path string, inForce *fescuebank.Settings, log hclog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		read, err := loader.Loader{}.Load(path)
+		if err != nil {
+			log.Warn("Settings not read again.", "err", err.Error())
+			continue
+		}
+		log.Info("Settings read again.", "changed", *read != *inForce)
+	}
+}
+
 // handlers returns the callers' side as the platform's callers speak it.
 func handlers(e hoster.Entry, s *fescuebank.Settings) hoster.Handlers {
 	g := gateway.New(gateway.Config{
--- a/cmd/fescuebankd/serve.go
+++ b/cmd/fescuebankd/serve.go
@@ -26,7 +26,7 @@
 		return err
 	}
 	if settings.Platform.Kind == fescuebank.PlatformObjects {
-		return serveHosted(ctx, settings)
+		return serveHosted(ctx, c.Settings, settings)
 	}
 	secure, err := certifier.Load(settings.TLS)
 	if err != nil {
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -19,17 +19,20 @@
 
 const (
 	// lease is how long a run acts after it has read the list.
-	lease = 8 * time.Second
+	lease = 6 * time.Second
 	// leaseMargin is kept between the end of acting and a takeover.
 	leaseMargin = 500 * time.Millisecond
 	// confirmInterval is how often a run that is listed reads the list.
-	confirmInterval = 2500 * time.Millisecond
+	confirmInterval = 1500 * time.Millisecond
 	// floorLife is how long a run uses its floor slot after it has read the list.
 	floorLife = 25 * time.Second
 	// tendInterval is how often the list is compared with the members.
 	tendInterval = 300 * time.Millisecond
 	// dropAfter is how long an owner is silent before it leaves the list.
 	dropAfter = 1500 * time.Millisecond
+	// storeSteady is how long the store must have answered here before owners that
+	// don't reach it leave the list.
+	storeSteady = 2 * time.Second
 	// formWait is how long the first list waits for members to be heard.
 	formWait = 1500 * time.Millisecond
 )
@@ -48,6 +51,11 @@
 	Log     hclog.Logger
 	// Changed is called after a new list was applied.
 	Changed func()
+	// ReadVia has another instance read the list from the store.
+	ReadVia func(ctx context.Context) (fescuebank.Object, error)
+	// StoreState reports whether the store answers here, and for how long it has
+	// or hasn't.
+	StoreState func() (answers bool, since time.Duration)
 }
 
 // Elector holds the newest list.
@@ -61,15 +69,18 @@
 	list *fescuebank.OwnerList
 	// version is the store's of the list.
 	version fescuebank.StoreVersion
-	// seen is when the list was first seen here, floorsSeen when its slots were.
-	seen       time.Time
+	// floorsSeen is when the number of floor slots was first seen here.
 	floorsSeen time.Time
+	// left is when each run was first seen off the list here.
+	left map[fescuebank.Holder]time.Time
 	// confirmed is when the newest read of the list was about to be sent.
 	confirmed time.Time
 	// acked is the newest epoch that each run is known to have applied.
 	acked map[fescuebank.Holder]fescuebank.FencingNumber
 	// silent is since when each listed owner has not been heard.
 	silent map[fescuebank.Holder]time.Time
+	// unseated is since when each holder of a floor slot has been no member.
+	unseated map[fescuebank.InstanceID]time.Time
 	// leaving makes this run leave the list.
 	leaving bool
 }
@@ -81,6 +92,9 @@
 		started: c.Clock.Now(), wake: make(chan struct{}, 1),
 		acked:  make(map[fescuebank.Holder]fescuebank.FencingNumber),
 		silent: make(map[fescuebank.Holder]time.Time),
+		left:   make(map[fescuebank.Holder]time.Time),
+
+		unseated: make(map[fescuebank.InstanceID]time.Time),
 	}
 }
 
@@ -158,7 +172,11 @@
 // hasStopped reports whether a run surely doesn't act by an older list. The
 // caller holds the lock.
 func (e *Elector) hasStopped(h fescuebank.Holder) bool {
-	return h == e.me || e.acked[h] >= e.list.Epoch || e.isSuperseded(h) || e.elapsed(e.seen) >= lease+leaseMargin
+	if h == e.me || e.acked[h] >= e.list.Epoch || e.isSuperseded(h) {
+		return true
+	}
+	left, ok := e.left[h]
+	return ok && e.elapsed(left) >= lease+leaseMargin
 }
 
 // isSuperseded reports whether a later run of the same instance is known, which
@@ -186,7 +204,7 @@
 	if e.list.FloorsSince > 1 && e.elapsed(e.floorsSeen) < floorLife {
 		return 0, 0, false
 	}
-	slot = e.list.FloorSlot(e.me)
+	slot = e.list.FloorSlot(e.me.ID)
 	return slot, len(e.list.Floors), slot >= 0
 }
 
@@ -207,7 +225,8 @@
 		if e.list == nil || e.list.FloorsSince != next.FloorsSince {
 			e.floorsSeen = e.Clock.Now()
 		}
-		e.list, e.version, e.seen = &next, o.Version, e.Clock.Now()
+		e.list, e.version = &next, o.Version
+		e.noteLeft()
 	}
 	e.mu.Unlock()
 	if newer {
@@ -216,6 +235,21 @@
 	}
 }
 
+// noteLeft keeps since when runs are off the list. The caller holds the lock.
+func (e *Elector) noteLeft() {
+	now := e.Clock.Now()
+	for _, list := range [][]fescuebank.Holder{e.list.Previous, e.list.Former} {
+		for _, h := range list {
+			if _, ok := e.left[h]; !ok && !e.list.Has(h) {
+				e.left[h] = now
+			}
+		}
+	}
+	for _, h := range e.list.Owners {
+		delete(e.left, h)
+	}
+}
+
 // SetLeaving makes this run leave the list.
 func (e *Elector) SetLeaving() {
 	e.mu.Lock()
@@ -263,6 +297,10 @@
 func (e *Elector) read(ctx context.Context) error {
 	asked := e.Clock.Now()
 	o, err := e.Store.Get(ctx, fescuebank.OwnerListKey)
+	if err != nil && !errors.Is(err, fescuebank.ErrAbsent) {
+		asked = e.Clock.Now()
+		o, err = e.ReadVia(ctx)
+	}
 	if err != nil {
 		return err
 	}
@@ -281,6 +319,7 @@
 	now := e.Clock.Now()
 	current, version, leaving := e.list, e.version, e.leaving
 	e.noteSilence(peers, now)
+	e.noteAbsent(peers, now)
 	next, changed := e.rewrite(peers, now)
 	e.mu.Unlock()
 	forming := current == nil && now.Sub(e.started) < formWait
@@ -306,7 +345,7 @@
 // isFirst reports whether no live owner has a lower id.
 func (e *Elector) isFirst(peers []roster.Peer) bool {
 	for _, p := range peers {
-		if p.Owner && p.Alive && !p.News.Leaving && p.ID < e.Self.ID {
+		if p.Owner && p.Alive && !p.News.Leaving && !p.News.StoreLost && p.ID < e.Self.ID {
 			return false
 		}
 	}
@@ -317,7 +356,7 @@
 func (e *Elector) noteSilence(peers []roster.Peer, now time.Time) {
 	for _, p := range peers {
 		h := fescuebank.Holder{ID: p.ID, Incarnation: p.Incarnation}
-		if p.Alive {
+		if p.Reachable {
 			delete(e.silent, h)
 			continue
 		}
@@ -336,23 +375,16 @@
 	next := &fescuebank.OwnerList{
 		Epoch: old.Epoch + 1, Previous: old.Owners, Floors: slices.Clone(old.Floors), FloorsSince: old.FloorsSince,
 	}
-	present := make(map[fescuebank.InstanceID]bool)
 	if !e.leaving {
 		next.Owners = append(next.Owners, e.me)
 	}
 	for _, p := range peers {
-		present[p.ID] = true
 		h := fescuebank.Holder{ID: p.ID, Incarnation: p.Incarnation}
-		if p.Owner && !p.News.Leaving && e.keeps(old, h, p.Alive, now) {
+		if p.Owner && !p.News.Leaving && !e.hasLostStore(p) && e.keeps(old, h, p.Reachable, now) {
 			next.Owners = append(next.Owners, h)
 		}
 		if p.CallerAddr != "" {
-			seat(next, h, p.Alive)
-		}
-	}
-	for i, f := range next.Floors {
-		if f.ID != "" && !present[f.ID] {
-			next.Floors[i] = fescuebank.Holder{}
+			e.seat(next, p, now)
 		}
 	}
 	slices.SortFunc(next.Owners, func(a, b fescuebank.Holder) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -395,6 +427,13 @@
 	return list
 }
 
+// hasLostStore reports whether an owner doesn't reach the store while this run
+// has reached it for long enough to say that the store itself answers.
+func (e *Elector) hasLostStore(p roster.Peer) bool {
+	answers, since := e.StoreState()
+	return p.Alive && p.News.StoreLost && answers && since >= storeSteady
+}
+
 // keeps reports whether a run belongs on the list. The caller holds the lock.
 func (e *Elector) keeps(old *fescuebank.OwnerList, h fescuebank.Holder, alive bool, now time.Time) bool {
 	if alive {
@@ -404,26 +443,38 @@
 	return old.Has(h) && ok && now.Sub(since) < dropAfter
 }
 
-// seat gives a run a floor slot: that of its instance's former run, an empty one,
-// or a new one.
-func seat(l *fescuebank.OwnerList, h fescuebank.Holder, alive bool) {
-	empty := -1
-	for i, f := range l.Floors {
-		if f.ID == h.ID {
-			if alive {
-				l.Floors[i] = h
-			}
+// seat gives an instance a floor slot: the one it has, one whose holder has been
+// no member for long, or a new one. The caller holds the lock.
+func (e *Elector) seat(l *fescuebank.OwnerList, p roster.Peer, now time.Time) {
+	if !p.Alive || l.FloorSlot(p.ID) >= 0 {
+		return
+	}
+	for i, id := range l.Floors {
+		if since, ok := e.unseated[id]; ok && now.Sub(since) >= floorLife+leaseMargin {
+			l.Floors[i] = p.ID
 			return
 		}
-		if f.ID == "" && empty < 0 {
-			empty = i
-		}
 	}
-	switch {
-	case !alive:
-	case empty >= 0:
-		l.Floors[empty] = h
-	default:
-		l.Floors = append(l.Floors, h)
+	l.Floors = append(l.Floors, p.ID)
+}
+
+// noteAbsent keeps since when the holders of floor slots are no members. The
+// caller holds the lock.
+func (e *Elector) noteAbsent(peers []roster.Peer, now time.Time) {
+	if e.list == nil {
+		return
+	}
+	present := make(map[fescuebank.InstanceID]bool, len(peers))
+	for _, p := range peers {
+		present[p.ID] = true
+	}
+	for _, id := range e.list.Floors {
+		if present[id] {
+			delete(e.unseated, id)
+			continue
+		}
+		if _, ok := e.unseated[id]; !ok {
+			e.unseated[id] = now
+		}
 	}
 }
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -43,8 +43,10 @@
 	objects map[string]fescuebank.Object
 	// missing are objects that vanished in an outage, kept until then.
 	missing map[string]time.Time
-	// newest is the highest version of the mirror's objects and deletions.
-	newest fescuebank.StoreVersion
+	// changedAt is the store version of the newest change taken in, and asOf the
+	// one up to which the mirror is known to be current.
+	changedAt fescuebank.StoreVersion
+	asOf      fescuebank.StoreVersion
 	// contact is when the store last answered; back is when it last came back
 	// from an outage.
 	contact time.Time
@@ -62,12 +64,18 @@
 	}
 }
 
-// Hint says that the store holds a version that the mirror may lack.
+// Hint says that the store holds a change that the mirror may lack.
 func (f *Follower) Hint(version fescuebank.StoreVersion) {
-	if version <= f.Newest() {
-		return
+	if f.Lacks(version) {
+		f.Restart()
 	}
-	f.Restart()
+}
+
+// Lacks reports whether a change at the version may be missing from the mirror.
+func (f *Follower) Lacks(version fescuebank.StoreVersion) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return version > f.asOf
 }
 
 // Restart lists again on a fresh call.
@@ -78,11 +86,23 @@
 	}
 }
 
-// Newest returns the highest version that the mirror has taken in.
-func (f *Follower) Newest() fescuebank.StoreVersion {
+// ChangedAt returns the store version of the newest change taken in.
+func (f *Follower) ChangedAt() fescuebank.StoreVersion {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.newest
+	return f.changedAt
+}
+
+// Poll lists beside the watch, and starts the watch anew if it missed a change.
+func (f *Follower) Poll(ctx context.Context) {
+	objects, at, err := f.store.List(ctx, f.prefix)
+	if err != nil {
+		return
+	}
+	if f.replace(objects, at) {
+		f.log.Warn("Watch missed a change.", "prefix", f.prefix, "revision", uint64(at))
+		f.Restart()
+	}
 }
 
 // Objects returns the mirror.
@@ -103,6 +123,7 @@
 	changed := false
 	for _, o := range objects {
 		changed = f.put(o) || changed
+		f.asOf = max(f.asOf, o.Version)
 	}
 	f.listed = f.listed || len(objects) > 0
 	f.mu.Unlock()
@@ -145,14 +166,14 @@
 		return err
 	}
 	f.touch()
-	f.replace(objects)
+	f.replace(objects, version)
 	for ctx.Err() == nil {
 		events, next, err := f.watch(ctx, version)
 		if err != nil {
 			return err
 		}
 		f.touch()
-		f.apply(events)
+		f.apply(events, next)
 		version = next
 	}
 	return ctx.Err()
@@ -222,9 +243,14 @@
 	f.log.Warn("Store is lost.", "prefix", f.prefix, "err", err.Error())
 }
 
-// replace takes in a whole list.
-func (f *Follower) replace(objects []fescuebank.Object) {
+// replace takes in a whole list as of a version. It reports whether the mirror
+// changed. An older list than the mirror changes nothing.
+func (f *Follower) replace(objects []fescuebank.Object, at fescuebank.StoreVersion) bool {
 	f.mu.Lock()
+	if at < f.asOf {
+		f.mu.Unlock()
+		return false
+	}
 	listed := make(map[string]bool, len(objects))
 	changed := !f.listed
 	f.listed = true
@@ -237,27 +263,29 @@
 	}
 	for key := range f.objects {
 		if !listed[key] {
-			changed = f.remove(key) || changed
+			changed = f.remove(key, at) || changed
 		}
 	}
+	f.asOf = at
 	f.mu.Unlock()
 	if changed {
 		f.tell()
 	}
+	return changed
 }
 
-// apply takes in events in order.
-func (f *Follower) apply(events []fescuebank.Object) {
+// apply takes in events in order, up to a version.
+func (f *Follower) apply(events []fescuebank.Object, at fescuebank.StoreVersion) {
 	f.mu.Lock()
 	changed := false
 	for _, o := range events {
 		if o.Deleted {
-			f.newest = max(f.newest, o.Version)
-			changed = f.remove(o.Key) || changed
+			changed = f.remove(o.Key, at) || changed
 			continue
 		}
 		changed = f.put(o) || changed
 	}
+	f.asOf = max(f.asOf, at)
 	f.mu.Unlock()
 	if changed {
 		f.tell()
@@ -267,17 +295,17 @@
 // put takes in an object that is not older than the mirror's.
 func (f *Follower) put(o fescuebank.Object) (changed bool) {
 	delete(f.missing, o.Key)
-	f.newest = max(f.newest, o.Version)
 	if have, ok := f.objects[o.Key]; ok && have.Version >= o.Version {
 		return false
 	}
+	f.changedAt = max(f.changedAt, o.Version)
 	f.objects[o.Key] = o
 	return true
 }
 
 // remove drops an object, or keeps it for a while if it may have lapsed in an
 // outage of the store.
-func (f *Follower) remove(key string) (changed bool) {
+func (f *Follower) remove(key string, at fescuebank.StoreVersion) (changed bool) {
 	if _, ok := f.objects[key]; !ok {
 		return false
 	}
@@ -288,6 +316,7 @@
 	}
 	delete(f.missing, key)
 	delete(f.objects, key)
+	f.changedAt = max(f.changedAt, at)
 	return true
 }
 
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -30,6 +30,12 @@
 	deafAfter = 900 * time.Millisecond
 	// removeAfter is how long a peer is silent before its entry is removed.
 	removeAfter = 30 * time.Second
+	// entryLife is how long a change of a peer's entry shows that the peer lives.
+	entryLife = 2500 * time.Millisecond
+	// entryBeat is how often an owner changes its entry while peers are silent.
+	entryBeat = time.Second
+	// entryBeatFor is for how long it does so after the last sign of a peer.
+	entryBeatFor = 15 * time.Second
 	// registerRetry is the pause between attempts to write the entry.
 	registerRetry = 300 * time.Millisecond
 )
@@ -45,6 +51,8 @@
 	Fill func(*fescuebank.News)
 	// Heard is called after a peer's news was taken in.
 	Heard func(*fescuebank.News)
+	// Told is called when a peer tells that a run acknowledged an epoch.
+	Told func(fescuebank.Holder, fescuebank.FencingNumber)
 	// Silent is called when connections fell silent without being closed.
 	Silent func()
 }
@@ -60,6 +68,8 @@
 	members map[fescuebank.InstanceID]*member
 	// entryLost is set when the store doesn't show this run's entry.
 	entryLost bool
+	// version is the store's of this run's entry.
+	version fescuebank.StoreVersion
 }
 
 // member is what is known of a peer.
@@ -71,6 +81,11 @@
 	known time.Time
 	heard time.Time
 	news  fescuebank.News
+	// sequence is the newest of the peer's messages that anybody received, and
+	// sign when that or a change of the entry was learned.
+	sequence uint64
+	sign     time.Time
+	changed  time.Time
 	// echo is the newest of our messages that the peer confirmed, and echoed
 	// when that was.
 	echo   uint64
@@ -114,6 +129,7 @@
 		}
 		if e.ID == r.Self.ID {
 			r.entryLost = e.Incarnation != r.Self.Incarnation
+			r.version = max(r.version, o.Version)
 			continue
 		}
 		seen[e.ID] = true
@@ -132,7 +148,9 @@
 func (r *Roster) meet(e fescuebank.MemberEntry, version fescuebank.StoreVersion, now time.Time) {
 	m := r.members[e.ID]
 	if m != nil && m.entry.Incarnation == e.Incarnation {
-		m.version = version
+		if version > m.version {
+			m.version, m.changed = version, now
+		}
 		return
 	}
 	if m != nil && m.entry.PeerAddr != e.PeerAddr {
@@ -141,6 +159,7 @@
 	next := &member{entry: e, version: version, known: now}
 	if m != nil && m.news.Incarnation == e.Incarnation {
 		next.news, next.heard, next.echo, next.echoed = m.news, m.heard, m.echo, m.echoed
+		next.sequence, next.sign = m.sequence, m.sign
 	}
 	r.members[e.ID] = next
 	r.Log.Info("Instance is known.", "instance", string(e.ID), "incarnation", string(e.Incarnation), "addr", e.PeerAddr)
@@ -165,13 +184,32 @@
 		r.Log.Info("Instance is heard again.", "instance", string(n.From))
 	}
 	m.heard, m.news = now, n
-	if echo, ok := n.Heard[r.Self.ID]; ok && echo <= r.sequence && echo > m.echo {
-		m.echo, m.echoed = echo, now
+	if echo := n.Heard[r.Self.ID]; echo.Incarnation == r.Self.Incarnation && echo.Sequence > m.echo {
+		m.echo, m.echoed = echo.Sequence, now
 	}
+	told := r.hearsay(&n, now)
 	r.mu.Unlock()
+	for h, epoch := range told {
+		r.Told(h, epoch)
+	}
 	r.Heard(&n)
 }
 
+// hearsay takes in what a peer heard of others, and returns the epochs that they
+// acknowledged. The caller holds the lock.
+func (r *Roster) hearsay(n *fescuebank.News, now time.Time) map[fescuebank.Holder]fescuebank.FencingNumber {
+	told := make(map[fescuebank.Holder]fescuebank.FencingNumber)
+	for id, of := range n.Heard {
+		m := r.members[id]
+		if m == nil || m.entry.Incarnation != of.Incarnation || of.Sequence <= m.sequence {
+			continue
+		}
+		m.sequence, m.sign = of.Sequence, now
+		told[fescuebank.Holder{ID: id, Incarnation: of.Incarnation}] = of.Epoch
+	}
+	return told
+}
+
 // Run keeps the entry and exchanges news until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
 	go r.register(ctx)
@@ -205,12 +243,12 @@
 	n.Sequence = r.sequence
 	addrs := make([]string, 0, len(r.members))
 	if full {
-		n.Heard = make(map[fescuebank.InstanceID]uint64, len(r.members))
+		n.Heard = make(map[fescuebank.InstanceID]fescuebank.HeardOf, len(r.members))
 	}
 	for id, m := range r.members {
 		addrs = append(addrs, m.entry.PeerAddr)
 		if full && m.news.Sequence > 0 {
-			n.Heard[id] = m.news.Sequence
+			n.Heard[id] = fescuebank.HeardOf{Incarnation: m.news.Incarnation, Sequence: m.news.Sequence, Epoch: m.news.Epoch}
 		}
 	}
 	r.mu.Unlock()
@@ -244,7 +282,7 @@
 			silent++
 			r.Log.Warn("Instance is silent.", "instance", string(m.entry.ID), "heardMsAgo", now.Sub(since).Milliseconds())
 		}
-		if now.Sub(since) >= removeAfter {
+		if now.Sub(latest(since, latest(m.sign, m.changed))) >= removeAfter {
 			remove = append(remove, m)
 		}
 	}
@@ -296,7 +334,7 @@
 // register writes this run's entry whenever the store doesn't show it.
 func (r *Roster) register(ctx context.Context) {
 	for ctx.Err() == nil {
-		if r.isEntryLost() {
+		if r.isEntryLost() || r.mustBeat() {
 			if err := r.writeEntry(ctx); err != nil {
 				r.Log.Warn("Entry not written.", "err", err.Error())
 				_ = fescuebank.Sleep(ctx, r.Clock, registerRetry)
@@ -305,9 +343,8 @@
 			r.mu.Lock()
 			r.entryLost = false
 			r.mu.Unlock()
-			r.Log.Info("Entry written.", "instance", string(r.Self.ID), "incarnation", string(r.Self.Incarnation))
 		}
-		_ = fescuebank.Sleep(ctx, r.Clock, time.Second)
+		_ = fescuebank.Sleep(ctx, r.Clock, entryBeat)
 	}
 }
 
@@ -317,28 +354,81 @@
 	return r.entryLost
 }
 
+// mustBeat reports whether an owner is silent lately, to whom and from whom
+// only the store may carry a sign of life.
+func (r *Roster) mustBeat() bool {
+	if !r.Self.Owner {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	for _, m := range r.members {
+		since := now.Sub(latest(m.lastHeard(), m.known))
+		if m.entry.Owner && since >= suspectAfter && since < entryBeatFor {
+			return true
+		}
+	}
+	return false
+}
+
+// lastHeard is when the peer was last heard here or elsewhere.
+func (m *member) lastHeard() time.Time {
+	return latest(m.heard, m.sign)
+}
+
+// isReachable reports whether there was a sign of the peer's life lately.
+func (m *member) isReachable(now time.Time) bool {
+	return now.Sub(m.lastHeard()) < suspectAfter || now.Sub(m.changed) < entryLife
+}
+
+// writeEntry writes this run's entry with a higher beat.
 func (r *Roster) writeEntry(ctx context.Context) error {
+	r.Self.Beat++
 	value, err := json.Marshal(r.Self)
 	if err != nil {
 		return eris.Wrap(err, "Roster.writeEntry")
 	}
 	key := fescuebank.MemberPrefix + string(r.Self.ID)
-	_, err = r.Store.Put(ctx, key, value, fescuebank.Absent)
-	if !errors.Is(err, fescuebank.ErrVersion) {
-		return err
+	r.mu.Lock()
+	expected := r.version
+	r.mu.Unlock()
+	version, err := r.Store.Put(ctx, key, value, expected)
+	if err == nil {
+		r.Log.Info("Entry written.", "instance", string(r.Self.ID), "incarnation", string(r.Self.Incarnation), "version", uint64(version))
+	}
+	if errors.Is(err, fescuebank.ErrVersion) || errors.Is(err, fescuebank.ErrAbsent) {
+		version, err = r.readEntry(ctx, key)
 	}
-	o, err := r.Store.Get(ctx, key)
 	if err != nil {
 		return err
 	}
+	r.mu.Lock()
+	r.version = version
+	r.mu.Unlock()
+	return nil
+}
+
+// readEntry returns the version of this instance's entry and fails unless the
+// entry is this run's.
+func (r *Roster) readEntry(ctx context.Context, key string) (fescuebank.StoreVersion, error) {
+	o, err := r.Store.Get(ctx, key)
+	if err != nil && !errors.Is(err, fescuebank.ErrAbsent) {
+		return 0, err
+	}
+	r.mu.Lock()
+	r.version = o.Version
+	r.mu.Unlock()
 	var have fescuebank.MemberEntry
-	if json.Unmarshal(o.Value, &have) == nil && have.Incarnation == r.Self.Incarnation {
-		return nil
+	if err != nil || json.Unmarshal(o.Value, &have) != nil || have.Incarnation != r.Self.Incarnation {
+		return 0, errForeign
 	}
-	_, err = r.Store.Put(ctx, key, value, o.Version)
-	return err
+	return o.Version, nil
 }
 
+// errForeign means that the entry is absent or that of another run.
+var errForeign = errors.New("entry is not this run's")
+
 // Leave removes this run's entry, so that others forget it.
 func (r *Roster) Leave(ctx context.Context) {
 	key := fescuebank.MemberPrefix + string(r.Self.ID)
@@ -354,9 +444,11 @@
 // Peer is a member as others see it.
 type Peer struct {
 	fescuebank.MemberEntry
-	// Alive is set while the peer is heard.
-	Alive bool
-	News  fescuebank.News
+	// Alive is set while the peer is heard here; Reachable while anybody hears it
+	// or its entry changes.
+	Alive     bool
+	Reachable bool
+	News      fescuebank.News
 }
 
 // Peers returns all other members by id.
@@ -366,7 +458,9 @@
 	now := r.Clock.Now()
 	list := make([]Peer, 0, len(r.members))
 	for _, m := range r.members {
-		list = append(list, Peer{MemberEntry: m.entry, Alive: now.Sub(m.heard) < suspectAfter, News: m.news})
+		list = append(list, Peer{
+			MemberEntry: m.entry, Alive: now.Sub(m.heard) < suspectAfter, Reachable: m.isReachable(now), News: m.news,
+		})
 	}
 	slices.SortFunc(list, func(a, b Peer) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return list
--- a/internal/operate/hoster/hoster.go
+++ b/internal/operate/hoster/hoster.go
@@ -32,9 +32,13 @@
 
 // Platform is what the platform's adapter brings.
 type Platform struct {
-	// Store is the object API. Reconnect gives up all its connections.
+	// Store is the object API. Reconnect gives up all its connections, OnBack sets
+	// what is called when it answers after an outage, and State reports whether
+	// it answers and for how long it has or hasn't.
 	Store     fescuebank.ObjectStore
 	Reconnect func()
+	OnBack    func(func())
+	State     func() (answers bool, since time.Duration)
 	// ConfigKey is the configuration's key; the prefixes are those of the
 	// configuration and of the endpoints.
 	ConfigKey      string
@@ -129,6 +133,8 @@
 	calls := detourer.New(h.linker, h.roster)
 	h.linker.Handle(fescuebank.KindDetour, calls.Handle)
 	h.linker.Handle(fescuebank.KindMirror, h.handleMirror)
+	h.linker.Handle(fescuebank.KindOwners, h.handleOwners)
+	h.platform.OnBack(h.restartFollowers)
 	h.buyer = buyer.New(buyer.Config{
 		Self: me, Owners: h.elector, Caller: calls, Seller: seller.New(h.clock), Table: h.table.Load,
 		Clock: h.clock, Log: h.part("limit"),
@@ -173,9 +179,11 @@
 	h.roster = roster.New(roster.Config{
 		Self: h.self, Store: store, Linker: h.linker, Clock: h.clock, Log: h.part("fleet"),
 		Fill: h.fillNews, Heard: h.heard, Silent: h.reconnect,
+		Told: func(run fescuebank.Holder, epoch fescuebank.FencingNumber) { h.elector.Acknowledge(run, epoch) },
 	})
 	h.elector = elector.New(elector.Config{
 		Self: h.self, Store: store, Members: h.roster, Clock: h.clock, Log: h.part("owner"), Changed: h.reassign,
+		ReadVia: h.readOwnersVia, StoreState: h.platform.State,
 	})
 	h.config = follower.New(store, h.platform.ConfigPrefix, h.clock, h.part("config"), h.applyConfig)
 	h.endpoints = follower.New(store, h.platform.EndpointPrefix, h.clock, h.part("endpoint"), h.applyEndpoints)
@@ -189,7 +197,7 @@
 	defer stop()
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
-		h.linker.Run, h.config.Run, h.endpoints.Run, h.members.Run, h.owners.Run, h.roster.Run, h.elector.Run,
+		h.linker.Run, h.config.Run, h.endpoints.Run, h.members.Run, h.owners.Run, h.roster.Run, h.elector.Run, h.poll,
 	} {
 		group.Go(func() { run(parts) })
 	}
--- a/internal/operate/hoster/state.go
+++ b/internal/operate/hoster/state.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"fescuebank"
+	"fescuebank/internal/fleet/follower"
 )
 
 const (
 	// maxAddresses is how many addresses an answer to a caller holds.
 	maxAddresses = 64
+	// pollInterval is the mean time between two reads beside the watches.
+	pollInterval = 3 * time.Second
+	// storeLostAfter is how long the store must fail here before the others are told.
+	storeLostAfter = time.Second
 	// catchUpAfter is how long newer state may be missing before a peer is asked.
 	catchUpAfter = 250 * time.Millisecond
 	// catchUpTimeout bounds the call to the peer.
@@ -59,7 +65,7 @@
 		list = append(list, e)
 	}
 	h.allotter.SetEndpoints(list)
-	h.part("endpoint").Info("Endpoints known.", "endpoints", len(list), "revision", uint64(h.endpoints.Newest()))
+	h.part("endpoint").Info("Endpoints known.", "endpoints", len(list), "revision", uint64(h.endpoints.ChangedAt()))
 	h.roster.Kick()
 	h.runner.Kick()
 }
@@ -92,8 +98,10 @@
 	}
 	n.Ready = h.ready()
 	n.Leaving = h.leaving.Load()
-	n.Config, n.Endpoints = h.config.Newest(), h.endpoints.Newest()
+	n.Config, n.Endpoints = h.config.ChangedAt(), h.endpoints.ChangedAt()
 	n.Epoch = h.elector.Epoch()
+	answers, since := h.platform.State()
+	n.StoreLost = !answers && since >= storeLostAfter
 }
 
 // heard takes in the news of a peer.
@@ -103,7 +111,7 @@
 	online.Add(batch)
 	h.allotter.SetOthers(online, waiting)
 	h.runner.Kick()
-	if n.Config > h.config.Newest() || n.Endpoints > h.endpoints.Newest() {
+	if h.config.Lacks(n.Config) || h.endpoints.Lacks(n.Endpoints) || n.Epoch > h.elector.Epoch() {
 		h.catchUp(n)
 	}
 }
@@ -114,23 +122,41 @@
 	if !h.catching.CompareAndSwap(false, true) {
 		return
 	}
-	from, config, endpoints := n.From, n.Config, n.Endpoints
+	from, config, endpoints, epoch := n.From, n.Config, n.Endpoints, n.Epoch
 	go func() {
 		defer h.catching.Store(false)
 		ctx := context.Background()
 		_ = fescuebank.Sleep(ctx, h.clock, catchUpAfter)
 		h.config.Hint(config)
 		h.endpoints.Hint(endpoints)
+		if epoch > h.elector.Epoch() {
+			h.owners.Restart()
+		}
 		_ = fescuebank.Sleep(ctx, h.clock, catchUpAfter)
-		if config > h.config.Newest() {
+		if h.config.Lacks(config) {
 			h.adopt(ctx, from, h.platform.ConfigPrefix)
 		}
-		if endpoints > h.endpoints.Newest() {
+		if h.endpoints.Lacks(endpoints) {
 			h.adopt(ctx, from, h.platform.EndpointPrefix)
 		}
+		if epoch > h.elector.Epoch() {
+			h.adopt(ctx, from, fescuebank.OwnerListPrefix)
+		}
 	}()
 }
 
+// poll reads the configuration and the endpoints in turn. Watches of all
+// instances may miss a change together; one instance that reads it tells the rest.
+func (h *Hoster) poll(ctx context.Context) {
+	_ = fescuebank.Sleep(ctx, h.clock, rand.N(pollInterval))
+	for i := 0; ctx.Err() == nil; i++ {
+		if f := []*follower.Follower{h.config, h.endpoints}[i%2]; f.Listed() {
+			f.Poll(ctx)
+		}
+		_ = fescuebank.Sleep(ctx, h.clock, pollInterval/2+rand.N(pollInterval))
+	}
+}
+
 // mirrorRequest asks a peer for its mirror of a prefix.
 type mirrorRequest struct {
 	Prefix string `cbor:"1,keyasint"`
@@ -155,23 +181,68 @@
 			return
 		}
 		h.log.Info("Mirror of a peer taken in.", "peer", string(from), "prefix", prefix, "objects", len(reply.Objects))
-		if prefix == h.platform.ConfigPrefix {
-			h.config.Adopt(reply.Objects)
-			return
+		if f := h.follower(prefix); f != nil {
+			f.Adopt(reply.Objects)
 		}
-		h.endpoints.Adopt(reply.Objects)
 	}
 }
 
+// follower returns the mirror of a prefix that instances share, or nil.
+func (h *Hoster) follower(prefix string) *follower.Follower {
+	switch prefix {
+	case h.platform.ConfigPrefix:
+		return h.config
+	case h.platform.EndpointPrefix:
+		return h.endpoints
+	case fescuebank.OwnerListPrefix:
+		return h.owners
+	}
+	return nil
+}
+
 func (h *Hoster) handleMirror(_ context.Context, decode func(into any) error) (any, error) {
 	var request mirrorRequest
 	if err := decode(&request); err != nil {
 		return nil, err
 	}
-	if request.Prefix == h.platform.ConfigPrefix {
-		return &mirrorReply{Objects: h.config.Objects()}, nil
+	f := h.follower(request.Prefix)
+	if f == nil {
+		return nil, fescuebank.ErrAbsent
+	}
+	return &mirrorReply{Objects: f.Objects()}, nil
+}
+
+// ownersRequest asks a peer to read the list of owners from the store.
+type ownersRequest struct{}
+
+// readOwnersVia has a live peer read the list of owners from the store.
+func (h *Hoster) readOwnersVia(ctx context.Context) (fescuebank.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	for _, p := range h.roster.Peers() {
+		if !p.Alive || p.News.StoreLost {
+			continue
+		}
+		var o fescuebank.Object
+		err := h.linker.Call(ctx, p.PeerAddr, fescuebank.KindOwners, &ownersRequest{}, &o)
+		return o, err
+	}
+	return fescuebank.Object{}, fescuebank.ErrPeerUnreached
+}
+
+func (h *Hoster) handleOwners(ctx context.Context, _ func(into any) error) (any, error) {
+	o, err := h.platform.Store.Get(ctx, fescuebank.OwnerListKey)
+	if err != nil {
+		return nil, err
+	}
+	return &o, nil
+}
+
+// restartFollowers lists everything again.
+func (h *Hoster) restartFollowers() {
+	for _, f := range []*follower.Follower{h.config, h.endpoints, h.members, h.owners} {
+		f.Restart()
 	}
-	return &mirrorReply{Objects: h.endpoints.Objects()}, nil
 }
 
 // reconnect gives up connections that may have fallen silent like those to peers.
@@ -179,9 +250,7 @@
 	h.log.Warn("Connections fell silent; all are made anew.")
 	h.platform.Reconnect()
 	h.exchanger.DropAll()
-	for _, f := range []interface{ Restart() }{h.config, h.endpoints, h.members, h.owners} {
-		f.Restart()
-	}
+	h.restartFollowers()
 }
 
 // othersBatch returns the number of batch items that other instances run.
@@ -206,7 +275,7 @@
 		list = append(list, h.self.CallerAddr)
 	}
 	for _, p := range h.roster.Peers() {
-		if p.CallerAddr != "" && p.Alive && p.News.Ready && !p.News.Leaving && len(list) < maxAddresses {
+		if p.CallerAddr != "" && p.Reachable && p.News.Ready && !p.News.Leaving && len(list) < maxAddresses {
 			list = append(list, p.CallerAddr)
 		}
 	}
--- a/news.go
+++ b/news.go
@@ -35,14 +35,26 @@
 	Batch  EndpointCounts `cbor:"7,keyasint,omitempty"`
 	// Waiting is the number of online requests that wait for a place.
 	Waiting int `cbor:"8,keyasint,omitempty"`
-	// Config and Endpoints are the newest store versions taken in.
+	// Config and Endpoints are the store versions at which the instance last saw
+	// a change of the configuration and of the endpoints.
 	Config    StoreVersion `cbor:"9,keyasint"`
 	Endpoints StoreVersion `cbor:"10,keyasint"`
-	// Heard holds the newest sequence received from each instance. It is left
-	// out of messages that only tell a change.
-	Heard map[InstanceID]uint64 `cbor:"11,keyasint,omitempty"`
+	// Heard tells what was received from each instance. It is left out of
+	// messages that only tell a change.
+	Heard map[InstanceID]HeardOf `cbor:"11,keyasint,omitempty"`
 	// Epoch is that of the newest list of owners applied.
 	Epoch FencingNumber `cbor:"12,keyasint,omitempty"`
+	// StoreLost is set while the instance doesn't reach the store.
+	StoreLost bool `cbor:"13,keyasint,omitempty"`
+}
+
+// HeardOf is what one instance last received from another.
+type HeardOf struct {
+	Incarnation Incarnation `cbor:"1,keyasint"`
+	// Sequence is that of the newest message.
+	Sequence uint64 `cbor:"2,keyasint"`
+	// Epoch is the one that the message acknowledged.
+	Epoch FencingNumber `cbor:"3,keyasint,omitempty"`
 }
 
 // MemberEntry is an instance's entry in the store.
@@ -57,6 +69,8 @@
 	Owner bool `json:"owner,omitempty"`
 	// Weight is the capacity relative to other instances.
 	Weight float64 `json:"weight"`
+	// Beat grows while the instance can't tell otherwise that it lives.
+	Beat uint64 `json:"beat,omitempty"`
 }
 
 // MemberPrefix is the store prefix of the instances' entries.
--- a/owners.go
+++ b/owners.go
@@ -24,9 +24,9 @@
 	Previous []Holder `json:"previous,omitempty"`
 	// Former are runs that left the list and may still act by an older one.
 	Former []Holder `json:"former,omitempty"`
-	// Floors are the runs that hold the floor slots. A slot without a holder is
-	// empty; the number of slots never shrinks.
-	Floors []Holder `json:"floors"`
+	// Floors are the instances that hold the floor slots. The number of slots
+	// never shrinks.
+	Floors []InstanceID `json:"floors"`
 	// FloorsSince is the epoch at which the number of slots last grew.
 	FloorsSince FencingNumber `json:"floorsSince"`
 }
@@ -62,23 +62,32 @@
 	return slices.Contains(l.Owners, h)
 }
 
-// FloorSlot returns the floor slot of a run, or -1.
-func (l *OwnerList) FloorSlot(h Holder) int {
-	return slices.Index(l.Floors, h)
+// FloorSlot returns the floor slot of an instance, or -1.
+func (l *OwnerList) FloorSlot(id InstanceID) int {
+	return slices.Index(l.Floors, id)
 }
 
-// floorShare is the part of a team's quota that is dealt out over the floor
-// slots, to be used there without asking the owner.
-const floorShare = 0.25
+// The part of a team's quota that is dealt out over the floor slots, to be used
+// there without asking the owner. A team whose burst is small would lose too
+// much of it to slots that its requests don't come to.
+const (
+	floorShare      = 0.5
+	floorShareSmall = 0.2
+	largeBurst      = Requests(24)
+)
 
 // FloorQuota returns the part of a team's quota that is dealt out over all floor
 // slots. Its burst is whole requests; a team whose burst is too small has none.
 func FloorQuota(q Quota) Quota {
-	whole := Requests(int(float64(q.Burst) * floorShare))
+	share := floorShare
+	if q.Burst < largeBurst {
+		share = floorShareSmall
+	}
+	whole := Requests(int(float64(q.Burst) * share))
 	if whole < 1 {
 		return Quota{}
 	}
-	return Quota{Rate: RequestRate(float64(q.Rate) * floorShare), Burst: whole}
+	return Quota{Rate: RequestRate(float64(q.Rate) * share), Burst: whole}
 }
 
 // SoldQuota returns the part of a team's quota that its owner sells.
--- a/peer.go
+++ b/peer.go
@@ -30,6 +30,7 @@
 	KindEnd
 	KindDetour
 	KindMirror
+	KindOwners
 )
 
 // ProbeRequest asks whether an instance is alive and passes knowledge on.
