Take over at once when no buyer deals with a lost owner; prune former owners

Change: a list is rewritten once its former owners have stopped. A new owner acts as soon as every instance that takes callers' requests has applied the list, the members read from the store since: nobody buys from the lost run any more. Tokens sold ahead count against the burst.

--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -29,7 +29,7 @@
 	// tendInterval is how often the list is compared with the members.
 	tendInterval = 300 * time.Millisecond
 	// dropAfter is how long an owner is silent before it leaves the list.
-	dropAfter = 1500 * time.Millisecond
+	dropAfter = 600 * time.Millisecond
 	// storeSteady is how long the store must have answered here before owners that
 	// don't reach it leave the list.
 	storeSteady = 2 * time.Second
@@ -53,6 +53,8 @@
 	Changed func()
 	// ReadVia has another instance read the list from the store.
 	ReadVia func(ctx context.Context) (fescuebank.Object, error)
+	// ReadMembers reads the members from the store and reports whether it could.
+	ReadMembers func(ctx context.Context) bool
 	// StoreState reports whether the store answers here, and for how long it has
 	// or hasn't.
 	StoreState func() (answers bool, since time.Duration)
@@ -81,6 +83,8 @@
 	silent map[fescuebank.Holder]time.Time
 	// unseated is since when each holder of a floor slot has been no member.
 	unseated map[fescuebank.InstanceID]time.Time
+	// membersRead is the newest epoch after which the members were read.
+	membersRead fescuebank.FencingNumber
 	// leaving makes this run leave the list.
 	leaving bool
 }
@@ -172,13 +176,49 @@
 // hasStopped reports whether a run surely doesn't act by an older list. The
 // caller holds the lock.
 func (e *Elector) hasStopped(h fescuebank.Holder) bool {
-	if h == e.me || e.acked[h] >= e.list.Epoch || e.isSuperseded(h) {
+	if h == e.me || e.acked[h] >= e.list.Epoch || e.isSuperseded(h) || e.allBuyersApplied() {
 		return true
 	}
 	left, ok := e.left[h]
 	return ok && e.elapsed(left) >= lease+leaseMargin
 }
 
+// allBuyersApplied reports whether every instance that takes callers' requests has
+// applied the list: nobody deals with a run that is off the list any more. The
+// members must have been read since the list was seen. The caller holds the lock.
+func (e *Elector) allBuyersApplied() bool {
+	if e.membersRead < e.list.Epoch {
+		return false
+	}
+	for _, p := range e.Members.Peers() {
+		h := fescuebank.Holder{ID: p.ID, Incarnation: p.Incarnation}
+		if p.CallerAddr != "" && e.acked[h] < e.list.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// readMembers reads the members from the store while this run waits for runs that
+// are off the list.
+func (e *Elector) readMembers(ctx context.Context) {
+	e.mu.Lock()
+	list, read := e.list, e.membersRead
+	waits := false
+	if list != nil && list.Has(e.me) && read < list.Epoch {
+		for _, h := range slices.Concat(list.Previous, list.Former) {
+			waits = waits || (!list.Has(h) && !e.hasStopped(h))
+		}
+	}
+	e.mu.Unlock()
+	if !waits || !e.ReadMembers(ctx) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.membersRead = max(e.membersRead, list.Epoch)
+}
+
 // isSuperseded reports whether a later run of the same instance is known, which
 // begins only after the end of the run before.
 func (e *Elector) isSuperseded(h fescuebank.Holder) bool {
@@ -278,6 +318,7 @@
 				read = now.Add(tendInterval)
 			}
 		}
+		e.readMembers(ctx)
 		if err := e.tend(ctx); err != nil {
 			e.Log.Warn("List of owners not written.", "err", err.Error())
 		}
@@ -391,12 +432,14 @@
 	if len(next.Floors) > len(old.Floors) {
 		next.FloorsSince = next.Epoch
 	}
-	same := slices.Equal(next.Owners, old.Owners) && slices.Equal(next.Floors, old.Floors)
-	if same || len(next.Owners) == 0 || !e.allApplied(old, next) {
+	if len(next.Owners) == 0 || !e.allApplied(old, next) {
 		return nil, false
 	}
 	next.Former = e.stillActing(old, next)
-	return next, true
+	same := slices.Equal(next.Owners, old.Owners) && slices.Equal(next.Floors, old.Floors)
+	// A run that stopped is struck off, lest a run that starts later waits for it.
+	pruned := len(old.Former) > 0 && len(next.Former) == 0
+	return next, !same || pruned
 }
 
 // allApplied reports whether the owners that stay have applied the old list. The
--- /dev/null
+++ b/internal/fleet/elector/elector_test.go
@@ -0,0 +1,287 @@
+package elector_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/fleet/elector"
+	"fescuebank/internal/fleet/roster"
+	"fescuebank/internal/standin/memorizer"
+	"fescuebank/internal/timing/timekeeper"
+)
+
+// fleet is a set of runs whose hearing of each other a test decides.
+type fleet struct {
+	t     *testing.T
+	store *memorizer.Memorizer
+	nodes map[fescuebank.InstanceID]*node
+	group sync.WaitGroup
+	mu    sync.Mutex
+	// cut holds pairs that don't hear each other; down those that nobody hears.
+	cut  map[[2]fescuebank.InstanceID]bool
+	down map[fescuebank.InstanceID]bool
+}
+
+type node struct {
+	fleet   *fleet
+	entry   fescuebank.MemberEntry
+	elector *elector.Elector
+	stop    context.CancelFunc
+}
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{
+		t: t, store: &memorizer.Memorizer{}, nodes: make(map[fescuebank.InstanceID]*node),
+		cut: make(map[[2]fescuebank.InstanceID]bool), down: make(map[fescuebank.InstanceID]bool),
+	}
+}
+
+func (f *fleet) start(id fescuebank.InstanceID, owner bool) *node {
+	n := &node{fleet: f, entry: fescuebank.MemberEntry{
+		ID: id, Incarnation: fescuebank.Incarnation(fescuebank.NewRandomID("")), Owner: owner, PeerAddr: string(id),
+	}}
+	if !owner {
+		n.entry.CallerAddr = string(id)
+	}
+	n.elector = elector.New(elector.Config{
+		Self: n.entry, Store: f.store, Members: n, Clock: timekeeper.Timekeeper{}, Log: hclog.NewNullLogger(),
+		Changed:     func() {},
+		ReadVia:     func(context.Context) (fescuebank.Object, error) { return fescuebank.Object{}, fescuebank.ErrPeerUnreached },
+		ReadMembers: func(context.Context) bool { return true },
+		StoreState:  func() (bool, time.Duration) { return true, time.Hour },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	f.mu.Lock()
+	f.nodes[id] = n
+	delete(f.down, id)
+	f.mu.Unlock()
+	f.group.Go(func() { n.elector.Run(ctx) })
+	f.group.Go(func() { n.follow(ctx) })
+	return n
+}
+
+// kill ends a run without a word.
+func (f *fleet) kill(id fescuebank.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[id].stop()
+	f.down[id] = true
+}
+
+// cutOff keeps two runs from hearing each other.
+func (f *fleet) cutOff(a, b fescuebank.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[[2]fescuebank.InstanceID{a, b}] = true
+	f.cut[[2]fescuebank.InstanceID{b, a}] = true
+}
+
+// follow takes in the list and exchanges acknowledgements.
+func (n *node) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if o, err := n.fleet.store.Get(ctx, fescuebank.OwnerListKey); err == nil {
+			n.elector.Apply(o, time.Time{})
+		}
+		n.fleet.mu.Lock()
+		for id, other := range n.fleet.nodes {
+			if id != n.entry.ID && !n.fleet.down[id] && !n.fleet.down[n.entry.ID] {
+				other.elector.Acknowledge(n.holder(), n.elector.Epoch())
+			}
+		}
+		n.fleet.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (n *node) holder() fescuebank.Holder {
+	return fescuebank.Holder{ID: n.entry.ID, Incarnation: n.entry.Incarnation}
+}
+
+// Peers is what the run sees: a third run's hearing makes a peer reachable.
+func (n *node) Peers() []roster.Peer {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	var list []roster.Peer
+	for id, other := range n.fleet.nodes {
+		if id == n.entry.ID {
+			continue
+		}
+		down := n.fleet.down[id]
+		list = append(list, roster.Peer{
+			MemberEntry: other.entry, Reachable: !down,
+			Alive: !down && !n.fleet.cut[[2]fescuebank.InstanceID{n.entry.ID, id}],
+			News:  fescuebank.News{Incarnation: other.entry.Incarnation},
+		})
+	}
+	return list
+}
+
+// list returns the list in the store.
+func (f *fleet) list() fescuebank.OwnerList {
+	var l fescuebank.OwnerList
+	o, err := f.store.Get(context.Background(), fescuebank.OwnerListKey)
+	if err != nil {
+		f.t.Fatalf("no list: %v", err)
+	}
+	if err := json.Unmarshal(o.Value, &l); err != nil {
+		f.t.Fatal(err)
+	}
+	return l
+}
+
+// teamOf returns a team that the list gives to an instance.
+func (f *fleet) teamOf(id fescuebank.InstanceID) fescuebank.TeamID {
+	l := f.list()
+	for i := range 1000 {
+		team := fescuebank.TeamID("team" + string(rune('a'+i%26)) + string(rune('a'+i/26)))
+		if owner, ok := l.Owner(team); ok && owner.ID == id {
+			return team
+		}
+	}
+	f.t.Fatalf("no team belongs to %s", id)
+	return ""
+}
+
+func (f *fleet) stopAll() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	f.group.Wait()
+}
+
+// formTime is enough for the first list.
+const formTime = 4 * time.Second
+
+func TestOwnersCutFromEachOtherKeepTheirTeams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		f.start("s1", true)
+		f.start("s2", true)
+		f.start("e1", false)
+		time.Sleep(formTime)
+		before := f.list().Epoch
+		f.cutOff("s1", "s2")
+		time.Sleep(10 * time.Second)
+		if got := f.list().Epoch; got != before {
+			t.Errorf("got epoch %d after a cut between owners that others hear, want %d", got, before)
+		}
+	})
+}
+
+func TestTakeover(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// fault strikes the owner s2; its team must be taken over within limit and
+		// not before least.
+		fault func(f *fleet)
+		least time.Duration
+		limit time.Duration
+	}{
+		{"owner lost for good, all entries live", func(f *fleet) { f.kill("s2") }, 500 * time.Millisecond, 2500 * time.Millisecond},
+		{"owner and an entry lost for good", func(f *fleet) { f.kill("s2"); f.kill("e1") }, 6 * time.Second, 9 * time.Second},
+		{"owner comes back as another run", func(f *fleet) {
+			f.kill("s2")
+			f.kill("e1")
+			time.Sleep(time.Second)
+			f.start("s2", true)
+			f.start("e1", false)
+		}, 0, 3 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.stopAll()
+				f.start("s1", true)
+				f.start("s2", true)
+				f.start("e1", false)
+				time.Sleep(formTime)
+				team := f.teamOf("s2")
+				began := time.Now()
+				tt.fault(f)
+				for !f.acts(team) {
+					time.Sleep(20 * time.Millisecond)
+					if time.Since(began) > tt.limit {
+						t.Fatalf("got no owner after %v, want one", tt.limit)
+					}
+				}
+				if got := time.Since(began); got < tt.least {
+					t.Errorf("got an owner after %v, want %v at least", got, tt.least)
+				}
+			})
+		})
+	}
+}
+
+// acts reports whether a live run may act for a team.
+func (f *fleet) acts(team fescuebank.TeamID) bool {
+	f.mu.Lock()
+	var live []*node
+	for id, n := range f.nodes {
+		if !f.down[id] {
+			live = append(live, n)
+		}
+	}
+	f.mu.Unlock()
+	for _, n := range live {
+		if _, ok := n.elector.Acts(team); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func TestRestartOfAllDoesNotWaitForRunsLongGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		f.start("s1", true)
+		f.start("s2", true)
+		f.start("e1", false)
+		time.Sleep(formTime)
+		f.kill("s2")
+		f.mu.Lock()
+		delete(f.nodes, "s2")
+		f.mu.Unlock()
+		time.Sleep(12 * time.Second)
+		if got := f.list().Former; len(got) != 0 {
+			t.Fatalf("got former owners %v long after they stopped, want none", got)
+		}
+		f.kill("s1")
+		f.kill("e1")
+		time.Sleep(time.Second)
+		f.start("s1", true)
+		f.start("e1", false)
+		time.Sleep(3 * time.Second)
+		if team := f.teamOf("s1"); !f.acts(team) {
+			t.Errorf("got no owner 3 s after the restart of all, want one")
+		}
+	})
+}
+
+func TestOwnerStopsOnceItCannotReadTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		n := f.start("s1", true)
+		time.Sleep(formTime)
+		team := f.teamOf("s1")
+		f.store.SetFaults(memorizer.Faults{Down: true})
+		time.Sleep(4 * time.Second)
+		if !n.elector.Holds(team) {
+			t.Errorf("got no ownership 4 s into an outage, want it")
+		}
+		time.Sleep(3 * time.Second)
+		if n.elector.Holds(team) {
+			t.Errorf("got ownership 7 s into an outage, want none")
+		}
+	})
+}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -94,15 +94,17 @@
 }
 
 // Poll lists beside the watch, and starts the watch anew if it missed a change.
-func (f *Follower) Poll(ctx context.Context) {
+// It reports whether the store answered.
+func (f *Follower) Poll(ctx context.Context) bool {
 	objects, at, err := f.store.List(ctx, f.prefix)
 	if err != nil {
-		return
+		return false
 	}
 	if f.replace(objects, at) {
 		f.log.Warn("Watch missed a change.", "prefix", f.prefix, "revision", uint64(at))
 		f.Restart()
 	}
+	return true
 }
 
 // Objects returns the mirror.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -348,6 +348,11 @@
 	}
 }
 
+// Registered reports whether this run's entry is in the store.
+func (r *Roster) Registered() bool {
+	return !r.isEntryLost()
+}
+
 func (r *Roster) isEntryLost() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/limit/buyer/buyer.go
+++ b/internal/limit/buyer/buyer.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// tokenLife is how long a bought token is good, from before it was asked for.
-	tokenLife = time.Second
 	// buyTimeout bounds one call to an owner.
 	buyTimeout = 300 * time.Millisecond
 	// settleWait is how long a request waits while the owner can't sell yet.
@@ -53,6 +51,8 @@
 	Owners Owners
 	Caller Caller
 	Seller *seller.Seller
+	// Registered reports whether owners can know that this run may hold tokens.
+	Registered func() bool
 	// Table returns the configuration in force, or nil.
 	Table func() *fescuebank.RouteTable
 	Clock fescuebank.Clock
@@ -175,16 +175,6 @@
 	return now.Before(t) && now.Round(0).Before(t.Round(0))
 }
 
-// Return gives a token back whose request surely did not run.
-func (b *Buyer) Return(id fescuebank.TeamID) {
-	s := b.shard(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if t := s.teams[id]; t != nil && b.elapsedBefore(b.Clock.Now(), t.expires) {
-		t.tokens++
-	}
-}
-
 // buy asks the owner for a token, once more after a short wait if one is due.
 func (b *Buyer) buy(ctx context.Context, id fescuebank.TeamID, q fescuebank.Quota, ahead int) error {
 	var reply fescuebank.BuyReply
@@ -192,7 +182,7 @@
 		asked := b.Clock.Now()
 		err := b.ask(ctx, id, ahead, &reply)
 		if err == nil && reply.Count > 0 {
-			b.receive(id, reply.Count-1, asked.Add(tokenLife))
+			b.receive(id, reply.Count-1, asked.Add(seller.TokenLife))
 			return nil
 		}
 		wait := time.Duration(reply.Wait)
@@ -233,7 +223,7 @@
 
 func (b *Buyer) ask(ctx context.Context, id fescuebank.TeamID, ahead int, reply *fescuebank.BuyReply) error {
 	owner, ok := b.Owners.Owner(id)
-	if !ok {
+	if !ok || !b.Registered() {
 		return fescuebank.ErrNotOwner
 	}
 	request := &fescuebank.BuyRequest{Team: id, Need: 1, Ahead: ahead}
--- a/internal/limit/seller/seller.go
+++ b/internal/limit/seller/seller.go
@@ -3,6 +3,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,8 +35,20 @@
 	level float64
 	// filled is when level was last brought up to date.
 	filled time.Time
+	// ahead are tokens sold beyond the need that may still be unspent. They count
+	// against the burst, or they would come on top of a full bucket.
+	ahead []sale
 }
 
+// sale is a number of tokens and when they are dead.
+type sale struct {
+	count int
+	dead  time.Time
+}
+
+// TokenLife is how long a sold token is good, from before it was asked for.
+const TokenLife = time.Second
+
 // New returns a seller without buckets.
 func New(clock fescuebank.Clock) *Seller {
 	s := &Seller{clock: clock}
@@ -92,8 +105,10 @@
 	}
 	b.fill(s.clock.Now(), q)
 	count = min(max(0, need), int(b.level))
-	if spare := int((b.level - float64(count)) / 2); count == need && ahead > 0 {
-		count += min(ahead, spare)
+	if spare := int((b.level - float64(count)) / 2); count == need && ahead > 0 && spare > 0 {
+		extra := min(ahead, spare)
+		count += extra
+		b.ahead = append(b.ahead, sale{count: extra, dead: b.filled.Add(TokenLife)})
 	}
 	b.level -= float64(count)
 	if count >= need {
@@ -110,6 +125,11 @@
 // fill brings the level up to date. A lower burst binds at once.
 func (b *bucket) fill(now time.Time, q fescuebank.Quota) {
 	b.level += float64(q.Rate.Over(now.Sub(b.filled)))
-	b.level = min(b.level, float64(q.Burst))
+	b.ahead = slices.DeleteFunc(b.ahead, func(s sale) bool { return s.dead.Before(now) })
+	unspent := 0
+	for _, s := range b.ahead {
+		unspent += s.count
+	}
+	b.level = min(b.level, max(0, float64(q.Burst)-float64(unspent)))
 	b.filled = now
 }
--- a/internal/operate/hoster/hoster.go
+++ b/internal/operate/hoster/hoster.go
@@ -137,7 +137,7 @@
 	h.platform.OnBack(h.restartFollowers)
 	h.buyer = buyer.New(buyer.Config{
 		Self: me, Owners: h.elector, Caller: calls, Seller: seller.New(h.clock), Table: h.table.Load,
-		Clock: h.clock, Log: h.part("limit"),
+		Registered: h.roster.Registered, Clock: h.clock, Log: h.part("limit"),
 	})
 	h.linker.Handle(fescuebank.KindBuy, h.buyer.Handle)
 	deposits, err := depositor.New(h.platform.Store, h.clock)
@@ -183,7 +183,7 @@
 	})
 	h.elector = elector.New(elector.Config{
 		Self: h.self, Store: store, Members: h.roster, Clock: h.clock, Log: h.part("owner"), Changed: h.reassign,
-		ReadVia: h.readOwnersVia, StoreState: h.platform.State,
+		ReadVia: h.readOwnersVia, ReadMembers: h.readMembers, StoreState: h.platform.State,
 	})
 	h.config = follower.New(store, h.platform.ConfigPrefix, h.clock, h.part("config"), h.applyConfig)
 	h.endpoints = follower.New(store, h.platform.EndpointPrefix, h.clock, h.part("endpoint"), h.applyEndpoints)
--- a/internal/operate/hoster/state.go
+++ b/internal/operate/hoster/state.go
@@ -238,6 +238,11 @@
 	return &o, nil
 }
 
+// readMembers reads the members from the store and reports whether it could.
+func (h *Hoster) readMembers(ctx context.Context) bool {
+	return h.members.Poll(ctx)
+}
+
 // restartFollowers lists everything again.
 func (h *Hoster) restartFollowers() {
 	for _, f := range []*follower.Follower{h.config, h.endpoints, h.members, h.owners} {
