Say what decided in each refusal; count calls and latencies; empty instances that retire

Cause: an engineer could not get from a refused request to its reason; the platform's requests to empty an instance went unanswered; while one owner was silent the others rewrote their entries each second, and each such write woke a watch on every instance.

Change: refusals carry the inputs that decided into one log line; a meter (counters, HDR histograms) at the metrics address; the log's writer has a rate and leaves out ordinary successes first; fescuectl explain. A retiring owner leaves the list, commits what it has, and sets completed. An owner beats only where it may be the one that is cut off.

--- a/cmd/fescuebankd/hosted.go
+++ b/cmd/fescuebankd/hosted.go
@@ -12,9 +12,11 @@
 
 	"fescuebank"
 	"fescuebank/internal/config/loader"
+	"fescuebank/internal/entry/relayer"
 	"fescuebank/internal/operate/hoster"
 	"fescuebank/internal/operate/journaler"
 	"fescuebank/internal/operate/logger"
+	"fescuebank/internal/operate/meter"
 	"fescuebank/internal/timing/timekeeper"
 	"fescuebank/platform/caller"
 	"fescuebank/platform/decoder"
@@ -32,16 +34,26 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(fescuebank.Bytes(s.Limits.MemoryMiB)*fescuebank.MiB)))
 	}
 	clock := timekeeper.Timekeeper{}
-	journal := journaler.New(os.Stdout, clock)
+	journal := journaler.New(os.Stdout, clock, journaler.Rate{Ordinary: s.Log.Ordinary, All: s.Log.Lines}, relayer.IsOrdinary)
+	counts := meter.New()
+	counts.Gauge("logLinesLeftOut", func() any { return journal.Dropped() })
 	defer journal.Close()
 	log := logger.Logger{Settings: s.Log, Output: journal}.Open("fescuebank")
-	store := storer.New(s.Platform.URL, clock)
+	store := storer.New(s.Platform.URL, clock, counts)
 	h, err := hoster.New(s, hoster.Platform{
 		Store: store, Reconnect: store.Reconnect, OnBack: store.OnBack, State: store.State,
 		ConfigKey: decoder.ConfigKey, ConfigPrefix: decoder.ConfigPrefix, EndpointPrefix: decoder.EndpointPrefix,
 		DecodeConfig: decoder.Decoder{}.Config, DecodeEndpoint: decoder.Decoder{}.Endpoint, Protocol: caller.Caller{},
+		RetirementPrefix: decoder.RetirementPrefix,
+		SetRetired: func(ctx context.Context, key string, emptied bool) error {
+			state := decoder.RetirementRunning
+			if emptied {
+				state = decoder.RetirementCompleted
+			}
+			return store.SetStatus(ctx, key, decoder.Retirement{State: state})
+		},
 		Handlers: func(e hoster.Entry) hoster.Handlers { return handlers(e, s) },
-	}, clock, log)
+	}, clock, counts, log)
 	if err != nil {
 		return err
 	}
@@ -74,7 +86,7 @@
 func handlers(e hoster.Entry, s *fescuebank.Settings) hoster.Handlers {
 	g := gateway.New(gateway.Config{
 		Table: e.Table, Relayer: e.Relayer, Admitter: e.Admitter, Batch: e.Batch, Addresses: e.Addresses,
-		Ready: e.Ready, Leaving: e.Leaving, AddressTTL: s.Timing.AddressTTL, Clock: e.Clock, Log: e.Log,
+		Ready: e.Ready, Leaving: e.Leaving, AddressTTL: s.Timing.AddressTTL, Clock: e.Clock, Meter: e.Meter, Log: e.Log,
 	})
 	return hoster.Handlers{
 		Callers: g, Ready: http.HandlerFunc(g.ServeReady), Addresses: http.HandlerFunc(g.ServeAddresses),
--- a/cmd/fescuectl/main.go
+++ b/cmd/fescuectl/main.go
@@ -23,6 +23,7 @@
 	Endpoints *endpointsCommand `arg:"subcommand:endpoints" help:"list the endpoints and their load"`
 	Report    *reportCommand    `arg:"subcommand:report" help:"print reports"`
 	Load      *loadCommand      `arg:"subcommand:load" help:"measure a deployment under load"`
+	Explain   *explainCommand   `arg:"subcommand:explain" help:"tell from logs what happened to one request"`
 }
 
 // Description is shown by --help.
@@ -69,6 +70,8 @@
 		return a.Report
 	case a.Load != nil:
 		return a.Load
+	case a.Explain != nil:
+		return a.Explain
 	}
 	return nil
 }
--- a/internal/batch/steward/job.go
+++ b/internal/batch/steward/job.go
@@ -49,7 +49,9 @@
 	pending      []fescuebank.RoutedResult
 	pendingSince time.Time
 	committing   bool
-	ended        bool
+	// hurry is set when outcomes are committed without waiting for others.
+	hurry bool
+	ended bool
 	// changed closes when results are added, and is then replaced.
 	changed chan struct{}
 }
@@ -109,6 +111,27 @@
 	return j.ended
 }
 
+// addTo counts the job.
+func (j *job) addTo(status *Status, now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	status.Jobs++
+	status.Listed += len(j.results)
+	if j.ended || len(j.results) >= len(j.spec.Items) {
+		return
+	}
+	status.Open++
+	status.OldestMs = max(status.OldestMs, now.Sub(j.spec.Submitted).Milliseconds())
+	for _, it := range j.items {
+		switch it.phase {
+		case phaseWaiting:
+			status.Waiting++
+		case phaseRunning:
+			status.Running++
+		}
+	}
+}
+
 // end stops the work on a job that its caller ended.
 func (j *job) end() {
 	j.mu.Lock()
@@ -121,6 +144,7 @@
 func (j *job) stopAll() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.hurry = true
 	j.stopRunning()
 }
 
--- a/internal/batch/steward/steward.go
+++ b/internal/batch/steward/steward.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -50,6 +51,9 @@
 type Steward struct {
 	Config
 
+	// uncommitted is the number of jobs with outcomes that wait for their commit.
+	uncommitted atomic.Int64
+
 	mu       sync.Mutex
 	accounts map[fescuebank.TeamID]*account
 }
@@ -230,6 +234,38 @@
 	}
 }
 
+// Status is the state of the jobs that this run owns.
+type Status struct {
+	Jobs    int `json:"jobs"`
+	Open    int `json:"open"`
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+	Listed  int `json:"listed"`
+	// OldestMs is the age of the oldest open job.
+	OldestMs int64 `json:"oldestMs"`
+}
+
+// Status counts the jobs and items that this run owns.
+func (s *Steward) Status() Status {
+	var status Status
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.accounts {
+		a.mu.Lock()
+		for _, j := range a.jobs {
+			j.addTo(&status, now)
+		}
+		a.mu.Unlock()
+	}
+	return status
+}
+
+// Settled reports whether no outcome waits for its commit.
+func (s *Steward) Settled() bool {
+	return s.uncommitted.Load() == 0
+}
+
 // Submit keeps a job whole. It returns a refusal, fescuebank.ErrNotOwner, or nil
 // if the job is accepted, now or earlier.
 func (s *Steward) Submit(ctx context.Context, spec *fescuebank.RoutedJob) error {
--- a/internal/batch/steward/task.go
+++ b/internal/batch/steward/task.go
@@ -215,6 +215,8 @@
 
 // commit writes the pending outcomes of a job until none is left.
 func (s *Steward) commit(j *job) {
+	s.uncommitted.Add(1)
+	defer s.uncommitted.Add(-1)
 	ctx := context.Background()
 	for {
 		_ = fescuebank.Sleep(ctx, s.Clock, j.commitWait(s.Clock.Now()))
@@ -231,30 +233,49 @@
 			s.adopt(ctx, j, segment)
 		default:
 			s.Log.Warn("Results not committed.", "job", string(j.spec.ID), "segment", segment, "err", err.Error())
+			if j.isForsaken(s.Clock.Now()) {
+				return
+			}
 			_ = fescuebank.Sleep(ctx, s.Clock, commitRetry)
 		}
 	}
 }
 
+// forsakeAfter is how long a run tries to commit outcomes of a team that it doesn't
+// own any more.
+const forsakeAfter = 20 * time.Second
+
+// isForsaken drops the outcomes of a team that has had another owner for long.
+func (j *job) isForsaken(now time.Time) bool {
+	j.account.mu.Lock()
+	closed := j.account.closed
+	j.account.mu.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !closed || now.Sub(j.pendingSince) < forsakeAfter {
+		return false
+	}
+	j.pending, j.committing = nil, false
+	return true
+}
+
 // commitWait returns how long to wait for more outcomes.
 func (j *job) commitWait(now time.Time) time.Duration {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if len(j.pending)+len(j.results) >= len(j.spec.Items) {
+	if len(j.pending)+len(j.results) >= len(j.spec.Items) || j.hurry {
 		return 0
 	}
 	return max(0, j.pendingSince.Add(commitAge).Sub(now))
 }
 
-// nextSegment returns the outcomes to commit next, or false if none is left or
-// the team has another owner.
+// nextSegment returns the outcomes to commit next, or false if none is left.
+// A run that doesn't own the team any more commits what it has, too: a segment is
+// written once, whoever writes it.
 func (j *job) nextSegment() (batch []fescuebank.RoutedResult, segment int, ok bool) {
-	j.account.mu.Lock()
-	closed := j.account.closed
-	j.account.mu.Unlock()
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if len(j.pending) == 0 || closed {
+	if len(j.pending) == 0 {
 		j.committing = false
 		return nil, 0, false
 	}
--- a/internal/entry/allotter/allotter.go
+++ b/internal/entry/allotter/allotter.go
@@ -177,6 +177,17 @@
 	return counts, len(a.waiting)
 }
 
+// Loads returns the requests at each endpoint, this instance's and others'.
+func (a *Allotter) Loads() map[fescuebank.EndpointID][2]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	loads := make(map[fescuebank.EndpointID][2]int, len(a.endpoints))
+	for id, e := range a.endpoints {
+		loads[id] = [2]int{e.own, e.others}
+	}
+	return loads
+}
+
 // SetOthers takes in what the other instances have at the endpoints, how many of
 // their requests wait, and how many of their places make room for waiting ones.
 func (a *Allotter) SetOthers(counts fescuebank.EndpointCounts, waiting, yielding int) {
@@ -340,6 +351,19 @@
 	return list
 }
 
+// Details tells the state that decides waits for a service, for the log.
+func (a *Allotter) Details(service fescuebank.ServiceName) []any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	slots, free := a.room(service, now)
+	wait, _ := a.predict(Ask{Service: service}, now, len(a.waiting))
+	return []any{
+		"service", string(service), "places", slots, "freePlaces", free, "waitingHere", len(a.waiting),
+		"waitingElsewhere", a.othersWaiting, "yielding", a.yielding, "predictedWaitMs", wait.Milliseconds(), "holdMs", a.hold.Milliseconds(),
+	}
+}
+
 // RetryAfter returns when a refused caller should come back.
 func (a *Allotter) RetryAfter() time.Duration {
 	return retryBase + rand.N(retrySpread)
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -3,10 +3,12 @@
 package relayer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -14,6 +16,7 @@
 	"fescuebank"
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/entry/allotter"
+	"fescuebank/internal/operate/meter"
 )
 
 const (
@@ -44,21 +47,33 @@
 	exchanger *exchanger.Exchanger
 	protocol  fescuebank.EndpointProtocol
 	clock     fescuebank.Clock
+	meter     *meter.Meter
+	versions  func() Versions
 	log       hclog.Logger
 }
 
+// Versions are those of what decisions rest on.
+type Versions struct {
+	Config    fescuebank.Generation    `json:"config"`
+	Epoch     fescuebank.FencingNumber `json:"epoch"`
+	Endpoints fescuebank.StoreVersion  `json:"endpoints"`
+}
+
 // Config is what a relayer works with.
 type Config struct {
 	Allotter  *allotter.Allotter
 	Exchanger *exchanger.Exchanger
 	Protocol  fescuebank.EndpointProtocol
 	Clock     fescuebank.Clock
-	Log       hclog.Logger
+	Meter     *meter.Meter
+	// Versions returns the versions in force, for the log.
+	Versions func() Versions
+	Log      hclog.Logger
 }
 
 // New returns a relayer.
 func New(c Config) *Relayer {
-	return &Relayer{allotter: c.Allotter, exchanger: c.Exchanger, protocol: c.Protocol, clock: c.Clock, log: c.Log}
+	return &Relayer{allotter: c.Allotter, exchanger: c.Exchanger, protocol: c.Protocol, clock: c.Clock, meter: c.Meter, versions: c.Versions, log: c.Log}
 }
 
 // ErrAbandoned means that the answer began and can't be ended properly.
@@ -220,6 +235,10 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return ctx.Err()
 	}
+	return f.refuseNotRun(cause).With(f.allotter.Details(f.request.Service)...)
+}
+
+func (f *flight) refuseNotRun(cause error) *fescuebank.Refusal {
 	switch {
 	case errors.Is(cause, allotter.ErrFull), errors.Is(cause, errNotRun):
 		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeOverloaded,
@@ -243,15 +262,43 @@
 		"the endpoint was lost").WithState(fescuebank.MayHaveRun)
 }
 
-// report writes the line of the request's end.
+// The outcomes of a request in the log.
+const (
+	outcomeAnswered = "answered"
+	outcomeLeft     = "caller left"
+)
+
+// IsOrdinary reports whether a line of the log tells of a request that was
+// answered as usual.
+func IsOrdinary(line []byte) bool {
+	return bytes.Contains(line, []byte(`"outcome":"answered"`))
+}
+
+// report writes the line of the request's end and counts it.
 func (f *flight) report(err error) {
-	outcome := "answered"
-	if err != nil {
+	outcome := outcomeAnswered
+	var refusal *fescuebank.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		outcome = string(refusal.Code)
+	case errors.Is(err, context.Canceled):
+		outcome = outcomeLeft
+	case err != nil:
 		outcome = err.Error()
 	}
 	r := f.request
-	f.log.Info("Request ended.", "request", string(r.ID), "team", string(r.Team), "route", r.Route.Name,
+	f.meter.Count("requests", r.Route.Name, string(r.Team), outcome)
+	f.meter.Time("placeWait", f.waited)
+	if f.started {
+		f.meter.Time("firstByte", f.first)
+	}
+	f.meter.Time("total", f.clock.Now().Sub(r.Arrived))
+	f.meter.Count("offers", strconv.Itoa(f.offers))
+	v := f.versions()
+	f.log.Info("Request ended.", "request", string(r.ID), "team", string(r.Team), "route", r.Route.Name, "priority", r.Priority,
+		"configVersion", uint64(v.Config), "ownerEpoch", uint64(v.Epoch), "endpointsRevision", uint64(v.Endpoints),
 		"endpoint", string(f.endpoint.ID), "started", f.endpoint.Started, "load", f.load, "offers", f.offers, "runs", f.runs,
-		"waitMs", f.waited.Milliseconds(), "firstMs", f.first.Milliseconds(),
-		"totalMs", f.clock.Now().Sub(r.Arrived).Milliseconds(), "status", f.status, "outcome", outcome)
+		"lastEvent", f.last, "waitMs", f.waited.Milliseconds(), "firstMs", f.first.Milliseconds(),
+		"totalMs", f.clock.Now().Sub(r.Arrived).Milliseconds(), "leftMs", r.Deadline.Sub(f.clock.Now()).Milliseconds(),
+		"status", f.status, "outcome", outcome)
 }
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -19,11 +19,11 @@
 
 const (
 	// lease is how long a run acts after it has read the list.
-	lease = 6 * time.Second
+	lease = 8 * time.Second
 	// leaseMargin is kept between the end of acting and a takeover.
 	leaseMargin = 500 * time.Millisecond
 	// confirmInterval is how often a run that is listed reads the list.
-	confirmInterval = 1500 * time.Millisecond
+	confirmInterval = 3 * time.Second
 	// floorLife is how long a run uses its floor slot after it has read the list.
 	floorLife = 25 * time.Second
 	// tendInterval is how often the list is compared with the members.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -32,7 +32,7 @@
 	removeAfter = 30 * time.Second
 	// entryLife is how long a change of a peer's entry shows that the peer lives.
 	entryLife = 2500 * time.Millisecond
-	// entryBeat is how often an owner changes its entry while peers are silent.
+	// entryBeat is how often an owner changes its entry while others are silent.
 	entryBeat = time.Second
 	// entryBeatFor is for how long it does so after the last sign of a peer.
 	entryBeatFor = 15 * time.Second
@@ -137,7 +137,7 @@
 	}
 	for id, m := range r.members {
 		if !seen[id] {
-			r.Log.Info("Instance is gone.", "instance", string(id))
+			r.Log.Info("Instance is gone.", "peer", string(id))
 			r.Linker.Forget(m.entry.PeerAddr)
 			delete(r.members, id)
 		}
@@ -162,7 +162,7 @@
 		next.sequence, next.sign = m.sequence, m.sign
 	}
 	r.members[e.ID] = next
-	r.Log.Info("Instance is known.", "instance", string(e.ID), "incarnation", string(e.Incarnation), "addr", e.PeerAddr)
+	r.Log.Info("Instance is known.", "peer", string(e.ID), "incarnation", string(e.Incarnation), "addr", e.PeerAddr)
 }
 
 // hear takes in the news of a peer.
@@ -181,7 +181,7 @@
 	}
 	if m.silent {
 		m.silent = false
-		r.Log.Info("Instance is heard again.", "instance", string(n.From))
+		r.Log.Info("Instance is heard again.", "peer", string(n.From))
 	}
 	m.heard, m.news = now, n
 	if echo := n.Heard[r.Self.ID]; echo.Incarnation == r.Self.Incarnation && echo.Sequence > m.echo {
@@ -280,7 +280,7 @@
 		if now.Sub(since) >= suspectAfter && !m.silent {
 			m.silent = true
 			silent++
-			r.Log.Warn("Instance is silent.", "instance", string(m.entry.ID), "heardMsAgo", now.Sub(since).Milliseconds())
+			r.Log.Warn("Instance is silent.", "peer", string(m.entry.ID), "heardMsAgo", now.Sub(since).Milliseconds())
 		}
 		if now.Sub(latest(since, latest(m.sign, m.changed))) >= removeAfter {
 			remove = append(remove, m)
@@ -320,7 +320,7 @@
 func (r *Roster) remove(ctx context.Context, gone []*member) {
 	for _, m := range gone {
 		err := r.Store.Delete(ctx, fescuebank.MemberPrefix+string(m.entry.ID), m.version)
-		r.Log.Info("Entry of a silent instance removed.", "instance", string(m.entry.ID), "err", errText(err))
+		r.Log.Info("Entry of a silent instance removed.", "peer", string(m.entry.ID), "err", errText(err))
 	}
 }
 
@@ -359,8 +359,9 @@
 	return r.entryLost
 }
 
-// mustBeat reports whether an owner is silent lately, to whom and from whom
-// only the store may carry a sign of life.
+// mustBeat reports whether an owner has to show by its entry that it lives: when
+// most other owners are silent, so that it may be this one that is cut off, or
+// when a silent owner shows the same.
 func (r *Roster) mustBeat() bool {
 	if !r.Self.Owner {
 		return false
@@ -368,13 +369,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
+	owners, silent := 0, 0
 	for _, m := range r.members {
+		if !m.entry.Owner {
+			continue
+		}
+		owners++
 		since := now.Sub(latest(m.lastHeard(), m.known))
-		if m.entry.Owner && since >= suspectAfter && since < entryBeatFor {
+		if since < suspectAfter {
+			continue
+		}
+		if now.Sub(m.changed) < entryLife {
 			return true
 		}
+		if since < entryBeatFor {
+			silent++
+		}
 	}
-	return false
+	return silent*2 > owners
 }
 
 // lastHeard is when the peer was last heard here or elsewhere.
@@ -400,7 +412,7 @@
 	r.mu.Unlock()
 	version, err := r.Store.Put(ctx, key, value, expected)
 	if err == nil {
-		r.Log.Info("Entry written.", "instance", string(r.Self.ID), "incarnation", string(r.Self.Incarnation), "version", uint64(version))
+		r.Log.Info("Entry written.", "incarnation", string(r.Self.Incarnation), "version", uint64(version))
 	}
 	if errors.Is(err, fescuebank.ErrVersion) || errors.Is(err, fescuebank.ErrAbsent) {
 		version, err = r.readEntry(ctx, key)
--- a/internal/limit/buyer/buyer.go
+++ b/internal/limit/buyer/buyer.go
@@ -191,11 +191,10 @@
 			return ctx.Err()
 		case err == nil && (try > 0 || wait > shortWait):
 			return fescuebank.Refuse(http.StatusTooManyRequests, fescuebank.CodeRateLimited,
-				"the team is over its rate and burst").After(wait)
+				"the team is over its rate and burst").After(wait).With(b.details(id, q, "owner refused")...)
 		case err != nil && try > 0:
-			b.Log.Warn("Owner does not sell.", "team", string(id), "err", err.Error())
 			return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeLimitUnknown,
-				"nobody can tell now whether the team is within its rate").After(unknownRetry)
+				"nobody can tell now whether the team is within its rate").After(unknownRetry).With(b.details(id, q, err.Error())...)
 		case err != nil:
 			wait = settleWait
 		}
@@ -206,6 +205,20 @@
 	}
 }
 
+// details are what decided a refusal.
+func (b *Buyer) details(id fescuebank.TeamID, q fescuebank.Quota, reason string) []any {
+	owner, _ := b.Owners.Owner(id)
+	slot, slots, _ := b.Owners.FloorSlot()
+	s := b.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.teams[id]
+	return []any{
+		"team", string(id), "owner", string(owner.ID), "reason", reason, "ratePerSecond", float64(q.Rate), "burst", float64(q.Burst),
+		"floorSlot", slot, "floorSlots", slots, "floorLevel", t.floor, "gapMs", t.gap.Milliseconds(),
+	}
+}
+
 func (b *Buyer) receive(id fescuebank.TeamID, tokens int, expires time.Time) {
 	if tokens <= 0 {
 		return
--- a/internal/operate/hoster/hoster.go
+++ b/internal/operate/hoster/hoster.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -26,6 +27,7 @@
 	"fescuebank/internal/fleet/roster"
 	"fescuebank/internal/limit/buyer"
 	"fescuebank/internal/limit/seller"
+	"fescuebank/internal/operate/meter"
 	"fescuebank/internal/wire/detourer"
 	"fescuebank/internal/wire/linker"
 )
@@ -47,6 +49,10 @@
 	DecodeConfig   func(value []byte) (table *fescuebank.RouteTable, skipped []error, err error)
 	DecodeEndpoint func(o fescuebank.Object) (fescuebank.ServedEndpoint, error)
 	Protocol       fescuebank.EndpointProtocol
+	// RetirementPrefix is that of requests to empty an instance, each named like the
+	// instance. SetRetired tells how far one is.
+	RetirementPrefix string
+	SetRetired       func(ctx context.Context, key string, emptied bool) error
 	// Handlers returns the callers' side.
 	Handlers func(Entry) Handlers
 }
@@ -69,6 +75,7 @@
 	Ready     func() bool
 	Leaving   func() bool
 	Clock     fescuebank.Clock
+	Meter     *meter.Meter
 	Log       hclog.Logger
 }
 
@@ -77,12 +84,15 @@
 	settings *fescuebank.Settings
 	platform Platform
 	clock    fescuebank.Clock
+	counts   *meter.Meter
 	log      hclog.Logger
 	self     fescuebank.MemberEntry
 
 	table   atomic.Pointer[fescuebank.RouteTable]
 	leaving atomic.Bool
-	flights atomic.Int64
+	// retiring is set once the instance was asked to hand over what it owns.
+	retiring atomic.Bool
+	flights  atomic.Int64
 
 	linker    *linker.Linker
 	roster    *roster.Roster
@@ -102,8 +112,8 @@
 }
 
 // New makes an instance and opens its address for peers.
-func New(s *fescuebank.Settings, p Platform, clock fescuebank.Clock, log hclog.Logger) (*Hoster, error) {
-	h := &Hoster{settings: s, platform: p, clock: clock, log: log}
+func New(s *fescuebank.Settings, p Platform, clock fescuebank.Clock, counts *meter.Meter, log hclog.Logger) (*Hoster, error) {
+	h := &Hoster{settings: s, platform: p, clock: clock, counts: counts, log: log.With("instance", string(s.Instance.ID))}
 	h.self = fescuebank.MemberEntry{
 		ID: s.Instance.ID, Incarnation: fescuebank.Incarnation(fescuebank.NewRandomID("")), Zone: s.Instance.Zone,
 		PeerAddr: s.Listen.Peers, Owner: s.Roles.Owner, Weight: s.Instance.Weight,
@@ -147,7 +157,7 @@
 	h.steward = steward.New(steward.Config{
 		Owns: func(team fescuebank.TeamID) bool {
 			owner, ok := h.elector.Owner(team)
-			return ok && owner == me && !h.leaving.Load()
+			return ok && owner == me && !h.leaving.Load() && !h.retiring.Load()
 		},
 		Depositor: deposits, Table: h.table.Load, Clock: h.clock, Log: h.part("batch"),
 		Kick: func() { h.runner.Kick() },
@@ -166,11 +176,13 @@
 	h.entry = Entry{
 		Table: h.table.Load,
 		Relayer: relayer.New(relayer.Config{
-			Allotter: h.allotter, Exchanger: h.exchanger, Protocol: h.platform.Protocol, Clock: h.clock, Log: h.part("entry"),
+			Allotter: h.allotter, Exchanger: h.exchanger, Protocol: h.platform.Protocol, Clock: h.clock,
+			Meter: h.counts, Versions: h.versions, Log: h.part("entry"),
 		}),
 		Admitter: h.buyer, Batch: batch, Addresses: h.addresses, Ready: h.ready, Leaving: h.leaving.Load,
-		Clock: h.clock, Log: h.part("entry"),
+		Clock: h.clock, Meter: h.counts, Log: h.part("entry"),
 	}
+	h.gauge()
 	return nil
 }
 
@@ -203,6 +215,13 @@
 	}
 	if h.settings.Roles.Owner {
 		group.Go(func() { h.runner.Run(parts) })
+		retirements := follower.New(h.platform.Store, h.platform.RetirementPrefix, h.clock, h.part("retire"), h.heedRetirements)
+		group.Go(func() { retirements.Run(parts) })
+	}
+	if h.settings.Listen.Metrics != "" {
+		if err := h.serveMetrics(); err != nil {
+			return err
+		}
 	}
 	var servers []*http.Server
 	if h.settings.Roles.Entry {
@@ -212,13 +231,13 @@
 		}
 		servers = started
 	}
-	h.log.Info("Instance serves.", "instance", string(h.self.ID), "incarnation", string(h.self.Incarnation),
+	h.log.Info("Instance serves.", "incarnation", string(h.self.Incarnation),
 		"callers", h.self.CallerAddr, "peers", h.self.PeerAddr, "owner", h.self.Owner)
 	<-ctx.Done()
 	h.leave(servers)
 	stop()
 	group.Wait()
-	h.log.Info("Instance left.", "instance", string(h.self.ID))
+	h.log.Info("Instance left.")
 	return nil
 }
 
@@ -255,6 +274,21 @@
 	return servers, nil
 }
 
+// serveMetrics opens the address of counts and latencies.
+func (h *Hoster) serveMetrics() error {
+	l, err := net.Listen("tcp", h.settings.Listen.Metrics)
+	if err != nil {
+		return eris.Wrap(err, "Hoster.serveMetrics")
+	}
+	expvar.Publish("fescuebank", expvar.Func(func() any { return h.counts.Snapshot() }))
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", h.counts)
+	mux.Handle("/debug/vars", expvar.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
 // count keeps the number of requests in flight.
 func (h *Hoster) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/operate/hoster/state.go
+++ b/internal/operate/hoster/state.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"fescuebank"
+	"fescuebank/internal/entry/relayer"
 	"fescuebank/internal/fleet/follower"
 )
 
@@ -14,11 +16,11 @@
 	// maxAddresses is how many addresses an answer to a caller holds.
 	maxAddresses = 64
 	// pollInterval is the mean time between two reads beside the watches.
-	pollInterval = 3 * time.Second
+	pollInterval = 4500 * time.Millisecond
 	// storeLostAfter is how long the store must fail here before the others are told.
 	storeLostAfter = time.Second
 	// catchUpAfter is how long newer state may be missing before a peer is asked.
-	catchUpAfter = 250 * time.Millisecond
+	catchUpAfter = 120 * time.Millisecond
 	// catchUpTimeout bounds the call to the peer.
 	catchUpTimeout = 500 * time.Millisecond
 	// leaveAtLeast is how long a leaving instance goes on to serve callers that
@@ -97,7 +99,7 @@
 		n.Batch = counts
 	}
 	n.Ready = h.ready()
-	n.Leaving = h.leaving.Load()
+	n.Leaving = h.leaving.Load() || h.retiring.Load()
 	n.Config, n.Endpoints = h.config.ChangedAt(), h.endpoints.ChangedAt()
 	n.Epoch = h.elector.Epoch()
 	answers, since := h.platform.State()
@@ -145,6 +147,33 @@
 	}()
 }
 
+// versions are the versions of what decisions rest on.
+func (h *Hoster) versions() relayer.Versions {
+	v := relayer.Versions{Epoch: h.elector.Epoch(), Endpoints: h.endpoints.ChangedAt()}
+	if t := h.table.Load(); t != nil {
+		v.Config = t.Version
+	}
+	return v
+}
+
+// gauge serves the present state among the counts.
+func (h *Hoster) gauge() {
+	h.counts.Gauge("versions", func() any { return h.versions() })
+	h.counts.Gauge("inFlight", func() any { return h.flights.Load() })
+	h.counts.Gauge("endpointConnectionsDialed", func() any { return h.exchanger.Dialed() })
+	h.counts.Gauge("waitingForPlaces", func() any {
+		_, waiting := h.allotter.Counts()
+		return waiting
+	})
+	h.counts.Gauge("endpointsHere", func() any { return h.allotter.Loads() })
+	h.counts.Gauge("storeAnswers", func() any {
+		answers, since := h.platform.State()
+		return map[string]any{"answers": answers, "sinceMs": since.Milliseconds()}
+	})
+	h.counts.Gauge("batchRunning", func() any { return h.runner.Running() })
+	h.counts.Gauge("batch", func() any { return h.steward.Status() })
+}
+
 // poll reads the configuration and the endpoints in turn. Watches of all
 // instances may miss a change together; one instance that reads it tells the rest.
 func (h *Hoster) poll(ctx context.Context) {
@@ -283,11 +312,41 @@
 	return list
 }
 
+// heedRetirements empties this instance if it is asked to.
+func (h *Hoster) heedRetirements(objects []fescuebank.Object) {
+	for _, o := range objects {
+		if o.Key == h.platform.RetirementPrefix+string(h.self.ID) && h.retiring.CompareAndSwap(false, true) {
+			go h.retire(context.Background(), o.Key)
+		}
+	}
+}
+
+// retire hands over what this instance owns and tells when that is done.
+func (h *Hoster) retire(ctx context.Context, key string) {
+	log := h.part("retire")
+	log.Info("Instance is to be emptied.")
+	h.elector.SetLeaving()
+	h.runner.Stop()
+	h.steward.Reassign()
+	for !h.hasHandedOver() || !h.steward.Settled() {
+		_ = fescuebank.Sleep(ctx, h.clock, leaveLook)
+	}
+	for {
+		err := h.platform.SetRetired(ctx, key, true)
+		if err == nil || errors.Is(err, fescuebank.ErrAbsent) {
+			log.Info("Instance is emptied.")
+			return
+		}
+		log.Warn("Retirement not told.", "err", err.Error())
+		_ = fescuebank.Sleep(ctx, h.clock, leaveLook)
+	}
+}
+
 // leave ends the instance: out of the addresses first, then ownership, then the
 // requests in flight, then the entry.
 func (h *Hoster) leave(servers []*http.Server) {
 	began := h.clock.Now()
-	h.log.Info("Instance leaves.", "instance", string(h.self.ID), "inFlight", h.flights.Load(), "items", h.runner.Running())
+	h.log.Info("Instance leaves.", "inFlight", h.flights.Load(), "items", h.runner.Running())
 	h.leaving.Store(true)
 	h.roster.Send()
 	h.elector.SetLeaving()
@@ -297,7 +356,7 @@
 	until := began.Add(h.settings.Timing.Grace - leaveMargin)
 	for h.clock.Now().Before(until) {
 		idle := h.flights.Load() == 0 && h.clock.Now().Sub(began) >= leaveAtLeast
-		if idle || (len(servers) == 0 && h.hasHandedOver()) {
+		if idle || (len(servers) == 0 && h.hasHandedOver() && h.steward.Settled()) {
 			break
 		}
 		_ = fescuebank.Sleep(ctx, h.clock, leaveLook)
--- a/internal/operate/journaler/journaler.go
+++ b/internal/operate/journaler/journaler.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,20 +20,39 @@
 	bufferBytes = 16 << 10
 )
 
-// Journaler is an io.Writer that takes one line a call. While its reader is slow
-// lines are left out and counted.
+// Rate bounds the lines of a second.
+type Rate struct {
+	// Ordinary bounds the lines that Ordinary says are of ordinary successes, All
+	// those of every kind. The rest is left out and counted.
+	Ordinary int
+	All      int
+}
+
+// Journaler is an io.Writer that takes one line a call. Lines over its rate are
+// left out and counted, ordinary ones first; so are those that its reader is too
+// slow for.
 type Journaler struct {
-	lines   chan []byte
-	dropped atomic.Int64
-	out     *bufio.Writer
-	clock   fescuebank.Clock
-	done    chan struct{}
+	lines chan []byte
+	out   *bufio.Writer
+	clock fescuebank.Clock
+	rate  Rate
+	// isOrdinary tells the lines that may be left out first.
+	isOrdinary func(line []byte) bool
+	done       chan struct{}
+	dropped    atomic.Int64
+
+	mu sync.Mutex
+	// second is when the running second began, and ordinary and all what it took.
+	second   time.Time
+	ordinary int
+	all      int
 }
 
 // New returns a journaler that writes to out.
-func New(out io.Writer, clock fescuebank.Clock) *Journaler {
+func New(out io.Writer, clock fescuebank.Clock, rate Rate, isOrdinary func(line []byte) bool) *Journaler {
 	j := &Journaler{
-		lines: make(chan []byte, queueLines), out: bufio.NewWriterSize(out, bufferBytes), clock: clock, done: make(chan struct{}),
+		lines: make(chan []byte, queueLines), out: bufio.NewWriterSize(out, bufferBytes), clock: clock,
+		rate: rate, isOrdinary: isOrdinary, done: make(chan struct{}), second: clock.Now(),
 	}
 	go j.run()
 	return j
@@ -40,6 +60,10 @@
 
 // Write queues a line. It never blocks and never fails.
 func (j *Journaler) Write(line []byte) (int, error) {
+	if !j.admits(line) {
+		j.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case j.lines <- append([]byte(nil), line...):
 	default:
@@ -48,12 +72,31 @@
 	return len(line), nil
 }
 
+// admits counts a line against the rate.
+func (j *Journaler) admits(line []byte) bool {
+	ordinary := j.isOrdinary(line)
+	now := j.clock.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if now.Sub(j.second) >= time.Second {
+		j.second, j.ordinary, j.all = now, 0, 0
+	}
+	if j.all >= j.rate.All || (ordinary && j.ordinary >= j.rate.Ordinary) {
+		return false
+	}
+	j.all++
+	if ordinary {
+		j.ordinary++
+	}
+	return true
+}
+
 // Dropped returns how many lines were left out so far.
 func (j *Journaler) Dropped() int64 {
 	return j.dropped.Load()
 }
 
-// Close writes what waits. No line may follow.
+// Close writes what waits. Lines that follow are lost.
 func (j *Journaler) Close() {
 	close(j.lines)
 	select {
@@ -68,9 +111,10 @@
 	toldAt := j.clock.Now()
 	for line := range j.lines {
 		_, _ = j.out.Write(line) // Nobody is left to tell of a log that fails.
-		if dropped := j.dropped.Load(); dropped > told && j.clock.Now().Sub(toldAt) >= gapInterval {
-			fmt.Fprintf(j.out, "{\"@level\":\"warn\",\"@module\":\"fescuebank.log\",\"@message\":\"Lines left out.\",\"lines\":%d}\n", dropped-told)
-			told, toldAt = dropped, j.clock.Now()
+		now := j.clock.Now()
+		if dropped := j.dropped.Load(); dropped > told && now.Sub(toldAt) >= gapInterval {
+			fmt.Fprintf(j.out, gapLine, now.Format(time.RFC3339Nano), dropped-told)
+			told, toldAt = dropped, now
 		}
 		if len(j.lines) == 0 {
 			_ = j.out.Flush()
@@ -78,3 +122,6 @@
 	}
 	_ = j.out.Flush()
 }
+
+// gapLine tells how many lines were left out since the last such line.
+const gapLine = "{\"@level\":\"warn\",\"@module\":\"fescuebank.log\",\"@message\":\"Lines left out.\",\"@timestamp\":%q,\"lines\":%d}\n"
--- a/internal/wire/linker/codec.go
+++ b/internal/wire/linker/codec.go
@@ -44,6 +44,7 @@
 	Message    string                 `cbor:"3,keyasint"`
 	State      fescuebank.RunState    `cbor:"4,keyasint"`
 	RetryAfter time.Duration          `cbor:"5,keyasint,omitempty"`
+	Details    []any                  `cbor:"6,keyasint,omitempty"`
 }
 
 func encodeBody(message any) ([]byte, error) {
--- a/refusal.go
+++ b/refusal.go
@@ -62,6 +62,8 @@
 	State RunState
 	// RetryAfter is when asking again makes sense. 0 means not said.
 	RetryAfter time.Duration
+	// Details are names and values of what decided, for the log alone.
+	Details []any
 }
 
 func (r *Refusal) Error() string {
@@ -79,6 +81,12 @@
 	return r
 }
 
+// With adds what decided, for the log, and returns r.
+func (r *Refusal) With(details ...any) *Refusal {
+	r.Details = append(r.Details, details...)
+	return r
+}
+
 // WithState sets the run state and returns r.
 func (r *Refusal) WithState(s RunState) *Refusal {
 	r.State = s
--- a/settings.go
+++ b/settings.go
@@ -41,6 +41,8 @@
 	// instances to use. Both are used with the platform kind "objects" alone.
 	Ready     string `ini:"ready"`
 	Addresses string `ini:"addresses"`
+	// Metrics serves counts and latencies; empty means nowhere.
+	Metrics string `ini:"metrics"`
 }
 
 // PlatformSettings are section [platform].
@@ -140,6 +142,10 @@
 	Level string `ini:"level"`
 	// JSON writes one JSON object a line.
 	JSON bool `ini:"json"`
+	// Lines bounds the lines of a second; Ordinary bounds those of requests that
+	// were answered as usual.
+	Lines    int `ini:"lines"`
+	Ordinary int `ini:"ordinary"`
 }
 
 // Defaults returns the settings of a file that says nothing.
@@ -160,6 +166,7 @@
 	}
 	s.Platform.Kind = PlatformOwn
 	s.Log.Level = "info"
+	s.Log.Lines, s.Log.Ordinary = 1000, 100
 }
 
 var sha256Pattern = regexp.MustCompile(`^[0-9a-fA-F]{64}$`)
@@ -212,6 +219,11 @@
 		checkAddr(&f, "[listen] ready", s.Listen.Ready)
 		checkAddr(&f, "[listen] addresses", s.Listen.Addresses)
 	}
+	if s.Listen.Metrics != "" {
+		checkAddr(&f, "[listen] metrics", s.Listen.Metrics)
+	}
+	f.Check(s.Log.Lines >= 1, "[log] lines", "want 1 or more")
+	f.Check(s.Log.Ordinary >= 0, "[log] ordinary", "want 0 or more")
 	checkURL(&f, "[platform] url", s.Platform.URL)
 	f.Check(s.Limits.MemoryMiB >= 0, "[limits] memoryMiB", "want 0 or more")
 	f.Check(s.Timing.Grace > 0, "[timing] grace", "want a duration above 0, such as 8s")
