Let entries use their floors, which no entry had ever held

A floor slot holds while the list of owners was read lately, and only owners read it; so half of each large team's quota was never used.

Change: owners tell in their news how long ago they read the list, and entries count that. Watches pause 150 ms after events, so that a flock of changes costs one call; results are committed every 1.8 s.

Test: an entry holds its slot while owners read, and loses it 26 s after.

--- a/internal/batch/steward/steward.go
+++ b/internal/batch/steward/steward.go
@@ -19,7 +19,7 @@
 const (
 	// commitAge is how long a finished item may wait for others before its result
 	// is committed.
-	commitAge = 800 * time.Millisecond
+	commitAge = 1800 * time.Millisecond
 	// commitRetry is the pause after a commit that failed.
 	commitRetry = 250 * time.Millisecond
 	// loadTimeout bounds the reading of a team's jobs.
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -24,7 +24,8 @@
 	leaseMargin = 500 * time.Millisecond
 	// confirmInterval is how often a run that is listed reads the list.
 	confirmInterval = 3 * time.Second
-	// floorLife is how long a run uses its floor slot after it has read the list.
+	// floorLife is how long a run uses its floor slot after it or an owner has read
+	// the list. A slot is given away much later.
 	floorLife = 25 * time.Second
 	// tendInterval is how often the list is compared with the members.
 	tendInterval = 300 * time.Millisecond
@@ -290,6 +291,30 @@
 	}
 }
 
+// ReadAgo returns how long ago this run, or another that told it, read the list
+// and found the epoch in force; 0 if never.
+func (e *Elector) ReadAgo() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.Self.Owner || e.confirmed.IsZero() {
+		return 0
+	}
+	return max(time.Millisecond, e.elapsed(e.confirmed))
+}
+
+// Hear takes in that another run read the list and found the epoch in force. Only
+// floors rest on it: owners read the list themselves.
+func (e *Elector) Hear(epoch fescuebank.FencingNumber, ago time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Self.Owner || ago <= 0 || e.list == nil || e.list.Epoch != epoch {
+		return
+	}
+	if read := e.Clock.Now().Add(-ago); read.After(e.confirmed) {
+		e.confirmed = read
+	}
+}
+
 // SetLeaving makes this run leave the list.
 func (e *Elector) SetLeaving() {
 	e.mu.Lock()
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -269,6 +269,25 @@
 	})
 }
 
+func TestEntryHoldsItsFloorSlotWhileOwnersReadTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		owner := f.start("s1", true)
+		entry := f.start("e1", false)
+		time.Sleep(formTime)
+		entry.elector.Hear(owner.elector.Epoch(), owner.elector.ReadAgo())
+		if _, slots, ok := entry.elector.FloorSlot(); !ok || slots != 1 {
+			t.Errorf("got floor slots %d, held %v, want 1, held", slots, ok)
+		}
+		f.kill("s1")
+		time.Sleep(26 * time.Second)
+		if _, _, ok := entry.elector.FloorSlot(); ok {
+			t.Error("got a floor slot 26 s after the list was last read, want none")
+		}
+	})
+}
+
 func TestOwnerStopsOnceItCannotReadTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -21,6 +21,8 @@
 	longestRetry = 800 * time.Millisecond
 	// quietGap is the least time that a watch without events takes.
 	quietGap = 200 * time.Millisecond
+	// flockPause is the pause between events and the next watch.
+	flockPause = 150 * time.Millisecond
 	// outageAfter is how long the store must have been out of reach before
 	// missing objects are taken for lapsed.
 	outageAfter = time.Second
@@ -177,6 +179,10 @@
 		f.touch()
 		f.apply(events, next)
 		version = next
+		if len(events) > 0 {
+			// Changes come in flocks; one more call then brings the rest.
+			_ = fescuebank.Sleep(ctx, f.clock, flockPause)
+		}
 	}
 	return ctx.Err()
 }
--- a/internal/operate/hoster/state.go
+++ b/internal/operate/hoster/state.go
@@ -102,6 +102,7 @@
 	n.Leaving = h.leaving.Load() || h.retiring.Load()
 	n.Config, n.Endpoints = h.config.ChangedAt(), h.endpoints.ChangedAt()
 	n.Epoch = h.elector.Epoch()
+	n.ReadAgo = h.elector.ReadAgo().Milliseconds()
 	answers, since := h.platform.State()
 	n.StoreLost = !answers && since >= storeLostAfter
 }
@@ -109,6 +110,7 @@
 // heard takes in the news of a peer.
 func (h *Hoster) heard(n *fescuebank.News) {
 	h.elector.Acknowledge(fescuebank.Holder{ID: n.From, Incarnation: n.Incarnation}, n.Epoch)
+	h.elector.Hear(n.Epoch, time.Duration(n.ReadAgo)*time.Millisecond)
 	online, batch, waiting := h.roster.Others()
 	online.Add(batch)
 	h.allotter.SetOthers(online, waiting, batch.Sum())
--- a/news.go
+++ b/news.go
@@ -55,6 +55,9 @@
 	Epoch FencingNumber `cbor:"12,keyasint,omitempty"`
 	// StoreLost is set while the instance doesn't reach the store.
 	StoreLost bool `cbor:"13,keyasint,omitempty"`
+	// ReadAgo is how long ago the instance read the list of owners and found the
+	// epoch in force, in milliseconds; 0 if it hasn't.
+	ReadAgo int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // HeardOf is what one instance last received from another.
