--- a/cmd/fescuebankd/hosted.go
+++ b/cmd/fescuebankd/hosted.go
@@ -35,12 +35,22 @@
 	}
 	clock := timekeeper.Timekeeper{}
 	journal := journaler.New(os.Stdout, clock, journaler.Rate{Ordinary: s.Log.Ordinary, All: s.Log.Lines}, relayer.IsOrdinary)
+	defer journal.Close()
 	counts := meter.New()
 	counts.Gauge("logLinesLeftOut", func() any { return journal.Dropped() })
-	defer journal.Close()
 	log := logger.Logger{Settings: s.Log, Output: journal}.Open("fescuebank")
+	h, err := newHosted(s, clock, counts, log)
+	if err != nil {
+		return err
+	}
+	go reloadOnHangup(ctx, path, s, log.Named("settings"))
+	return h.Run(ctx)
+}
+
+// newHosted wires an instance to the platform's adapter.
+func newHosted(s *fescuebank.Settings, clock fescuebank.Clock, counts *meter.Meter, log hclog.Logger) (*hoster.Hoster, error) {
 	store := storer.New(s.Platform.URL, clock, counts)
-	h, err := hoster.New(s, hoster.Platform{
+	return hoster.New(s, hoster.Platform{
 		Store: store, Reconnect: store.Reconnect, OnBack: store.OnBack, State: store.State,
 		ConfigKey: decoder.ConfigKey, ConfigPrefix: decoder.ConfigPrefix, EndpointPrefix: decoder.EndpointPrefix,
 		DecodeConfig: decoder.Decoder{}.Config, DecodeEndpoint: decoder.Decoder{}.Endpoint, Protocol: caller.Caller{},
@@ -54,11 +64,6 @@
 		},
 		Handlers: func(e hoster.Entry) hoster.Handlers { return handlers(e, s) },
 	}, clock, counts, log)
-	if err != nil {
-		return err
-	}
-	go reloadOnHangup(ctx, path, s, log.Named("settings"))
-	return h.Run(ctx)
 }
 
 // reloadOnHangup checks the settings file at each SIGHUP. Settings are read at
