Fence open jobs at each change of owner; pass progress on

Ruled out: entries reading the store by themselves, which always see all segments.

Change: an owner begins each open job by writing the next segment, empty, under its epoch. A former owner that meets a higher epoch gives the team up. Ledgers carry the epoch too. A leaving owner commits first, then hands over, then tells the next owner the events of its items, which go on from there.

--- a/cmd/fescuebankd/hosted_test.go
+++ b/cmd/fescuebankd/hosted_test.go
@@ -430,3 +430,56 @@
 	}
 	<-a.done
 }
+
+func TestHostedProgressPassesToTheNextOwner(t *testing.T) {
+	t.Parallel()
+	g := newStage(t, 2)
+	for _, ep := range g.endpoints {
+		ep.Events, ep.Pace = 25, 200*time.Millisecond
+	}
+	a, b := g.startAll()
+	if status, _ := g.call(a, http.MethodPost, "/batch/x", "k1", "job1", submission(4, 100)); status != 202 {
+		t.Fatalf("got %d, want 202", status)
+	}
+	g.eventually("items that run", 5*time.Second, func() bool { return g.reached() == 4 })
+	time.Sleep(time.Second)
+	// Whichever of the two owns the team, its items move once.
+	for _, name := range []string{"owner-1", "owner-2"} {
+		if name == "owner-2" {
+			g.start("owner-3", false)
+			time.Sleep(2 * time.Second)
+		}
+		g.nodes[name].stop()
+		<-g.nodes[name].done
+	}
+	g.eventually("all results", 15*time.Second, func() bool {
+		page, _ := g.read(b, "job1")
+		return len(page.Results) == 4
+	})
+	resumed := 0
+	for _, ep := range g.endpoints {
+		for _, r := range ep.Requests() {
+			if r.Header.Get("Last-Event-Id") != "" {
+				resumed++
+			}
+		}
+	}
+	if again := g.reached() - 4 - resumed; resumed == 0 || again > 0 {
+		t.Errorf("got %d items that went on and %d that began anew, want all that moved to go on", resumed, again)
+	}
+	page, _ := g.read(b, "job1")
+	for _, r := range page.Results {
+		if want := strings.Count(words(25), "word"); strings.Count(r.Output, "word") != want {
+			t.Errorf("item %s: got %d events in its output, want %d", r.ID, strings.Count(r.Output, "word"), want)
+		}
+	}
+}
+
+// reached returns the number of requests that came to endpoints.
+func (g *stage) reached() int {
+	n := 0
+	for _, ep := range g.endpoints {
+		n += len(ep.Requests())
+	}
+	return n
+}
--- a/cmd/fescuebankd/serve.go
+++ b/cmd/fescuebankd/serve.go
@@ -17,7 +17,7 @@
 
 // serveCommand runs an instance.
 type serveCommand struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"INI file; see docs/OPERATING.md"`
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"INI file; see docs/OPERATIONS.md"`
 }
 
 func (c *serveCommand) run(ctx context.Context) error {
--- a/internal/batch/depositor/depositor.go
+++ b/internal/batch/depositor/depositor.go
@@ -72,7 +72,9 @@
 
 // Ledger lists the accepted jobs of a team. Only what it lists was accepted.
 type Ledger struct {
-	Jobs []Entry `json:"jobs"`
+	// Epoch is the highest under which an owner wrote the ledger.
+	Epoch fescuebank.FencingNumber `json:"epoch"`
+	Jobs  []Entry                  `json:"jobs"`
 }
 
 // Find returns the entry of a job, or nil.
@@ -168,28 +170,34 @@
 	return &job, nil
 }
 
-// PutResults keeps the results of one segment of a job. It fails with ErrTaken
-// if the segment stands already.
-func (d *Depositor) PutResults(ctx context.Context, id fescuebank.JobID, segment int, results []fescuebank.RoutedResult) error {
-	packed, err := d.pack(results)
+// Segment is a part of a job's results, written once.
+type Segment struct {
+	// Epoch is the one under which its writer owned the team. A run that finds a
+	// segment with a higher epoch than its own owns the team no more.
+	Epoch fescuebank.FencingNumber `cbor:"1,keyasint"`
+	// Results is empty in the segment with which an owner begins.
+	Results []fescuebank.RoutedResult `cbor:"2,keyasint,omitempty"`
+}
+
+// PutSegment keeps one segment of a job's results. It fails with ErrTaken if
+// another stands under the number.
+func (d *Depositor) PutSegment(ctx context.Context, id fescuebank.JobID, number int, segment Segment) error {
+	packed, err := d.pack(segment)
 	if err != nil {
-		return eris.Wrap(err, "Depositor.PutResults")
+		return eris.Wrap(err, "Depositor.PutSegment")
 	}
-	return eris.Wrap(d.create(ctx, partKey(resultPrefix, id, segment), part{Parts: 1, Data: packed}), "Depositor.PutResults")
+	return eris.Wrap(d.create(ctx, partKey(resultPrefix, id, number), part{Parts: 1, Data: packed}), "Depositor.PutSegment")
 }
 
-// Results reads one segment of a job's results, or fails with
+// Segment reads one segment of a job's results, or fails with
 // fescuebank.ErrAbsent if there is none yet.
-func (d *Depositor) Results(ctx context.Context, id fescuebank.JobID, segment int) ([]fescuebank.RoutedResult, error) {
-	p, err := d.read(ctx, partKey(resultPrefix, id, segment))
+func (d *Depositor) Segment(ctx context.Context, id fescuebank.JobID, number int) (Segment, error) {
+	var segment Segment
+	p, err := d.read(ctx, partKey(resultPrefix, id, number))
 	if err != nil {
-		return nil, eris.Wrap(err, "Depositor.Results")
-	}
-	var results []fescuebank.RoutedResult
-	if err := d.unpack(p.Data, &results); err != nil {
-		return nil, eris.Wrap(err, "Depositor.Results")
+		return segment, eris.Wrap(err, "Depositor.Segment")
 	}
-	return results, nil
+	return segment, eris.Wrap(d.unpack(p.Data, &segment), "Depositor.Segment")
 }
 
 // create writes an object that must not exist. A write whose outcome is open is
--- a/internal/batch/envoy/envoy.go
+++ b/internal/batch/envoy/envoy.go
@@ -177,14 +177,14 @@
 	}
 	var results []fescuebank.RoutedResult
 	for segment := 0; ; segment++ {
-		more, err := v.Depositor.Results(ctx, id, segment)
+		more, err := v.Depositor.Segment(ctx, id, segment)
 		if errors.Is(err, fescuebank.ErrAbsent) {
 			break
 		}
 		if err != nil {
 			return nil, refuse(err)
 		}
-		results = append(results, more...)
+		results = append(results, more.Results...)
 	}
 	page := &fescuebank.ResultPage{Total: entry.Total}
 	if after < len(results) {
--- a/internal/batch/steward/fuzz_test.go
+++ b/internal/batch/steward/fuzz_test.go
@@ -41,7 +41,11 @@
 	store    *memorizer.Memorizer
 	stewards [2]*steward.Steward
 	owns     [2]bool
-	tasks    [2][]*steward.Task
+	// epochs are those under which the stewards last came to own the team; the
+	// higher one is the owner by the newest list.
+	epochs [2]fescuebank.FencingNumber
+	epoch  fescuebank.FencingNumber
+	tasks  [2][]*steward.Task
 	// accepted are jobs with a positive answer; refused those with a refusal that
 	// promised that nothing runs, at every attempt so far.
 	accepted map[fescuebank.JobID]int
@@ -54,7 +58,7 @@
 
 func newFleet() *fleet {
 	f := &fleet{
-		store: &memorizer.Memorizer{}, owns: [2]bool{true, true},
+		store: &memorizer.Memorizer{}, owns: [2]bool{true, true}, epochs: [2]fescuebank.FencingNumber{1, 2}, epoch: 2,
 		accepted: make(map[fescuebank.JobID]int), refused: make(map[fescuebank.JobID]bool),
 		ended: make(map[fescuebank.JobID]bool), seen: make(map[fescuebank.JobID][]fescuebank.RoutedResult),
 	}
@@ -76,9 +80,14 @@
 		panic(err)
 	}
 	f.tasks[i] = nil
+	// A later run of an instance comes with a later list.
+	f.epoch++
+	f.epochs[i] = f.epoch
 	f.stewards[i] = steward.New(steward.Config{
-		Owns: func(fescuebank.TeamID) bool { return f.owns[i] }, Depositor: deposits, Table: table,
+		Owns:   func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return f.epochs[i], f.owns[i] },
+		Gained: func(fescuebank.TeamID) bool { return true }, Depositor: deposits, Table: table,
 		Clock: timekeeper.Timekeeper{}, Log: hclog.NewNullLogger(), Kick: func() {},
+		Pass: f.pass,
 	})
 }
 
@@ -123,6 +132,9 @@
 	if f.refused[id] {
 		t.Fatalf("job %s: got a page of a job that was refused as not run", id)
 	}
+	if f.epochs[i] == f.epoch && len(page.Results) < len(f.seen[id]) {
+		t.Fatalf("job %s: got %d results from the newest owner, want the %d that were read before", id, len(page.Results), len(f.seen[id]))
+	}
 	for n, got := range page.Results {
 		if n < len(f.seen[id]) {
 			if want := f.seen[id][n]; got.Item != want.Item || got.Failed != want.Failed || string(got.Output) != string(want.Output) {
@@ -195,6 +207,8 @@
 		"own": func(t *rapid.T) {
 			i := pick(t)
 			f.owns[i] = rapid.IntRange(0, 3).Draw(t, "owns") > 0
+			f.epoch++
+			f.epochs[i] = f.epoch
 			f.stewards[i].Reassign()
 		},
 		"end": func(t *rapid.T) {
@@ -213,6 +227,19 @@
 	}
 }
 
+// pass gives progress to the newest owner, if it takes it.
+func (f *fleet) pass(h steward.Handover) {
+	for i, s := range f.stewards {
+		if f.epochs[i] == f.epoch {
+			// A handover that is not taken costs another run, no more.
+			_, _ = s.HandleHandover(context.Background(), func(into any) error {
+				*into.(*steward.Handover) = h
+				return nil
+			})
+		}
+	}
+}
+
 // take starts an item at a steward.
 func (f *fleet) take(i int) {
 	if task := f.stewards[i].Take(func() {}); task != nil {
--- /dev/null
+++ b/internal/batch/steward/handover.go
@@ -0,0 +1,106 @@
+package steward
+
+import (
+	"context"
+	"time"
+
+	"fescuebank"
+)
+
+const (
+	// stopTime is how long attempts take to end once they are told to.
+	stopTime = 40 * time.Millisecond
+	// handoverPause is how long a new owner waits for the progress of the one before
+	// until it starts an item.
+	handoverPause = 250 * time.Millisecond
+)
+
+// PassedItem is the progress of one item that goes on at another owner.
+type PassedItem struct {
+	Job      fescuebank.JobID    `cbor:"1,keyasint"`
+	Item     string              `cbor:"2,keyasint"`
+	Progress fescuebank.Progress `cbor:"3,keyasint"`
+}
+
+// Handover is what a former owner of a team tells the one after it.
+type Handover struct {
+	Team  fescuebank.TeamID `cbor:"1,keyasint"`
+	Items []PassedItem      `cbor:"2,keyasint"`
+}
+
+// pass tells the team's next owner what was generated of items without a result.
+func (s *Steward) pass(a *account) {
+	_ = fescuebank.Sleep(context.Background(), s.Clock, stopTime)
+	h := Handover{Team: a.team}
+	a.mu.Lock()
+	for _, j := range a.jobs {
+		h.Items = append(h.Items, j.progressed()...)
+	}
+	a.mu.Unlock()
+	if len(h.Items) > 0 {
+		s.Pass(h)
+	}
+}
+
+// progressed returns the items of an open job that have begun and wait.
+func (j *job) progressed() []PassedItem {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.ended {
+		return nil
+	}
+	var list []PassedItem
+	for id, it := range j.items {
+		if it.phase == phaseWaiting && it.progress.Events > 0 {
+			list = append(list, PassedItem{Job: j.spec.ID, Item: id, Progress: it.progress})
+		}
+	}
+	return list
+}
+
+// HandleHandover takes in the progress that a former owner tells.
+func (s *Steward) HandleHandover(ctx context.Context, decode func(into any) error) (any, error) {
+	var h Handover
+	if err := decode(&h); err != nil {
+		return nil, err
+	}
+	a, err := s.account(ctx, h.Team)
+	if err != nil {
+		return nil, err
+	}
+	taken := 0
+	a.mu.Lock()
+	for _, p := range h.Items {
+		if j := a.jobs[p.Job]; j != nil && j.resume(p) {
+			taken++
+		}
+	}
+	a.mu.Unlock()
+	s.Log.Info("Progress taken over.", "team", string(h.Team), "items", len(h.Items), "taken", taken)
+	s.Kick()
+	return &struct{}{}, nil
+}
+
+// resume lets an item that waits go on from more than it has. It reports whether
+// the item will.
+func (j *job) resume(p PassedItem) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	it := j.items[p.Item]
+	if it == nil || it.phase != phaseWaiting || it.progress.Events >= p.Progress.Events {
+		return false
+	}
+	it.progress = p.Progress
+	it.notBefore = time.Time{}
+	return true
+}
+
+// pause keeps the items of a job that was taken over from starting until the former
+// owner may have told their progress.
+func (j *job) pause(until time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, it := range j.items {
+		it.notBefore = until
+	}
+}
--- a/internal/batch/steward/job.go
+++ b/internal/batch/steward/job.go
@@ -144,7 +144,6 @@
 func (j *job) stopAll() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.hurry = true
 	j.stopRunning()
 }
 
--- a/internal/batch/steward/seed_test.go
+++ b/internal/batch/steward/seed_test.go
@@ -8,4 +8,5 @@
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "3000")
 	_ = flag.Set("rapid.steps", "80")
+	_ = flag.Set("rapid.nofailfile", "true")
 }
--- a/internal/batch/steward/steward.go
+++ b/internal/batch/steward/steward.go
@@ -36,8 +36,10 @@
 
 // Config is what a steward works with.
 type Config struct {
-	// Owns reports whether this run owns a team.
-	Owns      func(fescuebank.TeamID) bool
+	// Owns reports whether this run owns a team, and under which epoch of the list
+	// of owners. Gained reports whether the list took the team from another run.
+	Owns      func(fescuebank.TeamID) (fescuebank.FencingNumber, bool)
+	Gained    func(fescuebank.TeamID) bool
 	Depositor *depositor.Depositor
 	// Table returns the configuration in force, or nil.
 	Table func() *fescuebank.RouteTable
@@ -45,6 +47,8 @@
 	Log   hclog.Logger
 	// Kick is called when items wait.
 	Kick func()
+	// Pass tells the next owner of a team the progress of its items.
+	Pass func(Handover)
 }
 
 // Steward holds an account for each team.
@@ -61,6 +65,8 @@
 // account is the state of one team's jobs.
 type account struct {
 	team fescuebank.TeamID
+	// epoch is the one under which this run began to own the team.
+	epoch fescuebank.FencingNumber
 	// writing holds a value while the ledger is read or written.
 	writing chan struct{}
 
@@ -80,29 +86,36 @@
 
 // account returns the account of a team that this run owns, read from the store.
 func (s *Steward) account(ctx context.Context, team fescuebank.TeamID) (*account, error) {
-	if !s.Owns(team) {
+	epoch, owns := s.Owns(team)
+	if !owns {
 		return nil, fescuebank.ErrNotOwner
 	}
 	s.mu.Lock()
 	a := s.accounts[team]
 	if a == nil {
-		a = &account{team: team, jobs: make(map[fescuebank.JobID]*job), writing: make(chan struct{}, 1)}
+		a = &account{team: team, epoch: epoch, jobs: make(map[fescuebank.JobID]*job), writing: make(chan struct{}, 1)}
 		s.accounts[team] = a
 	}
 	s.mu.Unlock()
-	a.mu.Lock()
-	loaded := a.loaded
-	a.mu.Unlock()
-	if loaded {
+	if a.isLoaded() {
 		return a, nil
 	}
 	if err := a.begin(ctx); err != nil {
 		return nil, err
 	}
 	defer a.finish()
+	if a.isLoaded() {
+		return a, nil
+	}
 	return a, s.refresh(ctx, a)
 }
 
+func (a *account) isLoaded() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.loaded
+}
+
 // begin waits for the turn to read or write the ledger.
 func (a *account) begin(ctx context.Context) error {
 	select {
@@ -124,6 +137,10 @@
 	if err != nil {
 		return err
 	}
+	if ledger.Epoch > a.epoch {
+		s.forsake(a)
+		return fescuebank.ErrNotOwner
+	}
 	var missing []depositor.Entry
 	a.mu.Lock()
 	for _, e := range ledger.Jobs {
@@ -158,27 +175,55 @@
 	return nil
 }
 
-// load reads a job and its results.
+// load reads a job and its results. Of a job without all results it writes the next
+// segment, empty, so that an earlier owner finds out that it is one.
 func (s *Steward) load(ctx context.Context, a *account, e depositor.Entry) (*job, error) {
 	spec, err := s.Depositor.Job(ctx, e.Job)
 	if err != nil {
 		return nil, err
 	}
 	j := newJob(a, spec)
+	j.pause(s.Clock.Now().Add(handoverPause))
+	if e.Ended {
+		j.end()
+	}
 	for {
-		results, err := s.Depositor.Results(ctx, e.Job, j.segments)
+		segment, err := s.Depositor.Segment(ctx, e.Job, j.segments)
 		if errors.Is(err, fescuebank.ErrAbsent) {
-			break
+			if j.isDone() {
+				return j, nil
+			}
+			segment = depositor.Segment{Epoch: a.epoch}
+			err = s.Depositor.PutSegment(ctx, e.Job, j.segments, segment)
+			if errors.Is(err, depositor.ErrTaken) {
+				continue
+			}
+			if err == nil {
+				j.take(nil)
+				return j, nil
+			}
 		}
 		if err != nil {
 			return nil, err
 		}
-		j.take(results)
+		if segment.Epoch > a.epoch {
+			s.forsake(a)
+			return nil, fescuebank.ErrNotOwner
+		}
+		j.take(segment.Results)
 	}
-	if e.Ended {
-		j.end()
+}
+
+// forsake drops an account that another run has taken over. If this run owns the
+// team again it reads everything anew.
+func (s *Steward) forsake(a *account) {
+	s.Log.Info("Team has another owner.", "team", string(a.team), "epoch", uint64(a.epoch))
+	s.mu.Lock()
+	if s.accounts[a.team] == a {
+		delete(s.accounts, a.team)
 	}
-	return j, nil
+	s.mu.Unlock()
+	a.close()
 }
 
 // Reassign drops the accounts of teams that this run doesn't own any more and
@@ -186,11 +231,12 @@
 func (s *Steward) Reassign() {
 	s.mu.Lock()
 	for team, a := range s.accounts {
-		if s.Owns(team) {
+		if epoch, owns := s.Owns(team); owns && (a.epoch == epoch || !s.Gained(team)) {
 			continue
 		}
 		delete(s.accounts, team)
 		a.close()
+		go s.pass(a)
 		s.Log.Info("Jobs given up.", "team", string(team))
 	}
 	s.mu.Unlock()
@@ -199,7 +245,7 @@
 		return
 	}
 	for team := range t.Teams {
-		if s.Owns(team) && !s.has(team) {
+		if _, owns := s.Owns(team); owns && !s.has(team) {
 			go s.preload(team)
 		}
 	}
@@ -212,7 +258,7 @@
 }
 
 func (s *Steward) preload(team fescuebank.TeamID) {
-	for s.Owns(team) {
+	for {
 		ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 		_, err := s.account(ctx, team)
 		cancel()
@@ -261,6 +307,15 @@
 	return status
 }
 
+// Hurry commits what is finished without waiting for more.
+func (s *Steward) Hurry() {
+	for _, j := range s.openJobs() {
+		j.mu.Lock()
+		j.hurry = true
+		j.mu.Unlock()
+	}
+}
+
 // Settled reports whether no outcome waits for its commit.
 func (s *Steward) Settled() bool {
 	return s.uncommitted.Load() == 0
@@ -385,7 +440,11 @@
 		switch {
 		case errors.Is(err, fescuebank.ErrVersion):
 			// The ledger moved on: by another owner, or by our own open write.
-			if err := s.refresh(ctx, a); err != nil {
+			err := s.refresh(ctx, a)
+			if errors.Is(err, fescuebank.ErrNotOwner) && !open {
+				return err
+			}
+			if err != nil {
 				s.Log.Warn("Ledger not read.", "team", string(a.team), "err", err.Error())
 			}
 		case errors.Is(err, fescuebank.ErrOutcomeUnknown):
@@ -407,7 +466,7 @@
 func (a *account) nextLedger() depositor.Ledger {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var next depositor.Ledger
+	next := depositor.Ledger{Epoch: max(a.epoch, a.ledger.Epoch)}
 	for _, e := range a.ledger.Jobs {
 		if j := a.jobs[e.Job]; j != nil && j.isDone() {
 			e.Done = true
--- a/internal/batch/steward/task.go
+++ b/internal/batch/steward/task.go
@@ -219,12 +219,12 @@
 	defer s.uncommitted.Add(-1)
 	ctx := context.Background()
 	for {
-		_ = fescuebank.Sleep(ctx, s.Clock, j.commitWait(s.Clock.Now()))
+		s.awaitMore(j)
 		batch, segment, goOn := j.nextSegment()
 		if !goOn {
 			return
 		}
-		err := s.Depositor.PutResults(ctx, j.spec.ID, segment, batch)
+		err := s.Depositor.PutSegment(ctx, j.spec.ID, segment, depositor.Segment{Epoch: j.account.epoch, Results: batch})
 		switch {
 		case err == nil:
 			s.Log.Info("Results committed.", "job", string(j.spec.ID), "segment", segment, "results", len(batch))
@@ -233,30 +233,23 @@
 			s.adopt(ctx, j, segment)
 		default:
 			s.Log.Warn("Results not committed.", "job", string(j.spec.ID), "segment", segment, "err", err.Error())
-			if j.isForsaken(s.Clock.Now()) {
-				return
-			}
 			_ = fescuebank.Sleep(ctx, s.Clock, commitRetry)
 		}
 	}
 }
 
-// forsakeAfter is how long a run tries to commit outcomes of a team that it doesn't
-// own any more.
-const forsakeAfter = 20 * time.Second
+// commitLook is how often a wait for more outcomes looks whether there is hurry.
+const commitLook = 100 * time.Millisecond
 
-// isForsaken drops the outcomes of a team that has had another owner for long.
-func (j *job) isForsaken(now time.Time) bool {
-	j.account.mu.Lock()
-	closed := j.account.closed
-	j.account.mu.Unlock()
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if !closed || now.Sub(j.pendingSince) < forsakeAfter {
-		return false
+// awaitMore waits for more outcomes to commit together.
+func (s *Steward) awaitMore(j *job) {
+	for {
+		wait := j.commitWait(s.Clock.Now())
+		if wait <= 0 {
+			return
+		}
+		_ = fescuebank.Sleep(context.Background(), s.Clock, min(wait, commitLook))
 	}
-	j.pending, j.committing = nil, false
-	return true
 }
 
 // commitWait returns how long to wait for more outcomes.
@@ -269,29 +262,34 @@
 	return max(0, j.pendingSince.Add(commitAge).Sub(now))
 }
 
-// nextSegment returns the outcomes to commit next, or false if none is left.
-// A run that doesn't own the team any more commits what it has, too: a segment is
-// written once, whoever writes it.
+// nextSegment returns the outcomes to commit next, or false if none is left or
+// the team has another owner.
 func (j *job) nextSegment() (batch []fescuebank.RoutedResult, segment int, ok bool) {
+	j.account.mu.Lock()
+	closed := j.account.closed
+	j.account.mu.Unlock()
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if len(j.pending) == 0 {
-		j.committing = false
+	if len(j.pending) == 0 || closed {
+		j.pending, j.committing = nil, false
 		return nil, 0, false
 	}
 	return append(batch, Cut(j.pending)...), j.segments, true
 }
 
-// adopt takes in a segment that another owner wrote.
-func (s *Steward) adopt(ctx context.Context, j *job, segment int) {
-	results, err := s.Depositor.Results(ctx, j.spec.ID, segment)
-	if err != nil {
-		s.Log.Warn("Results of another owner not read.", "job", string(j.spec.ID), "segment", segment, "err", err.Error())
+// adopt takes in a segment that another run wrote.
+func (s *Steward) adopt(ctx context.Context, j *job, number int) {
+	segment, err := s.Depositor.Segment(ctx, j.spec.ID, number)
+	switch {
+	case err != nil:
+		s.Log.Warn("Results of another owner not read.", "job", string(j.spec.ID), "segment", number, "err", err.Error())
 		_ = fescuebank.Sleep(ctx, s.Clock, commitRetry)
-		return
+	case segment.Epoch > j.account.epoch:
+		s.forsake(j.account)
+	default:
+		s.Log.Info("Results of another owner taken in.", "job", string(j.spec.ID), "segment", number, "results", len(segment.Results))
+		j.take(segment.Results)
 	}
-	s.Log.Info("Results of another owner taken in.", "job", string(j.spec.ID), "segment", segment, "results", len(results))
-	j.take(results)
 }
 
 // Expire gives up the items that are kept no longer.
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -136,6 +136,16 @@
 	return l.Owner(team)
 }
 
+// Gained reports whether the newest list took a team from another run.
+func (e *Elector) Gained(team fescuebank.TeamID) bool {
+	l := e.List()
+	if l == nil {
+		return false
+	}
+	before, ok := l.PreviousOwner(team)
+	return ok && before != e.me
+}
+
 // elapsed returns how long ago t was, on the clock that ran furthest: the
 // monotonic one stands still while the machine is suspended.
 func (e *Elector) elapsed(t time.Time) time.Duration {
--- a/internal/operate/hoster/hoster.go
+++ b/internal/operate/hoster/hoster.go
@@ -90,8 +90,10 @@
 
 	table   atomic.Pointer[fescuebank.RouteTable]
 	leaving atomic.Bool
-	// retiring is set once the instance was asked to hand over what it owns.
+	// retiring is set once the instance was asked to hand over what it owns, and
+	// handing once it owns nothing any more.
 	retiring atomic.Bool
+	handing  atomic.Bool
 	flights  atomic.Int64
 
 	linker    *linker.Linker
@@ -155,13 +157,11 @@
 		return err
 	}
 	h.steward = steward.New(steward.Config{
-		Owns: func(team fescuebank.TeamID) bool {
-			owner, ok := h.elector.Owner(team)
-			return ok && owner == me && !h.leaving.Load() && !h.retiring.Load()
-		},
+		Owns: h.owns, Gained: h.elector.Gained,
 		Depositor: deposits, Table: h.table.Load, Clock: h.clock, Log: h.part("batch"),
-		Kick: func() { h.runner.Kick() },
+		Kick: func() { h.runner.Kick() }, Pass: func(p steward.Handover) { h.pass(calls, p) },
 	})
+	h.linker.Handle(fescuebank.KindHandover, h.steward.HandleHandover)
 	h.runner = runner.New(runner.Config{
 		Steward: h.steward, Allotter: h.allotter, Exchanger: h.exchanger, Protocol: h.platform.Protocol,
 		OthersBatch: h.othersBatch, Clock: h.clock, Log: h.part("run"),
--- a/internal/operate/hoster/state.go
+++ b/internal/operate/hoster/state.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"fescuebank"
+	"fescuebank/internal/batch/steward"
 	"fescuebank/internal/entry/relayer"
 	"fescuebank/internal/fleet/follower"
+	"fescuebank/internal/wire/detourer"
 )
 
 const (
@@ -28,6 +30,10 @@
 	leaveAtLeast = 2500 * time.Millisecond
 	// leaveMargin is kept between the end of leaving and the end of the grace.
 	leaveMargin = 900 * time.Millisecond
+	// handOverTime bounds the commits before teams are handed over.
+	handOverTime = time.Second
+	// passTime bounds the time in which a next owner takes progress over.
+	passTime = 2 * time.Second
 	// leaveLook is how often a leaving instance looks whether it is idle.
 	leaveLook = 100 * time.Millisecond
 )
@@ -90,6 +96,45 @@
 	h.roster.Kick()
 }
 
+// owns reports whether this instance owns a team, and under which epoch.
+func (h *Hoster) owns(team fescuebank.TeamID) (fescuebank.FencingNumber, bool) {
+	l := h.elector.List()
+	if l == nil || h.handing.Load() {
+		return 0, false
+	}
+	owner, ok := l.Owner(team)
+	return l.Epoch, ok && owner == fescuebank.Holder{ID: h.self.ID, Incarnation: h.self.Incarnation}
+}
+
+// handOver commits what is finished and gives up what this instance owns.
+func (h *Hoster) handOver(ctx context.Context) {
+	h.runner.Stop()
+	h.steward.Hurry()
+	for until := h.clock.Now().Add(handOverTime); !h.steward.Settled() && h.clock.Now().Before(until); {
+		_ = fescuebank.Sleep(ctx, h.clock, leaveLook/4)
+	}
+	h.handing.Store(true)
+	h.elector.SetLeaving()
+	h.steward.Reassign()
+}
+
+// pass tells a team's next owner the progress of its items, once there is one.
+func (h *Hoster) pass(calls *detourer.Detourer, p steward.Handover) {
+	ctx, cancel := context.WithTimeout(context.Background(), passTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		owner, ok := h.elector.Owner(p.Team)
+		if ok && owner.ID != h.self.ID {
+			err := calls.Call(ctx, owner.ID, fescuebank.KindHandover, &p, &struct{}{})
+			if err == nil {
+				return
+			}
+			h.part("batch").Debug("Progress not passed on.", "team", string(p.Team), "err", err.Error())
+		}
+		_ = fescuebank.Sleep(ctx, h.clock, leaveLook/4)
+	}
+}
+
 // fillNews completes what this instance tells the others.
 func (h *Hoster) fillNews(n *fescuebank.News) {
 	counts, waiting := h.allotter.Counts()
@@ -99,7 +144,7 @@
 		n.Batch = counts
 	}
 	n.Ready = h.ready()
-	n.Leaving = h.leaving.Load() || h.retiring.Load()
+	n.Leaving = h.leaving.Load() || h.handing.Load()
 	n.Config, n.Endpoints = h.config.ChangedAt(), h.endpoints.ChangedAt()
 	n.Epoch = h.elector.Epoch()
 	n.ReadAgo = h.elector.ReadAgo().Milliseconds()
@@ -327,10 +372,8 @@
 func (h *Hoster) retire(ctx context.Context, key string) {
 	log := h.part("retire")
 	log.Info("Instance is to be emptied.")
-	h.elector.SetLeaving()
-	h.runner.Stop()
-	h.steward.Reassign()
-	for !h.hasHandedOver() || !h.steward.Settled() {
+	h.handOver(ctx)
+	for !h.hasHandedOver() {
 		_ = fescuebank.Sleep(ctx, h.clock, leaveLook)
 	}
 	for {
@@ -351,14 +394,13 @@
 	h.log.Info("Instance leaves.", "inFlight", h.flights.Load(), "items", h.runner.Running())
 	h.leaving.Store(true)
 	h.roster.Send()
-	h.elector.SetLeaving()
-	h.runner.Stop()
-	h.steward.Reassign()
 	ctx := context.Background()
+	h.handOver(ctx)
 	until := began.Add(h.settings.Timing.Grace - leaveMargin)
 	for h.clock.Now().Before(until) {
 		idle := h.flights.Load() == 0 && h.clock.Now().Sub(began) >= leaveAtLeast
-		if idle || (len(servers) == 0 && h.hasHandedOver() && h.steward.Settled()) {
+		if idle || (len(servers) == 0 && h.hasHandedOver()) {
+			_ = fescuebank.Sleep(ctx, h.clock, 3*leaveLook)
 			break
 		}
 		_ = fescuebank.Sleep(ctx, h.clock, leaveLook)
--- a/owners.go
+++ b/owners.go
@@ -39,12 +39,17 @@
 // Predecessors returns the runs that may have owned a team before the list.
 func (l *OwnerList) Predecessors(team TeamID) []Holder {
 	list := slices.Clone(l.Former)
-	if before, ok := chooseOwner(l.Previous, team); ok {
+	if before, ok := l.PreviousOwner(team); ok {
 		list = append(list, before)
 	}
 	return list
 }
 
+// PreviousOwner returns the run that the list before gave a team to.
+func (l *OwnerList) PreviousOwner(team TeamID) (Holder, bool) {
+	return chooseOwner(l.Previous, team)
+}
+
 func chooseOwner(owners []Holder, team TeamID) (Holder, bool) {
 	var best Holder
 	var bestScore uint64
--- a/peer.go
+++ b/peer.go
@@ -31,6 +31,7 @@
 	KindDetour
 	KindMirror
 	KindOwners
+	KindHandover
 )
 
 // ProbeRequest asks whether an instance is alive and passes knowledge on.
