Count a restarted peer's messages anew in what others heard of it

The owner that was cut off took two others for lost although entries heard them: both had started again, their news had come before their entries, and the sequence of the run before was kept, so what entries had heard of them looked old.

Test: roster, red before for news that come before the entry.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -159,7 +159,6 @@
 	next := &member{entry: e, version: version, known: now}
 	if m != nil && m.news.Incarnation == e.Incarnation {
 		next.news, next.heard, next.echo, next.echoed = m.news, m.heard, m.echo, m.echoed
-		next.sequence, next.sign = m.sequence, m.sign
 	}
 	r.members[e.ID] = next
 	r.Log.Info("Instance is known.", "peer", string(e.ID), "incarnation", string(e.Incarnation), "addr", e.PeerAddr)
