Drop nobody for silence right after the start; count what endpoints report

Later an owner lost its power while its streams went on at the endpoints, and nobody counted them.

Change: silence counts from 2 s after the start on, and no list is written before the members are read. Requests that an endpoint reports beyond those that instances told of count for a second.

Tests: elector (red before), allotter. docs/incidents tells the path.

--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -236,6 +236,9 @@
 		return n.failed(ctx, e, err), err
 	}
 	defer answer.Finish()
+	if answer.Facts.Load != nil {
+		t.place.Observe(*answer.Facts.Load)
+	}
 	if answer.Facts.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, readBytes))
 		if answer.Facts.Misdirected {
--- a/internal/entry/allotter/allotter.go
+++ b/internal/entry/allotter/allotter.go
@@ -28,6 +28,10 @@
 	initialHold = 700 * time.Millisecond
 	// holdWeight is the weight of the newest hold in the moving average.
 	holdWeight = 0.05
+	// hiddenLife is how long a report of requests that nobody told of counts.
+	hiddenLife = time.Second
+	// untold is how many requests may be on their way to be told of.
+	untold = 1
 	// retryBase is the least time after which a refused caller is told to return.
 	retryBase = 300 * time.Millisecond
 	// retrySpread is over how long the return of refused callers is spread.
@@ -70,12 +74,20 @@
 	// own and others count the requests of this and of other instances there.
 	own    int
 	others int
+	// hidden are requests that the endpoint reported and nobody told of, counted
+	// until hiddenUntil.
+	hidden      int
+	hiddenUntil time.Time
 	// shunned is until when the endpoint gets nothing.
 	shunned time.Time
 	gone    bool
 }
 
-func (e *endpoint) load() int {
+// load returns the number of requests there as far as known.
+func (e *endpoint) load(now time.Time) int {
+	if now.Before(e.hiddenUntil) {
+		return e.own + e.others + e.hidden
+	}
 	return e.own + e.others
 }
 
@@ -311,8 +323,8 @@
 			continue
 		}
 		slots += e.Slots
-		taken += e.load()
-		free += max(0, e.Slots-e.load())
+		taken += e.load(now)
+		free += max(0, e.Slots-e.load(now))
 	}
 	if slots == 0 {
 		return 0, false
@@ -376,7 +388,7 @@
 		return nil
 	}
 	best.own++
-	p := &Place{Endpoint: best.ServedEndpoint, Load: best.load(), began: now, state: best, parent: a}
+	p := &Place{Endpoint: best.ServedEndpoint, Load: best.load(now), began: now, state: best, parent: a}
 	a.held[p] = true
 	return p
 }
@@ -387,10 +399,10 @@
 	var best *endpoint
 	var bestKey pickKey
 	for _, e := range a.endpoints {
-		if e.Service != ask.Service || !e.usable(now) || e.load() >= e.Slots || slices.Contains(ask.Except, e.ID) {
+		if e.Service != ask.Service || !e.usable(now) || e.load(now) >= e.Slots || slices.Contains(ask.Except, e.ID) {
 			continue
 		}
-		key := pickKey{load: float64(e.load()) / float64(e.Slots), hash: xxhash.Sum64String(ask.Prefix + "/" + string(e.ID))}
+		key := pickKey{load: float64(e.load(now)) / float64(e.Slots), hash: xxhash.Sum64String(ask.Prefix + "/" + string(e.ID))}
 		if best == nil || key.before(bestKey) {
 			best, bestKey = e, key
 		}
@@ -426,6 +438,17 @@
 	}
 }
 
+// Observe takes in what the endpoint reports of its load. Requests beyond those
+// that instances told of are those of instances that this one doesn't hear.
+func (p *Place) Observe(load fescuebank.EndpointLoad) {
+	a := p.parent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	e := p.state
+	e.hidden = max(0, load.Running+load.Waiting-e.own-e.others-untold)
+	e.hiddenUntil = a.clock.Now().Add(hiddenLife)
+}
+
 // Release gives the place back.
 func (p *Place) Release() {
 	p.once.Do(func() {
@@ -475,7 +498,7 @@
 			continue
 		}
 		slots += e.Slots
-		free += max(0, e.Slots-e.load())
+		free += max(0, e.Slots-e.load(now))
 	}
 	return slots, free
 }
--- a/internal/entry/allotter/allotter_test.go
+++ b/internal/entry/allotter/allotter_test.go
@@ -166,6 +166,39 @@
 	})
 }
 
+// TestLoadThatNobodyToldOfCounts covers instances that are cut off from each other
+// and see each other's requests only by what endpoints report.
+func TestLoadThatNobodyToldOfCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAllotter(2, 8)
+		list := endpoints(2, 8)
+		busy := take(t, a)
+		busy.Observe(fescuebank.EndpointLoad{Running: 8, Waiting: 2, Slots: 8})
+		for i := range 8 {
+			if got := take(t, a).Endpoint.ID; got == busy.Endpoint.ID {
+				t.Fatalf("request %d: got the endpoint that reports to be full, want %v's other", i, list)
+			}
+		}
+		if _, err := a.Acquire(context.Background(), ask(0)); !errors.Is(err, allotter.ErrFull) {
+			t.Errorf("got %v with one endpoint full and one that reports so, want %v", err, allotter.ErrFull)
+		}
+		time.Sleep(1100 * time.Millisecond)
+		if got := take(t, a).Endpoint.ID; got != busy.Endpoint.ID {
+			t.Errorf("got %s a second after the report, want %s", got, busy.Endpoint.ID)
+		}
+	})
+}
+
+func TestReportThatAgreesChangesNothing(t *testing.T) {
+	a := newAllotter(1, 8)
+	p := take(t, a)
+	a.SetOthers(fescuebank.EndpointCounts{p.Endpoint.ID.Tag(): 3}, 0, 0)
+	p.Observe(fescuebank.EndpointLoad{Running: 5, Slots: 8}) // One more than known is on its way.
+	for range 4 {
+		take(t, a)
+	}
+}
+
 func TestSpareLeavesHeadroom(t *testing.T) {
 	a := newAllotter(2, 10)
 	spare := 0
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -96,6 +96,7 @@
 	// trace of the decision that counted.
 	endpoint fescuebank.ServedEndpoint
 	load     int
+	reported fescuebank.EndpointLoad
 	waited   time.Duration
 	first    time.Duration
 	status   int
@@ -181,6 +182,10 @@
 		return false, err
 	}
 	defer answer.Finish()
+	if answer.Facts.Load != nil {
+		f.reported = *answer.Facts.Load
+		place.Observe(f.reported)
+	}
 	if answer.Facts.NotRun {
 		return false, f.notRun(e, answer)
 	}
@@ -297,7 +302,8 @@
 	v := f.versions()
 	f.log.Info("Request ended.", "request", string(r.ID), "team", string(r.Team), "route", r.Route.Name, "priority", r.Priority,
 		"configVersion", uint64(v.Config), "ownerEpoch", uint64(v.Epoch), "endpointsRevision", uint64(v.Endpoints),
-		"endpoint", string(f.endpoint.ID), "started", f.endpoint.Started, "load", f.load, "offers", f.offers, "runs", f.runs,
+		"endpoint", string(f.endpoint.ID), "started", f.endpoint.Started, "load", f.load,
+		"reportedRunning", f.reported.Running, "reportedWaiting", f.reported.Waiting, "offers", f.offers, "runs", f.runs,
 		"lastEvent", f.last, "waitMs", f.waited.Milliseconds(), "firstMs", f.first.Milliseconds(),
 		"totalMs", f.clock.Now().Sub(r.Arrived).Milliseconds(), "leftMs", r.Deadline.Sub(f.clock.Now()).Milliseconds(),
 		"status", f.status, "outcome", outcome)
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -34,8 +34,10 @@
 	// storeSteady is how long the store must have answered here before owners that
 	// don't reach it leave the list.
 	storeSteady = 2 * time.Second
-	// formWait is how long the first list waits for members to be heard.
+	// formWait is how long the first list waits for members to be heard, and joinWait
+	// how long a run that has just started takes silence for its own.
 	formWait = 1500 * time.Millisecond
+	joinWait = 2 * time.Second
 )
 
 // Members is what the elector needs to know of the fleet.
@@ -54,6 +56,8 @@
 	Changed func()
 	// ReadVia has another instance read the list from the store.
 	ReadVia func(ctx context.Context) (fescuebank.Object, error)
+	// MembersKnown reports whether the members have been read since the start.
+	MembersKnown func() bool
 	// ReadMembers reads the members from the store and reports whether it could.
 	ReadMembers func(ctx context.Context) bool
 	// StoreState reports whether the store answers here, and for how long it has
@@ -399,7 +403,7 @@
 	next, changed := e.rewrite(peers, now)
 	e.mu.Unlock()
 	forming := current == nil && now.Sub(e.started) < formWait
-	if !changed || forming || (!leaving && !e.isFirst(peers)) {
+	if !e.MembersKnown() || !changed || forming || (!leaving && !e.isFirst(peers)) {
 		return nil
 	}
 	value, err := json.Marshal(next)
@@ -517,6 +521,9 @@
 	if alive {
 		return true
 	}
+	if now.Sub(e.started) < joinWait {
+		return old.Has(h)
+	}
 	since, ok := e.silent[h]
 	return old.Has(h) && ok && now.Sub(since) < dropAfter
 }
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -27,6 +27,8 @@
 	// cut holds pairs that don't hear each other; down those that nobody hears.
 	cut  map[[2]fescuebank.InstanceID]bool
 	down map[fescuebank.InstanceID]bool
+	// deaf runs hear nobody yet.
+	deaf map[fescuebank.InstanceID]bool
 }
 
 type node struct {
@@ -40,6 +42,7 @@
 	return &fleet{
 		t: t, store: &memorizer.Memorizer{}, nodes: make(map[fescuebank.InstanceID]*node),
 		cut: make(map[[2]fescuebank.InstanceID]bool), down: make(map[fescuebank.InstanceID]bool),
+		deaf: make(map[fescuebank.InstanceID]bool),
 	}
 }
 
@@ -56,8 +59,8 @@
 		ReadVia: func(context.Context) (fescuebank.Object, error) {
 			return fescuebank.Object{}, fescuebank.ErrPeerUnreached
 		},
-		ReadMembers: func(context.Context) bool { return true },
-		StoreState:  func() (bool, time.Duration) { return true, time.Hour },
+		ReadMembers: func(context.Context) bool { return true }, MembersKnown: func() bool { return true },
+		StoreState: func() (bool, time.Duration) { return true, time.Hour },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
@@ -116,7 +119,7 @@
 		if id == n.entry.ID {
 			continue
 		}
-		down := n.fleet.down[id]
+		down := n.fleet.down[id] || n.fleet.deaf[n.entry.ID]
 		list = append(list, roster.Peer{
 			MemberEntry: other.entry, Reachable: !down,
 			Alive: !down && !n.fleet.cut[[2]fescuebank.InstanceID{n.entry.ID, id}],
@@ -288,6 +291,34 @@
 	})
 }
 
+// TestNewOwnerDropsNobodyItHasNotHeardYet starts an owner that hears the others
+// late, as its connections to them are still being made.
+func TestNewOwnerDropsNobodyItHasNotHeardYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		f.start("s2", true)
+		f.start("s3", true)
+		f.start("e1", false)
+		time.Sleep(formTime)
+		f.mu.Lock()
+		f.deaf["s1"] = true
+		f.mu.Unlock()
+		f.start("s1", true)
+		time.Sleep(700 * time.Millisecond)
+		if got := len(f.list().Owners); got < 2 {
+			t.Errorf("got %d owners after another started, want the 2 before it at least", got)
+		}
+		f.mu.Lock()
+		delete(f.deaf, "s1")
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if got := len(f.list().Owners); got != 3 {
+			t.Errorf("got %d owners once all hear each other, want 3", got)
+		}
+	})
+}
+
 func TestOwnerStopsOnceItCannotReadTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
--- a/internal/operate/hoster/hoster.go
+++ b/internal/operate/hoster/hoster.go
@@ -195,7 +195,8 @@
 	})
 	h.elector = elector.New(elector.Config{
 		Self: h.self, Store: store, Members: h.roster, Clock: h.clock, Log: h.part("owner"), Changed: h.reassign,
-		ReadVia: h.readOwnersVia, ReadMembers: h.readMembers, StoreState: h.platform.State,
+		ReadVia: h.readOwnersVia, ReadMembers: h.readMembers,
+		MembersKnown: func() bool { return h.members.Listed() }, StoreState: h.platform.State,
 	})
 	h.config = follower.New(store, h.platform.ConfigPrefix, h.clock, h.part("config"), h.applyConfig)
 	h.endpoints = follower.New(store, h.platform.EndpointPrefix, h.clock, h.part("endpoint"), h.applyEndpoints)
