Let requests wait for the tokens of a bucket that began empty

Change: for 2 s after a bucket began empty its owner says so, and requests wait up to 180 ms for their token. A trial without a least wait of 2 ms asked without pause when a rounding error was all that was missing; the test of a takeover hung then.

Test: a takeover of a busy team refuses nobody within the rate; red without the wait.

--- a/internal/limit/buyer/buyer.go
+++ b/internal/limit/buyer/buyer.go
@@ -22,6 +22,11 @@
 	settleWait = 150 * time.Millisecond
 	// shortWait is how long a request waits for a token that is about to accrue.
 	shortWait = 60 * time.Millisecond
+	// youngWait is how long a request waits in all for tokens of a bucket that began
+	// empty a short time ago.
+	youngWait = 180 * time.Millisecond
+	// leastWait is the least time between two calls for one request.
+	leastWait = 2 * time.Millisecond
 	// aheadTime is the time for whose expected demand tokens are bought ahead.
 	aheadTime = 100 * time.Millisecond
 	// demandWeight is the weight of the newest gap between two requests of a team.
@@ -175,28 +180,30 @@
 	return now.Before(t) && now.Round(0).Before(t.Round(0))
 }
 
-// buy asks the owner for a token, once more after a short wait if one is due.
+// buy asks the owner for a token, and again after a short wait if one is due.
 func (b *Buyer) buy(ctx context.Context, id fescuebank.TeamID, q fescuebank.Quota, ahead int) error {
-	var reply fescuebank.BuyReply
+	began := b.Clock.Now()
 	for try := 0; ; try++ {
+		var reply fescuebank.BuyReply
 		asked := b.Clock.Now()
 		err := b.ask(ctx, id, ahead, &reply)
 		if err == nil && reply.Count > 0 {
 			b.receive(id, reply.Count-1, asked.Add(seller.TokenLife))
 			return nil
 		}
-		wait := time.Duration(reply.Wait)
-		switch {
-		case ctx.Err() != nil:
+		if ctx.Err() != nil {
 			return ctx.Err()
-		case err == nil && (try > 0 || wait > shortWait):
-			return fescuebank.Refuse(http.StatusTooManyRequests, fescuebank.CodeRateLimited,
-				"the team is over its rate and burst").After(wait).With(b.details(id, q, "owner refused")...)
+		}
+		wait := max(time.Duration(reply.Wait), leastWait)
+		switch {
 		case err != nil && try > 0:
 			return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeLimitUnknown,
 				"nobody can tell now whether the team is within its rate").After(unknownRetry).With(b.details(id, q, err.Error())...)
 		case err != nil:
 			wait = settleWait
+		case !mayWait(reply, try, b.Clock.Now().Sub(began)+wait):
+			return fescuebank.Refuse(http.StatusTooManyRequests, fescuebank.CodeRateLimited,
+				"the team is over its rate and burst").After(wait).With(b.details(id, q, "owner refused")...)
 		}
 		_ = fescuebank.Sleep(ctx, b.Clock, wait)
 		if b.take(id, q) {
@@ -205,6 +212,15 @@
 	}
 }
 
+// mayWait reports whether a request waits for the next token. until is how long it
+// will have waited by then.
+func mayWait(reply fescuebank.BuyReply, try int, until time.Duration) bool {
+	if reply.Young {
+		return until <= youngWait
+	}
+	return try == 0 && time.Duration(reply.Wait) <= shortWait
+}
+
 // details are what decided a refusal.
 func (b *Buyer) details(id fescuebank.TeamID, q fescuebank.Quota, reason string) []any {
 	owner, _ := b.Owners.Owner(id)
@@ -277,7 +293,7 @@
 		b.Log.Info("Bucket begins.", "team", string(r.Team), "epoch", uint64(epoch))
 	}
 	count, wait := b.Seller.Sell(r.Team, sold, r.Need, r.Ahead)
-	return &fescuebank.BuyReply{Count: count, Wait: int64(wait)}, nil
+	return &fescuebank.BuyReply{Count: count, Wait: int64(wait), Young: b.Seller.Young(r.Team)}, nil
 }
 
 // errNotYet means that a former owner may still sell.
--- a/internal/limit/buyer/fuzz_test.go
+++ b/internal/limit/buyer/fuzz_test.go
@@ -196,6 +196,25 @@
 	}
 }
 
+// TestTakeoverRefusesNobodyWithinTheRate moves a busy team to another owner, whose
+// bucket begins empty.
+func TestTakeoverRefusesNobodyWithinTheRate(t *testing.T) {
+	w := newWorld(fescuebank.Quota{Rate: 9, Burst: 9}, 9, 9)
+	asked := 0
+	gap := time.Second * 10 / 62 // 0.69 of the rate
+	for range 40 {
+		w.admit(asked % 9)
+		asked++
+		if asked == 20 {
+			w.move(3)
+		}
+		w.clock.now = w.clock.now.Add(gap)
+	}
+	if got := len(w.admitted); got != asked {
+		t.Errorf("got %d of %d requests let through, want all", got, asked)
+	}
+}
+
 func TestRefusalSaysWhenToReturn(t *testing.T) {
 	w := newWorld(fescuebank.Quota{Rate: 2, Burst: 1}, 1, 0)
 	w.admit(0)
--- a/internal/limit/seller/seller.go
+++ b/internal/limit/seller/seller.go
@@ -30,6 +30,8 @@
 
 // bucket is the state of one team.
 type bucket struct {
+	// began is when the bucket began empty; zero if it began full.
+	began time.Time
 	// epoch is the list under which the bucket began.
 	epoch fescuebank.FencingNumber
 	level float64
@@ -70,6 +72,8 @@
 	b := &bucket{epoch: epoch, filled: s.clock.Now()}
 	if full {
 		b.level = float64(q.Burst)
+	} else {
+		b.began = b.filled
 	}
 	h.buckets[team] = b
 }
@@ -85,6 +89,18 @@
 	return 0
 }
 
+// youngTime is how long a bucket that began empty counts as young.
+const youngTime = 2 * time.Second
+
+// Young reports whether the bucket of a team began empty a short time ago.
+func (s *Seller) Young(team fescuebank.TeamID) bool {
+	h := s.shard(team)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.buckets[team]
+	return b != nil && !b.began.IsZero() && s.clock.Now().Sub(b.began) < youngTime
+}
+
 // End drops the bucket of a team.
 func (s *Seller) End(team fescuebank.TeamID) {
 	h := s.shard(team)
--- a/owners.go
+++ b/owners.go
@@ -121,4 +121,7 @@
 	Count int `cbor:"1,keyasint"`
 	// Wait is when the next token accrues, if Count is below the need.
 	Wait int64 `cbor:"2,keyasint,omitempty"`
+	// Young is set while the owner's bucket has not filled since it began empty, so
+	// that a team within its rate may find it empty.
+	Young bool `cbor:"3,keyasint,omitempty"`
 }
