--- a/internal/batch/steward/task.go
+++ b/internal/batch/steward/task.go
@@ -122,9 +122,12 @@
 	for name, value := range it.spec.Header {
 		h[name] = []string{value}
 	}
+	j.mu.Lock()
+	body := it.spec.Body // A listed item has none any more.
+	j.mu.Unlock()
 	return &fescuebank.Request{
 		ID: fescuebank.RequestID(it.spec.ID), Team: j.spec.Team, Route: route, Service: route.Choose(0),
-		Method: "POST", Target: it.spec.Target, Host: j.spec.Host, Header: h, Body: it.spec.Body,
+		Method: "POST", Target: it.spec.Target, Host: j.spec.Host, Header: h, Body: body,
 		Arrived: now, Deadline: j.spec.Submitted.Add(route.Retention), Priority: route.Priority,
 	}
 }
--- a/internal/entry/allotter/allotter.go
+++ b/internal/entry/allotter/allotter.go
@@ -105,7 +105,6 @@
 // Allotter counts the requests at each endpoint.
 type Allotter struct {
 	clock fescuebank.Clock
-	zone  fescuebank.Zone
 	// changed is called without the lock when the counts of this instance change.
 	changed func()
 
@@ -124,9 +123,9 @@
 }
 
 // New returns an allotter without endpoints.
-func New(zone fescuebank.Zone, clock fescuebank.Clock, changed func()) *Allotter {
+func New(clock fescuebank.Clock, changed func()) *Allotter {
 	return &Allotter{
-		clock: clock, zone: zone, changed: changed, hold: initialHold,
+		clock: clock, changed: changed, hold: initialHold,
 		endpoints: make(map[fescuebank.EndpointID]*endpoint), held: make(map[*Place]bool),
 	}
 }
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -350,7 +350,8 @@
 	read := e.started
 	for ctx.Err() == nil {
 		now := e.Clock.Now()
-		if !now.Before(read) && e.needsRead() {
+		// Others follow the list's changes; only owners act by it.
+		if !now.Before(read) && e.Self.Owner {
 			read = now.Add(confirmInterval)
 			if err := e.read(ctx); err != nil && !errors.Is(err, fescuebank.ErrAbsent) {
 				e.Log.Warn("List of owners not read.", "err", err.Error())
@@ -369,11 +370,6 @@
 	}
 }
 
-// needsRead reports whether this run acts by the list. Others follow its changes.
-func (e *Elector) needsRead() bool {
-	return e.Self.Owner
-}
-
 func (e *Elector) read(ctx context.Context) error {
 	asked := e.Clock.Now()
 	o, err := e.Store.Get(ctx, fescuebank.OwnerListKey)
--- a/internal/operate/hoster/hoster.go
+++ b/internal/operate/hoster/hoster.go
@@ -141,7 +141,7 @@
 	h.buildFleet()
 	me := fescuebank.Holder{ID: h.self.ID, Incarnation: h.self.Incarnation}
 	h.exchanger = exchanger.New(h.platform.Protocol, h.clock)
-	h.allotter = allotter.New(h.self.Zone, h.clock, h.roster.Kick)
+	h.allotter = allotter.New(h.clock, h.roster.Kick)
 	calls := detourer.New(h.linker, h.roster)
 	h.linker.Handle(fescuebank.KindDetour, calls.Handle)
 	h.linker.Handle(fescuebank.KindMirror, h.handleMirror)
