--- a/cmd/fescuebankd/hosted_test.go
+++ b/cmd/fescuebankd/hosted_test.go
@@ -10,8 +10,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,14 +86,28 @@
  "tenants":[{"name":"t1","apiKeys":["k1"]},{"name":"limited","apiKeys":["k2"],"ratePerS":2,"burst":3}]}`, g.version, routes))
 }
 
+// nextPort counts up below the ports that the system gives to outgoing
+// connections, so that none of those takes a port between its choice and its use.
+var nextPort atomic.Int32
+
+const (
+	firstPort = 20_000
+	portCount = 10_000
+)
+
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := firstPort + (os.Getpid()*97+int(nextPort.Add(1)))%portCount
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("got no free port, want one")
+	return ""
 }
 
 // start runs an instance; entries take callers, others own teams.
