Hold back only removals that may be lapses of an outage; lose no hint

An owner had just reached the store again, and each removal within 2.2 s of that was held back, also of endpoints that left after it.

Change: only what the first list after an outage lacks is held back. A watch counts the hints that were taken until its interruption has ended.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -55,6 +55,9 @@
 	back    time.Time
 	down    bool
 	listed  bool
+	// lapsed is set until the first list after an outage: what that lacks may have
+	// lapsed meanwhile.
+	lapsed bool
 }
 
 // New returns a follower of prefix that passes the whole mirror to changed
@@ -192,9 +195,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := f.interrupt(ctx, cancel)
-	defer stop()
 	started := f.clock.Now()
 	events, next, err := f.store.Watch(ctx, f.prefix, from)
+	stop() // A hint that was taken up until now counts, though the watch has ended.
 	if errors.Is(context.Cause(ctx), errAgain) || errors.Is(err, fescuebank.ErrWatchLost) {
 		return nil, 0, errAgain
 	}
@@ -207,9 +210,10 @@
 	return events, next, nil
 }
 
-// interrupt ends a watch at a hint or when missing objects are due.
+// interrupt ends a watch at a hint or when missing objects are due, until stop has
+// returned.
 func (f *Follower) interrupt(ctx context.Context, cancel context.CancelCauseFunc) (stop func()) {
-	done := make(chan struct{})
+	done, ended := make(chan struct{}), make(chan struct{})
 	var due <-chan time.Time
 	f.mu.Lock()
 	if len(f.missing) > 0 {
@@ -217,6 +221,7 @@
 	}
 	f.mu.Unlock()
 	go func() {
+		defer close(ended)
 		select {
 		case <-f.hint:
 			cancel(errAgain)
@@ -226,7 +231,10 @@
 		case <-ctx.Done():
 		}
 	}()
-	return func() { close(done) }
+	return func() {
+		close(done)
+		<-ended
+	}
 }
 
 func (f *Follower) touch() {
@@ -236,6 +244,7 @@
 	if f.down {
 		f.down = false
 		f.back = now
+		f.lapsed = true
 		f.log.Info("Store is back.", "prefix", f.prefix, "awayMs", now.Sub(f.contact).Milliseconds())
 	}
 	f.contact = now
@@ -270,10 +279,15 @@
 		changed = f.put(o) || changed
 	}
 	for key := range f.objects {
-		if !listed[key] {
-			changed = f.remove(key, at) || changed
+		if listed[key] {
+			continue
+		}
+		if f.lapsed {
+			f.missing[key] = f.back.Add(holdMissing)
 		}
+		changed = f.remove(key, at) || changed
 	}
+	f.lapsed = false
 	f.asOf = at
 	f.mu.Unlock()
 	if changed {
@@ -311,15 +325,13 @@
 	return true
 }
 
-// remove drops an object, or keeps it for a while if it may have lapsed in an
-// outage of the store.
+// remove drops an object, unless it may have lapsed in an outage of the store and
+// come back yet.
 func (f *Follower) remove(key string, at fescuebank.StoreVersion) (changed bool) {
 	if _, ok := f.objects[key]; !ok {
 		return false
 	}
-	until := f.back.Add(holdMissing)
-	if f.clock.Now().Before(until) {
-		f.missing[key] = until
+	if until, held := f.missing[key]; held && f.clock.Now().Before(until) {
 		return false
 	}
 	delete(f.missing, key)
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -156,6 +156,27 @@
 	})
 }
 
+// TestRemovalAfterAnOutageCountsAtOnce covers an endpoint that leaves right after this
+// instance reached the store again.
+func TestRemovalAfterAnOutageCountsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store memorizer.Memorizer
+		put(t, &store, "k/a", "1")
+		m, stop := start(&store)
+		defer stop()
+		time.Sleep(time.Second)
+		store.SetFaults(memorizer.Faults{Down: true})
+		time.Sleep(3 * time.Second)
+		store.SetFaults(memorizer.Faults{})
+		time.Sleep(1500 * time.Millisecond) // By then the mirror has listed again.
+		remove(t, &store, "k/a")
+		time.Sleep(400 * time.Millisecond)
+		if got := m.values(); len(got) != 0 {
+			t.Errorf("got %v 400 ms after the removal, want none", got)
+		}
+	})
+}
+
 func TestRemovalWithoutAnOutageCountsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var store memorizer.Memorizer
