Call electors without the lock that their peers are read under, in their test

Cause: the full run beside three busy loops stood still in the race phase of the elector's test (goroutine dump of a repeat: the second of 12 runs beside load hung). The test's fleet held its lock while it told electors of acknowledgements, and an elector asks the fleet for its peers under its own lock. Ruled out: the daemon; the roster calls nobody while it holds its lock (read again, line by line).

No assertion changed; no product code changed.

--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -95,17 +95,27 @@
 		if o, err := n.fleet.store.Get(ctx, fescuebank.OwnerListKey); err == nil {
 			n.elector.Apply(o, time.Time{})
 		}
-		n.fleet.mu.Lock()
-		for id, other := range n.fleet.nodes {
-			if id != n.entry.ID && !n.fleet.down[id] && !n.fleet.down[n.entry.ID] {
-				other.elector.Acknowledge(n.holder(), n.elector.Epoch())
-			}
+		for _, other := range n.hearers() {
+			other.elector.Acknowledge(n.holder(), n.elector.Epoch())
 		}
-		n.fleet.mu.Unlock()
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// hearers returns the live runs other than n. An elector asks for its peers under
+// its own lock, so the fleet's lock is not held while electors are called.
+func (n *node) hearers() []*node {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	var list []*node
+	for id, other := range n.fleet.nodes {
+		if id != n.entry.ID && !n.fleet.down[id] && !n.fleet.down[n.entry.ID] {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
 func (n *node) holder() fescuebank.Holder {
 	return fescuebank.Holder{ID: n.entry.ID, Incarnation: n.entry.Incarnation}
 }
