Refuse at once what an owner that does not answer cannot decide

Cause: every request of a team whose owner was lost asked it anew and waited 300 ms, then 150 ms, then once more, while the calls before had shown that it is silent. Change: breaker, a caller that fails at once while an instance does not answer and lets one call at a time try it. Calls passed on by a third instance say that the instance was lost, no longer that the call failed. Ruled out: a shorter timeout alone; slow owners answer within 300 ms.

--- a/internal/limit/buyer/buyer.go
+++ b/internal/limit/buyer/buyer.go
@@ -13,6 +13,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/limit/seller"
+	"fescuebank/internal/wire/breaker"
 )
 
 const (
@@ -196,7 +197,7 @@
 		}
 		wait := max(time.Duration(reply.Wait), leastWait)
 		switch {
-		case err != nil && try > 0:
+		case errors.Is(err, breaker.ErrOpen) || err != nil && try > 0:
 			return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeLimitUnknown,
 				"nobody can tell now whether the team is within its rate").After(unknownRetry).With(b.details(id, q, err.Error())...)
 		case err != nil:
--- a/internal/operate/hoster/hoster.go
+++ b/internal/operate/hoster/hoster.go
@@ -28,6 +28,7 @@
 	"fescuebank/internal/limit/buyer"
 	"fescuebank/internal/limit/seller"
 	"fescuebank/internal/operate/meter"
+	"fescuebank/internal/wire/breaker"
 	"fescuebank/internal/wire/detourer"
 	"fescuebank/internal/wire/linker"
 )
@@ -148,7 +149,7 @@
 	h.linker.Handle(fescuebank.KindOwners, h.handleOwners)
 	h.platform.OnBack(h.restartFollowers)
 	h.buyer = buyer.New(buyer.Config{
-		Self: me, Owners: h.elector, Caller: calls, Seller: seller.New(h.clock), Table: h.table.Load,
+		Self: me, Owners: h.elector, Caller: breaker.New(calls, h.clock), Seller: seller.New(h.clock), Table: h.table.Load,
 		Registered: h.roster.Registered, Clock: h.clock, Log: h.part("limit"),
 	})
 	h.linker.Handle(fescuebank.KindBuy, h.buyer.Handle)
--- a/internal/wire/linker/codec.go
+++ b/internal/wire/linker/codec.go
@@ -24,6 +24,8 @@
 	outcomeNotOwner
 	outcomeRefused
 	outcomeFailed
+	// outcomeLost means that an instance that the handler called had no answer.
+	outcomeLost
 )
 
 // maxElements bounds what a message may make the receiver allocate.
@@ -67,6 +69,9 @@
 	if errors.Is(err, fescuebank.ErrNotOwner) {
 		return []byte{byte(outcomeNotOwner)}
 	}
+	if errors.Is(err, fescuebank.ErrPeerLost) || errors.Is(err, fescuebank.ErrPeerUnreached) {
+		return append([]byte{byte(outcomeLost)}, err.Error()...)
+	}
 	var r *fescuebank.Refusal
 	if errors.As(err, &r) {
 		if body, err := encodeBody(refusal(*r)); err == nil {
@@ -88,6 +93,8 @@
 		return nil
 	case outcomeNotOwner:
 		return fescuebank.ErrNotOwner
+	case outcomeLost:
+		return eris.Wrap(fescuebank.ErrPeerLost, string(answer[1:]))
 	case outcomeRefused:
 		var r refusal
 		if err := decodeBody(answer[1:], &r); err != nil {
