--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -21,8 +21,12 @@
 	longestRetry = 800 * time.Millisecond
 	// quietGap is the least time that a watch without events takes.
 	quietGap = 200 * time.Millisecond
-	// flockPause is the pause between events and the next watch.
-	flockPause = 150 * time.Millisecond
+	// firstPause and longestPause bound the pause between events and the next watch.
+	// It doubles while each watch ends with events.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+	// flockGap is the least time that a watch without a flock takes.
+	flockGap = time.Second
 	// outageAfter is how long the store must have been out of reach before
 	// missing objects are taken for lapsed.
 	outageAfter = time.Second
@@ -174,7 +178,9 @@
 	}
 	f.touch()
 	f.replace(objects, version)
+	pause := firstPause
 	for ctx.Err() == nil {
+		began := f.clock.Now()
 		events, next, err := f.watch(ctx, version)
 		if err != nil {
 			return err
@@ -182,9 +188,13 @@
 		f.touch()
 		f.apply(events, next)
 		version = next
+		if f.clock.Now().Sub(began) > flockGap {
+			pause = firstPause
+		}
 		if len(events) > 0 {
 			// Changes come in flocks; one more call then brings the rest.
-			_ = fescuebank.Sleep(ctx, f.clock, flockPause)
+			_ = fescuebank.Sleep(ctx, f.clock, pause)
+			pause = min(2*pause, longestPause)
 		}
 	}
 	return ctx.Err()
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -210,3 +211,38 @@
 		}
 	})
 }
+
+// counter counts the watches of a store.
+type counter struct {
+	*memorizer.Memorizer
+	mu      sync.Mutex
+	watches int
+}
+
+func (c *counter) Watch(ctx context.Context, prefix string, from fescuebank.StoreVersion) ([]fescuebank.Object, fescuebank.StoreVersion, error) {
+	c.mu.Lock()
+	c.watches++
+	c.mu.Unlock()
+	return c.Memorizer.Watch(ctx, prefix, from)
+}
+
+// TestFlockOfChangesTakesFewWatches changes an object every 100 ms for 3 s, as when a
+// fleet starts. The mirror must not call for each change, nor lag by half a second.
+func TestFlockOfChangesTakesFewWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &counter{Memorizer: &memorizer.Memorizer{}}
+		m, stop := start(store)
+		defer stop()
+		const changes, lag = 30, 5
+		for i := range changes {
+			put(t, store.Memorizer, "k/a", strconv.Itoa(i))
+			time.Sleep(100 * time.Millisecond)
+			if got, _ := strconv.Atoi(m.values()["k/a"]); got < i-lag {
+				t.Errorf("got change %d when %d was made, want %d at least", got, i, i-lag)
+			}
+		}
+		if got, want := store.watches, changes/2; got > want {
+			t.Errorf("got %d watches for %d changes, want %d at most", got, changes, want)
+		}
+	})
+}
--- a/internal/operate/hoster/state.go
+++ b/internal/operate/hoster/state.go
@@ -17,12 +17,15 @@
 const (
 	// maxAddresses is how many addresses an answer to a caller holds.
 	maxAddresses = 64
-	// pollInterval is the mean time between two reads beside the watches.
-	pollInterval = 4500 * time.Millisecond
+	// pollInterval is the least mean time between two reads beside the watches here,
+	// and fleetPollInterval the one of the whole fleet.
+	pollInterval      = 4500 * time.Millisecond
+	fleetPollInterval = 650 * time.Millisecond
 	// storeLostAfter is how long the store must fail here before the others are told.
 	storeLostAfter = time.Second
 	// catchUpAfter is how long newer state may be missing before a peer is asked.
-	catchUpAfter = 120 * time.Millisecond
+	// It is longer than a follower's pause between two watches.
+	catchUpAfter = 500 * time.Millisecond
 	// catchUpTimeout bounds the call to the peer.
 	catchUpTimeout = 500 * time.Millisecond
 	// leaveAtLeast is how long a leaving instance goes on to serve callers that
@@ -224,15 +227,28 @@
 // poll reads the configuration and the endpoints in turn. Watches of all
 // instances may miss a change together; one instance that reads it tells the rest.
 func (h *Hoster) poll(ctx context.Context) {
-	_ = fescuebank.Sleep(ctx, h.clock, rand.N(pollInterval))
+	_ = fescuebank.Sleep(ctx, h.clock, rand.N(h.pollPause()))
 	for i := 0; ctx.Err() == nil; i++ {
 		if f := []*follower.Follower{h.config, h.endpoints}[i%2]; f.Listed() {
 			f.Poll(ctx)
 		}
-		_ = fescuebank.Sleep(ctx, h.clock, pollInterval/2+rand.N(pollInterval))
+		pause := h.pollPause()
+		_ = fescuebank.Sleep(ctx, h.clock, pause/2+rand.N(pause))
 	}
 }
 
+// pollPause is the mean time between two reads. It grows with the fleet, since what
+// one instance reads all hear of.
+func (h *Hoster) pollPause() time.Duration {
+	live := 1
+	for _, p := range h.roster.Peers() {
+		if p.Alive {
+			live++
+		}
+	}
+	return max(pollInterval, time.Duration(live)*fleetPollInterval)
+}
+
 // mirrorRequest asks a peer for its mirror of a prefix.
 type mirrorRequest struct {
 	Prefix string `cbor:"1,keyasint"`
