Make the burn report work where the platform lists endpoints

Cause: only the operators' address served the report, and only the completions' path counted levels; the routed path counted nothing. Change: gateway, relayer and steward count answers, first bytes against the route's own objective, and batch items; gatherer adds up all instances, names those that do not answer, and serves /burn on the metrics address; fescuectl reads it there.

--- a/cmd/fescuebankd/hosted.go
+++ b/cmd/fescuebankd/hosted.go
@@ -91,7 +91,7 @@
 func handlers(e hoster.Entry, s *fescuebank.Settings) hoster.Handlers {
 	g := gateway.New(gateway.Config{
 		Table: e.Table, Relayer: e.Relayer, Admitter: e.Admitter, Batch: e.Batch, Addresses: e.Addresses,
-		Ready: e.Ready, Leaving: e.Leaving, AddressTTL: s.Timing.AddressTTL, Clock: e.Clock, Meter: e.Meter, Log: e.Log,
+		Ready: e.Ready, Leaving: e.Leaving, AddressTTL: s.Timing.AddressTTL, Clock: e.Clock, Meter: e.Meter, Levels: e.Levels, Log: e.Log,
 	})
 	return hoster.Handlers{
 		Callers: g, Ready: http.HandlerFunc(g.ServeReady), Addresses: http.HandlerFunc(g.ServeAddresses),
--- a/cmd/fescuectl/fleet.go
+++ b/cmd/fescuectl/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -99,9 +100,34 @@
 	return rows
 }
 
+// fetch reads the report from the metrics address or the operators' one.
+func (b *burnCommand) fetch(ctx context.Context, c *client, report *burner.Report) error {
+	if b.Metrics == "" {
+		return c.operator(ctx, http.MethodGet, "/api/burn", nil, report)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.Metrics+"/burn", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("metrics address answered %s", resp.Status)
+	}
+	return json.NewDecoder(resp.Body).Decode(report)
+}
+
 // reportCommand prints reports.
 type reportCommand struct {
-	Burn *struct{} `arg:"subcommand:burn" help:"how fast the error budgets of the service levels burn, worst first"`
+	Burn *burnCommand `arg:"subcommand:burn" help:"how fast the error budgets of the service levels burn, worst first"`
+}
+
+// burnCommand says whom to ask.
+type burnCommand struct {
+	Metrics string `arg:"--metrics" placeholder:"HOST:PORT" help:"metrics address of any instance; without it the operators' address is asked"`
 }
 
 func (r *reportCommand) run(ctx context.Context, c *client) error {
@@ -109,7 +135,7 @@
 		return fmt.Errorf("want burn")
 	}
 	var report burner.Report
-	if err := c.operator(ctx, http.MethodGet, "/api/burn", nil, &report); err != nil {
+	if err := r.Burn.fetch(ctx, c, &report); err != nil {
 		return err
 	}
 	return c.print(report, func(w io.Writer) {
--- a/desired.go
+++ b/desired.go
@@ -149,6 +149,13 @@
 	d.Objectives.defaults()
 }
 
+// DefaultObjectives returns the objectives of a fleet whose operators name none.
+func DefaultObjectives() Objectives {
+	var o Objectives
+	o.defaults()
+	return o
+}
+
 func (o *Objectives) defaults() {
 	if o.FirstToken == 0 {
 		o.FirstToken = defaultFirst
--- a/internal/batch/steward/fuzz_test.go
+++ b/internal/batch/steward/fuzz_test.go
@@ -83,6 +83,7 @@
 	}
 	f.tasks[i] = nil
 	next := steward.New(steward.Config{
+		Ended: func(fescuebank.TeamID, bool, bool) {},
 		Owns: func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/batch/steward/steward.go
+++ b/internal/batch/steward/steward.go
@@ -45,6 +45,8 @@
 	Table func() *fescuebank.RouteTable
 	Clock fescuebank.Clock
 	Log   hclog.Logger
+	// Ended counts an item that was completed or given up.
+	Ended func(team fescuebank.TeamID, failed, onTime bool)
 	// Kick is called when items wait.
 	Kick func()
 	// Pass tells the next owner of a team the progress of its items.
--- a/internal/batch/steward/task.go
+++ b/internal/batch/steward/task.go
@@ -145,6 +145,7 @@
 	start := !j.committing
 	j.committing = true
 	j.mu.Unlock()
+	s.Ended(j.spec.Team, failed, !s.Clock.Now().After(t.Due))
 	if start {
 		go s.commit(j)
 	}
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -41,6 +41,12 @@
 	holdBytes = 64 << 10
 )
 
+// Levels counts what the burn report is made of.
+type Levels interface {
+	// FirstTokenWithin counts the time from arrival to the first byte of an answer.
+	FirstTokenWithin(team fescuebank.TeamID, d, objective time.Duration)
+}
+
 // Relayer relays requests.
 type Relayer struct {
 	allotter  *allotter.Allotter
@@ -49,6 +55,7 @@
 	clock     fescuebank.Clock
 	meter     *meter.Meter
 	versions  func() Versions
+	levels    Levels
 	log       hclog.Logger
 }
 
@@ -68,12 +75,16 @@
 	Meter     *meter.Meter
 	// Versions returns the versions in force, for the log.
 	Versions func() Versions
+	Levels   Levels
 	Log      hclog.Logger
 }
 
 // New returns a relayer.
 func New(c Config) *Relayer {
-	return &Relayer{allotter: c.Allotter, exchanger: c.Exchanger, protocol: c.Protocol, clock: c.Clock, meter: c.Meter, versions: c.Versions, log: c.Log}
+	return &Relayer{
+		allotter: c.Allotter, exchanger: c.Exchanger, protocol: c.Protocol, clock: c.Clock, meter: c.Meter,
+		versions: c.Versions, levels: c.Levels, log: c.Log,
+	}
 }
 
 // ErrAbandoned means that the answer began and can't be ended properly.
@@ -135,12 +146,17 @@
 	return f.request.Route.Repeatable() && f.runs < f.request.Route.Attempts
 }
 
+// objective is the time to the first byte that the caller expects.
+func (f *flight) objective() time.Duration {
+	if f.request.Route.Objective <= 0 {
+		return defaultObjective
+	}
+	return f.request.Route.Objective
+}
+
 func (f *flight) acquire(ctx context.Context) (*allotter.Place, error) {
 	r := f.request
-	objective := r.Route.Objective
-	if objective <= 0 {
-		objective = defaultObjective
-	}
+	objective := f.objective()
 	now := f.clock.Now()
 	until := r.Arrived.Add(time.Duration(startShare * float64(objective)))
 	if f.offers > 0 {
@@ -296,6 +312,7 @@
 	f.meter.Time("placeWait", f.waited)
 	if f.started {
 		f.meter.Time("firstByte", f.first)
+		f.levels.FirstTokenWithin(r.Team, f.first, f.objective())
 	}
 	f.meter.Time("total", f.clock.Now().Sub(r.Arrived))
 	f.meter.Count("offers", strconv.Itoa(f.offers))
--- a/internal/operate/collector/collector.go
+++ b/internal/operate/collector/collector.go
@@ -133,7 +133,12 @@
 
 // FirstToken counts the time from arrival to the first token.
 func (c *Collector) FirstToken(team fescuebank.TeamID, d time.Duration) {
-	c.add(team, fescuebank.Levels{FirstToken: count(d <= c.objective().FirstToken.Duration())})
+	c.FirstTokenWithin(team, d, c.objective().FirstToken.Duration())
+}
+
+// FirstTokenWithin counts the same where the request has an objective of its own.
+func (c *Collector) FirstTokenWithin(team fescuebank.TeamID, d, objective time.Duration) {
+	c.add(team, fescuebank.Levels{FirstToken: count(d <= objective)})
 }
 
 func count(good bool) fescuebank.Counter {
--- /dev/null
+++ b/internal/operate/gatherer/gatherer.go
@@ -0,0 +1,107 @@
+// Package gatherer makes the burn report of all instances.
+package gatherer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"fescuebank"
+	"fescuebank/internal/fleet/roster"
+	"fescuebank/internal/operate/burner"
+)
+
+const (
+	// callTimeout bounds the call to one instance.
+	callTimeout = 2 * time.Second
+	// maxCalls is how many instances are called at once.
+	maxCalls = 16
+)
+
+// Members are the other instances.
+type Members interface {
+	Peers() []roster.Peer
+}
+
+// Counts are those of this instance.
+type Counts interface {
+	Levels() []fescuebank.TeamLevels
+}
+
+// Gatherer serves the burn report.
+type Gatherer struct {
+	members Members
+	peer    fescuebank.Peer
+	counts  Counts
+}
+
+// New returns a gatherer.
+func New(members Members, peer fescuebank.Peer, counts Counts) *Gatherer {
+	return &Gatherer{members: members, peer: peer, counts: counts}
+}
+
+// request asks an instance for its counts.
+type request struct{}
+
+// reply holds an instance's counts.
+type reply struct {
+	Teams []fescuebank.TeamLevels `cbor:"1,keyasint"`
+}
+
+// Handle answers another instance's gatherer.
+func (g *Gatherer) Handle(context.Context, func(into any) error) (any, error) {
+	return &reply{Teams: g.counts.Levels()}, nil
+}
+
+// Report gathers the counts of all instances and rates them. Those that don't
+// answer are named.
+func (g *Gatherer) Report(ctx context.Context) burner.Report {
+	peers := g.members.Peers()
+	replies := make([]*reply, len(peers))
+	slots := make(chan struct{}, maxCalls)
+	var group sync.WaitGroup
+	for i, p := range peers {
+		group.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			replies[i] = g.ask(ctx, p.PeerAddr)
+		})
+	}
+	group.Wait()
+	levels := [][]fescuebank.TeamLevels{g.counts.Levels()}
+	var missing []fescuebank.InstanceID
+	for i, p := range peers {
+		if replies[i] == nil {
+			missing = append(missing, p.ID)
+			continue
+		}
+		levels = append(levels, replies[i].Teams)
+	}
+	report := burner.Burner{}.Report(levels, fescuebank.DefaultObjectives())
+	report.Missing = missing
+	return report
+}
+
+// ask returns the counts of one instance, or nil.
+func (g *Gatherer) ask(ctx context.Context, addr string) *reply {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var r reply
+	if err := g.peer.Call(ctx, addr, fescuebank.KindLevels, &request{}, &r); err != nil {
+		return nil // The report names it as missing.
+	}
+	return &r
+}
+
+// ServeHTTP writes the report as JSON.
+func (g *Gatherer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := json.Marshal(g.Report(r.Context()))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body) // A reader that is gone gets nothing.
+}
--- /dev/null
+++ b/internal/operate/gatherer/gatherer_test.go
@@ -0,0 +1,71 @@
+package gatherer_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fescuebank"
+	"fescuebank/internal/fleet/roster"
+	"fescuebank/internal/operate/burner"
+	"fescuebank/internal/operate/gatherer"
+)
+
+// fleet has an instance "far" that answers and one "lost" that doesn't.
+type fleet struct {
+	far *gatherer.Gatherer
+}
+
+func (f *fleet) Peers() []roster.Peer {
+	return []roster.Peer{
+		{MemberEntry: fescuebank.MemberEntry{ID: "far", PeerAddr: "far:1"}},
+		{MemberEntry: fescuebank.MemberEntry{ID: "lost", PeerAddr: "lost:1"}},
+	}
+}
+
+func (f *fleet) Call(ctx context.Context, addr string, _ fescuebank.MessageKind, _, reply any) error {
+	if addr != "far:1" {
+		return fescuebank.ErrPeerLost
+	}
+	answer, err := f.far.Handle(ctx, func(any) error { return nil })
+	if err != nil {
+		return err
+	}
+	body, err := cbor.Marshal(answer)
+	return errors.Join(err, cbor.Unmarshal(body, reply))
+}
+
+// counts are an instance's counts of one team.
+type counts fescuebank.Counter
+
+func (c counts) Levels() []fescuebank.TeamLevels {
+	windows := make([]fescuebank.Levels, len(fescuebank.BurnWindows))
+	for i := range windows {
+		windows[i].Complete = fescuebank.Counter(c)
+	}
+	return []fescuebank.TeamLevels{{Team: "team", Windows: windows}}
+}
+
+func TestReportAddsUpInstancesAndNamesTheMissing(t *testing.T) {
+	f := &fleet{far: gatherer.New(nil, nil, counts{Good: 1, Total: 2})}
+	here := gatherer.New(f, f, counts{Good: 3, Total: 3})
+	answer := httptest.NewRecorder()
+	here.ServeHTTP(answer, httptest.NewRequest("GET", "/burn", nil))
+	var report burner.Report
+	if err := json.Unmarshal(answer.Body.Bytes(), &report); err != nil {
+		t.Fatal(err)
+	}
+	if len(report.Missing) != 1 || report.Missing[0] != "lost" || report.Instances != 2 {
+		t.Errorf("got %d instances, missing %v, want 2 and lost", report.Instances, report.Missing)
+	}
+	if len(report.Lines) != 1 {
+		t.Fatalf("got %d lines, want 1", len(report.Lines))
+	}
+	if got := report.Lines[0].Windows[0]; got.Good != 4 || got.Total != 5 {
+		t.Errorf("got %d of %d good, want 4 of 5", got.Good, got.Total)
+	}
+}
--- a/internal/operate/hoster/hoster.go
+++ b/internal/operate/hoster/hoster.go
@@ -27,6 +27,8 @@
 	"fescuebank/internal/fleet/roster"
 	"fescuebank/internal/limit/buyer"
 	"fescuebank/internal/limit/seller"
+	"fescuebank/internal/operate/collector"
+	"fescuebank/internal/operate/gatherer"
 	"fescuebank/internal/operate/meter"
 	"fescuebank/internal/wire/breaker"
 	"fescuebank/internal/wire/detourer"
@@ -77,6 +79,7 @@
 	Leaving   func() bool
 	Clock     fescuebank.Clock
 	Meter     *meter.Meter
+	Levels    *collector.Collector
 	Log       hclog.Logger
 }
 
@@ -109,6 +112,8 @@
 	buyer     *buyer.Buyer
 	steward   *steward.Steward
 	runner    *runner.Runner
+	levels    *collector.Collector
+	gatherer  *gatherer.Gatherer
 	entry     Entry
 	// catching is set while newer state is fetched from a peer.
 	catching atomic.Bool
@@ -141,6 +146,9 @@
 func (h *Hoster) build() error {
 	h.buildFleet()
 	me := fescuebank.Holder{ID: h.self.ID, Incarnation: h.self.Incarnation}
+	h.levels = collector.New(h.clock, fescuebank.DefaultObjectives)
+	h.gatherer = gatherer.New(h.roster, h.linker, h.levels)
+	h.linker.Handle(fescuebank.KindLevels, h.gatherer.Handle)
 	h.exchanger = exchanger.New(h.platform.Protocol, h.clock)
 	h.allotter = allotter.New(h.clock, h.roster.Kick)
 	calls := detourer.New(h.linker, h.roster)
@@ -160,7 +168,7 @@
 	h.steward = steward.New(steward.Config{
 		Owns: h.owns, Gained: h.elector.Gained,
 		Depositor: deposits, Table: h.table.Load, Clock: h.clock, Log: h.part("batch"),
-		Kick: func() { h.runner.Kick() }, Pass: func(p steward.Handover) { h.pass(calls, p) },
+		Ended: h.levels.BatchItem, Kick: func() { h.runner.Kick() }, Pass: func(p steward.Handover) { h.pass(calls, p) },
 	})
 	h.linker.Handle(fescuebank.KindHandover, h.steward.HandleHandover)
 	h.runner = runner.New(runner.Config{
@@ -178,10 +186,10 @@
 		Table: h.table.Load,
 		Relayer: relayer.New(relayer.Config{
 			Allotter: h.allotter, Exchanger: h.exchanger, Protocol: h.platform.Protocol, Clock: h.clock,
-			Meter: h.counts, Versions: h.versions, Log: h.part("entry"),
+			Meter: h.counts, Versions: h.versions, Levels: h.levels, Log: h.part("entry"),
 		}),
 		Admitter: h.buyer, Batch: batch, Addresses: h.addresses, Ready: h.ready, Leaving: h.leaving.Load,
-		Clock: h.clock, Meter: h.counts, Log: h.part("entry"),
+		Clock: h.clock, Meter: h.counts, Levels: h.levels, Log: h.part("entry"),
 	}
 	h.gauge()
 	return nil
@@ -285,6 +293,7 @@
 	expvar.Publish("fescuebank", expvar.Func(func() any { return h.counts.Snapshot() }))
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", h.counts)
+	mux.Handle("/burn", h.gatherer)
 	mux.Handle("/debug/vars", expvar.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = server.Serve(l) }()
--- a/peer.go
+++ b/peer.go
@@ -32,6 +32,7 @@
 	KindMirror
 	KindOwners
 	KindHandover
+	KindLevels
 )
 
 // ProbeRequest asks whether an instance is alive and passes knowledge on.
