Bound what instances tell each other, however many they are

Change: pace: intervals grow with the peers, so that the rate of messages is bounded; runs are named by a hash, 16 of them told of a beat in turn; sums of the peers' counts are kept, not worked out; a member is found by its id. With 11 instances all is as before. roster is split by job: members, news, entry, pace.

--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -27,6 +27,8 @@
 	keepHeadroom  = 0.04
 	// tick is how often the runner looks without being told.
 	tick = 250 * time.Millisecond
+	// leastGap is the least time between two looks.
+	leastGap = 5 * time.Millisecond
 	// silence is how long an endpoint may send nothing before an attempt ends.
 	silence = 1500 * time.Millisecond
 	// readBytes is the size of a read from an endpoint.
@@ -85,6 +87,7 @@
 		n.yield()
 		n.fill()
 		n.Steward.Expire()
+		_ = fescuebank.Sleep(ctx, n.Clock, leastGap)
 		select {
 		case <-ctx.Done():
 		case <-n.kick:
--- a/internal/entry/allotter/allotter.go
+++ b/internal/entry/allotter/allotter.go
@@ -71,6 +71,7 @@
 // endpoint is the state of one endpoint.
 type endpoint struct {
 	fescuebank.ServedEndpoint
+	tag fescuebank.EndpointTag
 	// own and others count the requests of this and of other instances there.
 	own    int
 	others int
@@ -143,7 +144,7 @@
 			next[spec.ID] = old
 			continue
 		}
-		next[spec.ID] = &endpoint{ServedEndpoint: spec}
+		next[spec.ID] = &endpoint{ServedEndpoint: spec, tag: spec.ID.Tag()}
 	}
 	for id, old := range a.endpoints {
 		if next[id] != old {
@@ -179,10 +180,10 @@
 func (a *Allotter) Counts() (counts fescuebank.EndpointCounts, waiting int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	counts = make(fescuebank.EndpointCounts, len(a.endpoints))
-	for id, e := range a.endpoints {
+	counts = make(fescuebank.EndpointCounts)
+	for _, e := range a.endpoints {
 		if e.own > 0 {
-			counts[id.Tag()] += e.own
+			counts[e.tag] += e.own
 		}
 	}
 	return counts, len(a.waiting)
@@ -204,8 +205,8 @@
 func (a *Allotter) SetOthers(counts fescuebank.EndpointCounts, waiting, yielding int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for id, e := range a.endpoints {
-		e.others = counts[id.Tag()]
+	for _, e := range a.endpoints {
+		e.others = counts[e.tag]
 	}
 	a.othersWaiting, a.yielding = waiting, yielding
 	a.serve()
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -5,39 +5,23 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/rotisserie/eris"
 
 	"fescuebank"
 	"fescuebank/internal/wire/linker"
 )
 
 const (
-	// beatInterval is the longest time between two messages to a peer.
-	beatInterval = 250 * time.Millisecond
-	// changeInterval is the least time between two messages to a peer.
-	changeInterval = 15 * time.Millisecond
-	// suspectAfter is how long a peer may be silent before it is left out.
-	suspectAfter = 900 * time.Millisecond
-	// deafAfter is how long a peer may fail to hear this instance before the
-	// connection to it is made anew.
-	deafAfter = 900 * time.Millisecond
 	// removeAfter is how long a peer is silent before its entry is removed.
 	removeAfter = 30 * time.Second
 	// entryLife is how long a change of a peer's entry shows that the peer lives.
 	entryLife = 2500 * time.Millisecond
-	// entryBeat is how often an owner changes its entry while others are silent.
-	entryBeat = time.Second
-	// entryBeatFor is for how long it does so after the last sign of a peer.
-	entryBeatFor = 15 * time.Second
-	// registerRetry is the pause between attempts to write the entry.
-	registerRetry = 300 * time.Millisecond
 )
 
 // Config is what a roster works with.
@@ -62,10 +46,20 @@
 	Config
 	kick chan struct{}
 
+	// tag names this run.
+	tag fescuebank.RunTag
+
 	mu       sync.Mutex
 	sequence uint64
-	// members are all but this instance.
+	// members are all but this instance; runs are the same by the tags of their runs,
+	// and turns their tags in the order in which others are told of them.
 	members map[fescuebank.InstanceID]*member
+	runs    map[fescuebank.RunTag]*member
+	turns   []fescuebank.RunTag
+	// turn is the place in turns where the next message begins.
+	turn int
+	// counted sums what the members with counted set have at endpoints.
+	counted totals
 	// entryLost is set when the store doesn't show this run's entry.
 	entryLost bool
 	// version is the store's of this run's entry.
@@ -81,6 +75,8 @@
 	known time.Time
 	heard time.Time
 	news  fescuebank.News
+	// counted is set while the news are part of the roster's sums.
+	counted bool
 	// sequence is the newest of the peer's messages that anybody received, and
 	// sign when that or a change of the entry was learned.
 	sequence uint64
@@ -99,8 +95,9 @@
 // New returns a roster that knows nobody.
 func New(c Config) *Roster {
 	r := &Roster{
-		Config: c, kick: make(chan struct{}, 1),
-		members: make(map[fescuebank.InstanceID]*member), entryLost: true,
+		Config: c, kick: make(chan struct{}, 1), entryLost: true,
+		tag:     fescuebank.Holder{ID: c.Self.ID, Incarnation: c.Self.Incarnation}.Tag(),
+		members: make(map[fescuebank.InstanceID]*member), counted: totals{counts: make(fescuebank.EndpointCounts)},
 	}
 	c.Linker.HandleNotice(fescuebank.KindNews, r.hear)
 	return r
@@ -139,9 +136,20 @@
 		if !seen[id] {
 			r.Log.Info("Instance is gone.", "peer", string(id))
 			r.Linker.Forget(m.entry.PeerAddr)
+			r.discount(m)
 			delete(r.members, id)
 		}
 	}
+	r.index()
+}
+
+// index brings runs and turns up to date with the members. The caller holds the lock.
+func (r *Roster) index() {
+	r.runs = make(map[fescuebank.RunTag]*member, len(r.members))
+	for _, m := range r.members {
+		r.runs[m.holder().Tag()] = m
+	}
+	r.turns = slices.Sorted(maps.Keys(r.runs))
 }
 
 // meet takes in the entry of a peer. A new run starts with nothing known.
@@ -158,55 +166,32 @@
 	}
 	next := &member{entry: e, version: version, known: now}
 	if m != nil && m.news.Incarnation == e.Incarnation {
-		next.news, next.heard, next.echo, next.echoed = m.news, m.heard, m.echo, m.echoed
+		next.news, next.heard, next.echo, next.echoed, next.counted = m.news, m.heard, m.echo, m.echoed, m.counted
+	} else if m != nil {
+		r.discount(m)
 	}
 	r.members[e.ID] = next
 	r.Log.Info("Instance is known.", "peer", string(e.ID), "incarnation", string(e.Incarnation), "addr", e.PeerAddr)
 }
 
-// hear takes in the news of a peer.
-func (r *Roster) hear(decode func(into any) error) {
-	var n fescuebank.News
-	if err := decode(&n); err != nil {
-		r.Log.Warn("News not read.", "err", err.Error())
-		return
-	}
-	now := r.Clock.Now()
-	r.mu.Lock()
-	m := r.members[n.From]
-	if m == nil || (m.news.Incarnation == n.Incarnation && n.Sequence <= m.news.Sequence) {
-		r.mu.Unlock()
-		return
-	}
-	if m.silent {
-		m.silent = false
-		r.Log.Info("Instance is heard again.", "peer", string(n.From))
-	}
-	m.heard, m.news = now, n
-	if echo := n.Heard[r.Self.ID]; echo.Incarnation == r.Self.Incarnation && echo.Sequence > m.echo {
-		m.echo, m.echoed = echo.Sequence, now
-	}
-	told := r.hearsay(&n, now)
-	r.mu.Unlock()
-	for h, epoch := range told {
-		r.Told(h, epoch)
-	}
-	r.Heard(&n)
+// holder is the peer's run as its entry names it.
+func (m *member) holder() fescuebank.Holder {
+	return fescuebank.Holder{ID: m.entry.ID, Incarnation: m.entry.Incarnation}
 }
 
-// hearsay takes in what a peer heard of others, and returns the epochs that they
-// acknowledged. The caller holds the lock.
-func (r *Roster) hearsay(n *fescuebank.News, now time.Time) map[fescuebank.Holder]fescuebank.FencingNumber {
-	told := make(map[fescuebank.Holder]fescuebank.FencingNumber)
-	for id, of := range n.Heard {
-		m := r.members[id]
-		if m == nil || m.entry.Incarnation != of.Incarnation || of.Sequence <= m.sequence {
-			continue
-		}
-		m.sequence, m.sign = of.Sequence, now
-		told[fescuebank.Holder{ID: id, Incarnation: of.Incarnation}] = of.Epoch
-	}
-	return told
+// lastHeard is when the peer was last heard here or elsewhere.
+func (m *member) lastHeard() time.Time {
+	return latest(m.heard, m.sign)
+}
+
+// isAlive reports whether the peer was heard here lately.
+func (m *member) isAlive(now time.Time, pace pace) bool {
+	return now.Sub(m.heard) < pace.suspect()
+}
+
+// isReachable reports whether there was a sign of the peer's life lately.
+func (m *member) isReachable(now time.Time, pace pace) bool {
+	return now.Sub(m.lastHeard()) < pace.suspect() || now.Sub(m.changed) < entryLife
 }
 
 // Run keeps the entry and exchanges news until ctx ends.
@@ -214,13 +199,14 @@
 	go r.register(ctx)
 	beat := r.Clock.Now()
 	for ctx.Err() == nil {
+		pace := r.currentPace()
 		full := !r.Clock.Now().Before(beat)
 		if full {
-			beat = r.Clock.Now().Add(beatInterval)
+			beat = r.Clock.Now().Add(pace.beat())
 			r.check(ctx)
 		}
 		r.send(full)
-		_ = fescuebank.Sleep(ctx, r.Clock, changeInterval)
+		_ = fescuebank.Sleep(ctx, r.Clock, pace.change())
 		select {
 		case <-ctx.Done():
 		case <-r.kick:
@@ -229,36 +215,15 @@
 	}
 }
 
-// Send sends the news at once.
-func (r *Roster) Send() {
-	r.send(true)
+func (r *Roster) currentPace() pace {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pace()
 }
 
-func (r *Roster) send(full bool) {
-	n := fescuebank.News{From: r.Self.ID, Incarnation: r.Self.Incarnation}
-	r.Fill(&n)
-	r.mu.Lock()
-	r.sequence++
-	n.Sequence = r.sequence
-	addrs := make([]string, 0, len(r.members))
-	if full {
-		n.Heard = make(map[fescuebank.InstanceID]fescuebank.HeardOf, len(r.members))
-	}
-	for id, m := range r.members {
-		addrs = append(addrs, m.entry.PeerAddr)
-		if full && m.news.Sequence > 0 {
-			n.Heard[id] = fescuebank.HeardOf{Incarnation: m.news.Incarnation, Sequence: m.news.Sequence, Epoch: m.news.Epoch}
-		}
-	}
-	r.mu.Unlock()
-	body, err := linker.Encode(&n)
-	if err != nil {
-		r.Log.Error("News not encoded.", "err", err.Error())
-		return
-	}
-	for _, addr := range addrs {
-		r.Linker.Notify(addr, fescuebank.KindNews, body)
-	}
+// pace returns how often the members tell each other. The caller holds the lock.
+func (r *Roster) pace() pace {
+	return pace(len(r.members))
 }
 
 // check makes connections anew that seem to have fallen silent, and removes the
@@ -266,19 +231,21 @@
 func (r *Roster) check(ctx context.Context) {
 	now := r.Clock.Now()
 	r.mu.Lock()
+	pace := r.pace()
 	var drop []string
 	var remove []*member
 	silent := 0
 	for _, m := range r.members {
 		since := latest(m.heard, m.known)
-		deaf := now.Sub(since) >= suspectAfter || now.Sub(latest(m.echoed, m.known)) >= deafAfter
-		if deaf && now.Sub(m.dropped) >= deafAfter {
+		deaf := now.Sub(since) >= pace.suspect() || now.Sub(latest(m.echoed, m.known)) >= pace.deaf()
+		if deaf && now.Sub(m.dropped) >= pace.deaf() {
 			m.dropped = now
 			drop = append(drop, m.entry.PeerAddr)
 		}
-		if now.Sub(since) >= suspectAfter && !m.silent {
+		if now.Sub(since) >= pace.suspect() && !m.silent {
 			m.silent = true
 			silent++
+			r.discount(m)
 			r.Log.Warn("Instance is silent.", "peer", string(m.entry.ID), "heardMsAgo", now.Sub(since).Milliseconds())
 		}
 		if now.Sub(latest(since, latest(m.sign, m.changed))) >= removeAfter {
@@ -309,7 +276,7 @@
 // isFirst reports whether no live peer has a lower id. The caller holds the lock.
 func (r *Roster) isFirst(now time.Time) bool {
 	for id, m := range r.members {
-		if id < r.Self.ID && now.Sub(m.heard) < suspectAfter {
+		if id < r.Self.ID && m.isAlive(now, r.pace()) {
 			return false
 		}
 	}
@@ -330,133 +297,6 @@
 	return err.Error()
 }
 
-// register writes this run's entry whenever the store doesn't show it.
-func (r *Roster) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		if r.isEntryLost() || r.mustBeat() {
-			if err := r.writeEntry(ctx); err != nil {
-				r.Log.Warn("Entry not written.", "err", err.Error())
-				_ = fescuebank.Sleep(ctx, r.Clock, registerRetry)
-				continue
-			}
-			r.mu.Lock()
-			r.entryLost = false
-			r.mu.Unlock()
-		}
-		_ = fescuebank.Sleep(ctx, r.Clock, entryBeat)
-	}
-}
-
-// Registered reports whether this run's entry is in the store.
-func (r *Roster) Registered() bool {
-	return !r.isEntryLost()
-}
-
-func (r *Roster) isEntryLost() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.entryLost
-}
-
-// mustBeat reports whether an owner has to show by its entry that it lives: when
-// most other owners are silent, so that it may be this one that is cut off, or
-// when a silent owner shows the same.
-func (r *Roster) mustBeat() bool {
-	if !r.Self.Owner {
-		return false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.Clock.Now()
-	owners, silent := 0, 0
-	for _, m := range r.members {
-		if !m.entry.Owner {
-			continue
-		}
-		owners++
-		since := now.Sub(latest(m.lastHeard(), m.known))
-		if since < suspectAfter {
-			continue
-		}
-		if now.Sub(m.changed) < entryLife {
-			return true
-		}
-		if since < entryBeatFor {
-			silent++
-		}
-	}
-	return silent*2 > owners
-}
-
-// lastHeard is when the peer was last heard here or elsewhere.
-func (m *member) lastHeard() time.Time {
-	return latest(m.heard, m.sign)
-}
-
-// isReachable reports whether there was a sign of the peer's life lately.
-func (m *member) isReachable(now time.Time) bool {
-	return now.Sub(m.lastHeard()) < suspectAfter || now.Sub(m.changed) < entryLife
-}
-
-// writeEntry writes this run's entry with a higher beat.
-func (r *Roster) writeEntry(ctx context.Context) error {
-	r.Self.Beat++
-	value, err := json.Marshal(r.Self)
-	if err != nil {
-		return eris.Wrap(err, "Roster.writeEntry")
-	}
-	key := fescuebank.MemberPrefix + string(r.Self.ID)
-	r.mu.Lock()
-	expected := r.version
-	r.mu.Unlock()
-	version, err := r.Store.Put(ctx, key, value, expected)
-	if err == nil {
-		r.Log.Info("Entry written.", "incarnation", string(r.Self.Incarnation), "version", uint64(version))
-	}
-	if errors.Is(err, fescuebank.ErrVersion) || errors.Is(err, fescuebank.ErrAbsent) {
-		version, err = r.readEntry(ctx, key)
-	}
-	if err != nil {
-		return err
-	}
-	r.mu.Lock()
-	r.version = version
-	r.mu.Unlock()
-	return nil
-}
-
-// readEntry returns the version of this instance's entry and fails unless the
-// entry is this run's.
-func (r *Roster) readEntry(ctx context.Context, key string) (fescuebank.StoreVersion, error) {
-	o, err := r.Store.Get(ctx, key)
-	if err != nil && !errors.Is(err, fescuebank.ErrAbsent) {
-		return 0, err
-	}
-	r.mu.Lock()
-	r.version = o.Version
-	r.mu.Unlock()
-	var have fescuebank.MemberEntry
-	if err != nil || json.Unmarshal(o.Value, &have) != nil || have.Incarnation != r.Self.Incarnation {
-		return 0, errForeign
-	}
-	return o.Version, nil
-}
-
-// errForeign means that the entry is absent or that of another run.
-var errForeign = errors.New("entry is not this run's")
-
-// Leave removes this run's entry, so that others forget it.
-func (r *Roster) Leave(ctx context.Context) {
-	key := fescuebank.MemberPrefix + string(r.Self.ID)
-	o, err := r.Store.Get(ctx, key)
-	if err != nil {
-		return
-	}
-	if err := r.Store.Delete(ctx, key, o.Version); err != nil {
-		r.Log.Warn("Entry not removed.", "err", err.Error())
-	}
-}
-
 // Peer is a member as others see it.
 type Peer struct {
 	fescuebank.MemberEntry
@@ -474,27 +314,38 @@
 	now := r.Clock.Now()
 	list := make([]Peer, 0, len(r.members))
 	for _, m := range r.members {
-		list = append(list, Peer{
-			MemberEntry: m.entry, Alive: now.Sub(m.heard) < suspectAfter, Reachable: m.isReachable(now), News: m.news,
-		})
+		list = append(list, r.peer(m, now))
 	}
 	slices.SortFunc(list, func(a, b Peer) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return list
 }
 
-// Others sums what the live peers have at endpoints and waiting.
-func (r *Roster) Others() (online, batch fescuebank.EndpointCounts, waiting int) {
+// Find returns one other member.
+func (r *Roster) Find(id fescuebank.InstanceID) (Peer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.Clock.Now()
-	online, batch = make(fescuebank.EndpointCounts), make(fescuebank.EndpointCounts)
+	m := r.members[id]
+	if m == nil {
+		return Peer{}, false
+	}
+	return r.peer(m, r.Clock.Now()), true
+}
+
+// Live returns how many members live as far as heard here, this instance included.
+func (r *Roster) Live() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	live, now, pace := 1, r.Clock.Now(), r.pace()
 	for _, m := range r.members {
-		if now.Sub(m.heard) >= suspectAfter {
-			continue
+		if m.isAlive(now, pace) {
+			live++
 		}
-		online.Add(m.news.Online)
-		batch.Add(m.news.Batch)
-		waiting += m.news.Waiting
 	}
-	return online, batch, waiting
+	return live
+}
+
+// peer returns a member as others see it. The caller holds the lock.
+func (r *Roster) peer(m *member, now time.Time) Peer {
+	pace := r.pace()
+	return Peer{MemberEntry: m.entry, Alive: m.isAlive(now, pace), Reachable: m.isReachable(now, pace), News: m.news}
 }
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -68,6 +68,10 @@
 	return fescuebank.MemberEntry{ID: id, Incarnation: run, Owner: true, PeerAddr: "127.0.0.1:1"}
 }
 
+func run(id fescuebank.InstanceID, incarnation fescuebank.Incarnation) fescuebank.RunTag {
+	return fescuebank.Holder{ID: id, Incarnation: incarnation}.Tag()
+}
+
 func TestPeerThatOthersHearIsReachable(t *testing.T) {
 	for _, tt := range []struct {
 		name string
@@ -78,8 +82,8 @@
 			r, clock := newRoster(t, true)
 			entries(r, 1, owner("far", "far1"), owner("third", "third1"))
 			hear(r, fescuebank.News{From: "far", Incarnation: "far1", Sequence: 5000})
-			hear(r, fescuebank.News{From: "third", Incarnation: "third1", Sequence: 1, Heard: map[fescuebank.InstanceID]fescuebank.HeardOf{
-				"far": {Incarnation: "far1", Sequence: 5000},
+			hear(r, fescuebank.News{From: "third", Incarnation: "third1", Sequence: 1, Heard: map[fescuebank.RunTag]fescuebank.HeardOf{
+				run("far", "far1"): {Sequence: 5000},
 			}})
 			// The peer starts again and counts from 1; then only a third hears it.
 			first := fescuebank.News{From: "far", Incarnation: "far2", Sequence: 1}
@@ -91,8 +95,8 @@
 				hear(r, first)
 			}
 			clock.now = clock.now.Add(2 * time.Second)
-			hear(r, fescuebank.News{From: "third", Incarnation: "third1", Sequence: 2, Heard: map[fescuebank.InstanceID]fescuebank.HeardOf{
-				"far": {Incarnation: "far2", Sequence: 9},
+			hear(r, fescuebank.News{From: "third", Incarnation: "third1", Sequence: 2, Heard: map[fescuebank.RunTag]fescuebank.HeardOf{
+				run("far", "far2"): {Sequence: 9},
 			}})
 			if p := find(t, r, "far"); p.Alive || !p.Reachable {
 				t.Errorf("got alive %v, reachable %v for a peer that a third hears, want reachable alone", p.Alive, p.Reachable)
@@ -154,7 +158,7 @@
 	entries(r, 1, owner("a", "1"))
 	hear(r, fescuebank.News{From: "a", Incarnation: "1", Sequence: 7, Waiting: 3})
 	hear(r, fescuebank.News{From: "a", Incarnation: "1", Sequence: 6, Waiting: 9})
-	if _, _, waiting := r.Others(); waiting != 3 {
+	if _, waiting, _ := r.Others(); waiting != 3 {
 		t.Errorf("got %d waiting, want 3 by the newest news", waiting)
 	}
 }
--- a/internal/operate/hoster/state.go
+++ b/internal/operate/hoster/state.go
@@ -159,9 +159,7 @@
 func (h *Hoster) heard(n *fescuebank.News) {
 	h.elector.Acknowledge(fescuebank.Holder{ID: n.From, Incarnation: n.Incarnation}, n.Epoch)
 	h.elector.Hear(n.Epoch, time.Duration(n.ReadAgo)*time.Millisecond)
-	online, batch, waiting := h.roster.Others()
-	online.Add(batch)
-	h.allotter.SetOthers(online, waiting, batch.Sum())
+	h.allotter.SetOthers(h.roster.Others())
 	h.runner.Kick()
 	if h.config.Lacks(n.Config) || h.endpoints.Lacks(n.Endpoints) || n.Epoch > h.elector.Epoch() {
 		h.catchUp(n)
@@ -240,13 +238,7 @@
 // pollPause is the mean time between two reads. It grows with the fleet, since what
 // one instance reads all hear of.
 func (h *Hoster) pollPause() time.Duration {
-	live := 1
-	for _, p := range h.roster.Peers() {
-		if p.Alive {
-			live++
-		}
-	}
-	return max(pollInterval, time.Duration(live)*fleetPollInterval)
+	return max(pollInterval, time.Duration(h.roster.Live())*fleetPollInterval)
 }
 
 // mirrorRequest asks a peer for its mirror of a prefix.
@@ -263,19 +255,18 @@
 func (h *Hoster) adopt(ctx context.Context, from fescuebank.InstanceID, prefix string) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	for _, p := range h.roster.Peers() {
-		if p.ID != from {
-			continue
-		}
-		var reply mirrorReply
-		if err := h.linker.Call(ctx, p.PeerAddr, fescuebank.KindMirror, &mirrorRequest{Prefix: prefix}, &reply); err != nil {
-			h.log.Debug("Mirror of a peer not read.", "peer", string(from), "err", err.Error())
-			return
-		}
-		h.log.Info("Mirror of a peer taken in.", "peer", string(from), "prefix", prefix, "objects", len(reply.Objects))
-		if f := h.follower(prefix); f != nil {
-			f.Adopt(reply.Objects)
-		}
+	p, ok := h.roster.Find(from)
+	if !ok {
+		return
+	}
+	var reply mirrorReply
+	if err := h.linker.Call(ctx, p.PeerAddr, fescuebank.KindMirror, &mirrorRequest{Prefix: prefix}, &reply); err != nil {
+		h.log.Debug("Mirror of a peer not read.", "peer", string(from), "err", err.Error())
+		return
+	}
+	h.log.Info("Mirror of a peer taken in.", "peer", string(from), "prefix", prefix, "objects", len(reply.Objects))
+	if f := h.follower(prefix); f != nil {
+		f.Adopt(reply.Objects)
 	}
 }
 
@@ -352,8 +343,8 @@
 
 // othersBatch returns the number of batch items that other instances run.
 func (h *Hoster) othersBatch() int {
-	_, batch, _ := h.roster.Others()
-	return batch.Sum()
+	_, _, batch := h.roster.Others()
+	return batch
 }
 
 // ready reports whether this instance takes requests.
--- a/internal/wire/detourer/detourer.go
+++ b/internal/wire/detourer/detourer.go
@@ -16,6 +16,7 @@
 // Members is what the detourer needs to know of the fleet.
 type Members interface {
 	Peers() []roster.Peer
+	Find(id fescuebank.InstanceID) (roster.Peer, bool)
 }
 
 // Detourer is a fescuebank.Peer that calls members by their id.
@@ -39,14 +40,8 @@
 // Call calls the member. If it is silent, another member is asked to pass the
 // call on. It returns the errors of fescuebank.Peer.
 func (d *Detourer) Call(ctx context.Context, id fescuebank.InstanceID, kind fescuebank.MessageKind, message, reply any) error {
-	peers := d.members.Peers()
-	var target *roster.Peer
-	for i := range peers {
-		if peers[i].ID == id {
-			target = &peers[i]
-		}
-	}
-	if target == nil {
+	target, ok := d.members.Find(id)
+	if !ok {
 		return eris.Wrap(fescuebank.ErrPeerUnreached, "Detourer.Call: not a member")
 	}
 	if target.Alive {
@@ -59,7 +54,7 @@
 	if err != nil {
 		return eris.Wrap(err, "Detourer.Call")
 	}
-	via, ok := pickVia(peers, id)
+	via, ok := pickVia(d.members.Peers(), id)
 	if !ok {
 		return eris.Wrap(fescuebank.ErrPeerUnreached, "Detourer.Call: nobody to pass it on")
 	}
--- a/news.go
+++ b/news.go
@@ -21,6 +21,16 @@
 	}
 }
 
+// Remove takes other, a part of c, out of c.
+func (c EndpointCounts) Remove(other EndpointCounts) {
+	for tag, n := range other {
+		c[tag] -= n
+		if c[tag] == 0 {
+			delete(c, tag)
+		}
+	}
+}
+
 // Sum returns the number of requests at all endpoints.
 func (c EndpointCounts) Sum() int {
 	sum := 0
@@ -48,9 +58,9 @@
 	// a change of the configuration and of the endpoints.
 	Config    StoreVersion `cbor:"9,keyasint"`
 	Endpoints StoreVersion `cbor:"10,keyasint"`
-	// Heard tells what was received from each instance. It is left out of
-	// messages that only tell a change.
-	Heard map[InstanceID]HeardOf `cbor:"11,keyasint,omitempty"`
+	// Heard tells what was received from some of the other runs, each in its turn. It
+	// is left out of messages that only tell a change.
+	Heard map[RunTag]HeardOf `cbor:"11,keyasint,omitempty"`
 	// Epoch is that of the newest list of owners applied.
 	Epoch FencingNumber `cbor:"12,keyasint,omitempty"`
 	// StoreLost is set while the instance doesn't reach the store.
@@ -60,13 +70,21 @@
 	ReadAgo int64 `cbor:"14,keyasint,omitempty"`
 }
 
+// RunTag is a short name of one run of an instance for messages between instances.
+type RunTag uint64
+
+// Tag returns the short name of a run.
+func (h Holder) Tag() RunTag {
+	return RunTag(xxhash.Sum64String(string(h.ID) + "/" + string(h.Incarnation)))
+}
+
 // HeardOf is what one instance last received from another.
 type HeardOf struct {
-	Incarnation Incarnation `cbor:"1,keyasint"`
+	_ struct{} `cbor:",toarray"`
 	// Sequence is that of the newest message.
-	Sequence uint64 `cbor:"2,keyasint"`
+	Sequence uint64
 	// Epoch is the one that the message acknowledged.
-	Epoch FencingNumber `cbor:"3,keyasint,omitempty"`
+	Epoch FencingNumber
 }
 
 // MemberEntry is an instance's entry in the store.
