--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -53,7 +53,7 @@
 	// one up to which the mirror is known to be current.
 	changedAt fescuebank.StoreVersion
 	asOf      fescuebank.StoreVersion
-	// contact is when the store last answered; back is when it last came back
+	// contact is when the store last answered, or the start; back is when it last came back
 	// from an outage.
 	contact time.Time
 	back    time.Time
@@ -68,7 +68,7 @@
 // after each change.
 func New(store fescuebank.ObjectStore, prefix string, clock fescuebank.Clock, log hclog.Logger, changed func([]fescuebank.Object)) *Follower {
 	return &Follower{
-		store: store, clock: clock, log: log, prefix: prefix, changed: changed,
+		store: store, clock: clock, log: log, prefix: prefix, changed: changed, contact: clock.Now(),
 		hint: make(chan struct{}, 1), objects: make(map[string]fescuebank.Object), missing: make(map[string]time.Time),
 	}
 }
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -1,7 +1,9 @@
 package follower_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"strconv"
 	"sync"
 	"testing"
@@ -246,3 +248,35 @@
 		}
 	})
 }
+
+// TestStoreThatIsAwayAtTheStart has the log tell for how long the store was away since
+// the start.
+func TestStoreThatIsAwayAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines bytes.Buffer
+		store := &memorizer.Memorizer{}
+		store.SetFaults(memorizer.Faults{Down: true})
+		log := hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true})
+		f := follower.New(store, "k/", timekeeper.Timekeeper{}, log, func([]fescuebank.Object) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(3 * time.Second)
+		store.SetFaults(memorizer.Faults{})
+		time.Sleep(2 * time.Second)
+		cancel()
+		synctest.Wait()
+		var line struct {
+			AwayMs int64 `json:"awayMs"`
+		}
+		for l := range bytes.Lines(lines.Bytes()) {
+			if bytes.Contains(l, []byte("Store is back.")) {
+				if err := json.Unmarshal(l, &line); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if line.AwayMs < 3000 || line.AwayMs > 5000 {
+			t.Errorf("got %d ms away, want 3000 to 5000", line.AwayMs)
+		}
+	})
+}
