Spread requests by what other instances are expected to have sent unseen

Cause: with 61 instances counts of others are up to 90 ms old. Change: spreader picks as water fills: each endpoint as often as the requests that the others sent unseen would be placed there, by this instance's own rate, the number of instances and the age of their counts. Below one unseen request the emptiest is taken.

--- a/internal/entry/allotter/allotter.go
+++ b/internal/entry/allotter/allotter.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"fescuebank"
+	"fescuebank/internal/entry/spreader"
 )
 
 // Errors of Acquire.
@@ -36,6 +38,8 @@
 	retryBase = 300 * time.Millisecond
 	// retrySpread is over how long the return of refused callers is spread.
 	retrySpread = 700 * time.Millisecond
+	// rateTime is over what time the rate of places given is averaged.
+	rateTime = time.Second
 	// shunDefault is how long an endpoint is left out after a failure.
 	shunDefault = time.Second
 )
@@ -117,6 +121,12 @@
 	hold time.Duration
 	// held are this instance's places.
 	held map[*Place]bool
+	// rate is the moving average of the places given a second, as of rated.
+	rate  float64
+	rated time.Time
+	// instances is how many use the endpoints, and lag how old their counts may be.
+	instances int
+	lag       time.Duration
 	// othersWaiting is the number of waiting requests of other instances, and
 	// yielding the number of places held by work that makes room for them.
 	othersWaiting int
@@ -387,19 +397,71 @@
 	if best == nil {
 		return nil
 	}
+	a.rate = a.currentRate(now) + 1/rateTime.Seconds()
+	a.rated = now
 	best.own++
 	p := &Place{Endpoint: best.ServedEndpoint, Load: best.load(now), began: now, state: best, parent: a}
 	a.held[p] = true
 	return p
 }
 
-// pick returns the usable endpoint with a free place and the least load. Among
-// those that are equal, the ask's prefix decides.
+// SetFleet says how many instances use the endpoints, this one included, and how old
+// the counts of the others may be.
+func (a *Allotter) SetFleet(instances int, lag time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.instances, a.lag = instances, lag
+}
+
+// currentRate returns the rate of places given here. The caller holds the lock.
+func (a *Allotter) currentRate(now time.Time) float64 {
+	return a.rate * math.Exp(-now.Sub(a.rated).Seconds()/rateTime.Seconds())
+}
+
+// unseen estimates how many requests the others sent since their counts were told, if
+// each sends as many as this instance.
+func (a *Allotter) unseen(now time.Time) float64 {
+	return a.currentRate(now) * a.lag.Seconds() * float64(max(0, a.instances-1))
+}
+
+// pick returns a usable endpoint with a free place: the least loaded one, or, while
+// others send requests unseen, one that is filled by them no more than the rest.
 func (a *Allotter) pick(ask Ask, now time.Time) *endpoint {
+	if unseen := a.unseen(now); unseen >= 1 {
+		return a.spread(ask, now, unseen)
+	}
+	return a.pickLeast(ask, now)
+}
+
+// spread picks among the endpoints with a free place by loads that are out of date.
+func (a *Allotter) spread(ask Ask, now time.Time, unseen float64) *endpoint {
+	var s spreader.Spreader
+	var list []*endpoint
+	for _, e := range a.endpoints {
+		if a.fits(e, ask, now) {
+			s.Add(len(list), e.load(now), e.Slots)
+			list = append(list, e)
+		}
+	}
+	i := s.Pick(unseen, rand.Float64())
+	if i < 0 {
+		return nil
+	}
+	return list[i]
+}
+
+// fits reports whether the ask may have a place at the endpoint now.
+func (a *Allotter) fits(e *endpoint, ask Ask, now time.Time) bool {
+	return e.Service == ask.Service && e.usable(now) && e.load(now) < e.Slots && !slices.Contains(ask.Except, e.ID)
+}
+
+// pickLeast returns the usable endpoint with a free place and the least load. Among
+// those that are equal, the ask's prefix decides.
+func (a *Allotter) pickLeast(ask Ask, now time.Time) *endpoint {
 	var best *endpoint
 	var bestKey pickKey
 	for _, e := range a.endpoints {
-		if e.Service != ask.Service || !e.usable(now) || e.load(now) >= e.Slots || slices.Contains(ask.Except, e.ID) {
+		if !a.fits(e, ask, now) {
 			continue
 		}
 		key := pickKey{load: float64(e.load(now)) / float64(e.Slots), hash: xxhash.Sum64String(ask.Prefix + "/" + string(e.ID))}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -58,6 +58,8 @@
 	turns   []fescuebank.RunTag
 	// turn is the place in turns where the next message begins.
 	turn int
+	// live is how many instances lived at the last beat, this one included.
+	live int
 	// counted sums what the members with counted set have at endpoints.
 	counted totals
 	// entryLost is set when the store doesn't show this run's entry.
@@ -235,7 +237,11 @@
 	var drop []string
 	var remove []*member
 	silent := 0
+	r.live = 1
 	for _, m := range r.members {
+		if m.isAlive(now, pace) {
+			r.live++
+		}
 		since := latest(m.heard, m.known)
 		deaf := now.Sub(since) >= pace.suspect() || now.Sub(latest(m.echoed, m.known)) >= pace.deaf()
 		if deaf && now.Sub(m.dropped) >= pace.deaf() {
@@ -331,17 +337,17 @@
 	return r.peer(m, r.Clock.Now()), true
 }
 
-// Live returns how many members live as far as heard here, this instance included.
+// Live returns how many instances lived at the last beat as far as heard here, this
+// one included.
 func (r *Roster) Live() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	live, now, pace := 1, r.Clock.Now(), r.pace()
-	for _, m := range r.members {
-		if m.isAlive(now, pace) {
-			live++
-		}
-	}
-	return live
+	return max(1, r.live)
+}
+
+// Lag returns how old the counts may be that the members told.
+func (r *Roster) Lag() time.Duration {
+	return r.currentPace().change()
 }
 
 // peer returns a member as others see it. The caller holds the lock.
--- a/internal/operate/hoster/state.go
+++ b/internal/operate/hoster/state.go
@@ -159,6 +159,7 @@
 func (h *Hoster) heard(n *fescuebank.News) {
 	h.elector.Acknowledge(fescuebank.Holder{ID: n.From, Incarnation: n.Incarnation}, n.Epoch)
 	h.elector.Hear(n.Epoch, time.Duration(n.ReadAgo)*time.Millisecond)
+	h.allotter.SetFleet(h.roster.Live(), h.roster.Lag())
 	h.allotter.SetOthers(h.roster.Others())
 	h.runner.Kick()
 	if h.config.Lacks(n.Config) || h.endpoints.Lacks(n.Endpoints) || n.Epoch > h.elector.Epoch() {
