Tell refused callers to return when a token will be there for them

Cause: everybody who was refused was told when the next token accrues, some 60 ms. All came back for that one and were refused for good, while in the pause after a burst the bucket filled up and what accrued beyond it was lost. Change: the seller spreads the refused callers of a team over the tokens to come, one each at the team's whole rate, 5 s ahead at most.

--- a/internal/limit/buyer/buyer.go
+++ b/internal/limit/buyer/buyer.go
@@ -187,7 +187,7 @@
 	for try := 0; ; try++ {
 		var reply fescuebank.BuyReply
 		asked := b.Clock.Now()
-		err := b.ask(ctx, id, ahead, &reply)
+		err := b.ask(ctx, id, ahead, try > 0, &reply)
 		if err == nil && reply.Count > 0 {
 			b.receive(id, reply.Count-1, asked.Add(seller.TokenLife))
 			return nil
@@ -204,7 +204,7 @@
 			wait = settleWait
 		case !mayWait(reply, try, b.Clock.Now().Sub(began)+wait):
 			return fescuebank.Refuse(http.StatusTooManyRequests, fescuebank.CodeRateLimited,
-				"the team is over its rate and burst").After(wait).With(b.details(id, q, "owner refused")...)
+				"the team is over its rate and burst").After(max(wait, time.Duration(reply.Return))).With(b.details(id, q, "owner refused")...)
 		}
 		_ = fescuebank.Sleep(ctx, b.Clock, wait)
 		if b.take(id, q) {
@@ -251,12 +251,12 @@
 	t.expires = expires
 }
 
-func (b *Buyer) ask(ctx context.Context, id fescuebank.TeamID, ahead int, reply *fescuebank.BuyReply) error {
+func (b *Buyer) ask(ctx context.Context, id fescuebank.TeamID, ahead int, again bool, reply *fescuebank.BuyReply) error {
 	owner, ok := b.Owners.Owner(id)
 	if !ok || !b.Registered() {
 		return fescuebank.ErrNotOwner
 	}
-	request := &fescuebank.BuyRequest{Team: id, Need: 1, Ahead: ahead}
+	request := &fescuebank.BuyRequest{Team: id, Need: 1, Ahead: ahead, Again: again}
 	if owner == b.Self {
 		sold, err := b.sell(request)
 		if err == nil {
@@ -294,7 +294,11 @@
 		b.Log.Info("Bucket begins.", "team", string(r.Team), "epoch", uint64(epoch))
 	}
 	count, wait := b.Seller.Sell(r.Team, sold, r.Need, r.Ahead)
-	return &fescuebank.BuyReply{Count: count, Wait: int64(wait), Young: b.Seller.Young(r.Team)}, nil
+	reply := &fescuebank.BuyReply{Count: count, Wait: int64(wait), Young: b.Seller.Young(r.Team)}
+	if count < r.Need && !reply.Young && (r.Again || wait > shortWait) {
+		reply.Return = int64(b.Seller.Return(r.Team, q.Rate, wait))
+	}
+	return reply, nil
 }
 
 // errNotYet means that a former owner may still sell.
--- a/internal/limit/seller/seller.go
+++ b/internal/limit/seller/seller.go
@@ -40,6 +40,8 @@
 	// ahead are tokens sold beyond the need that may still be unspent. They count
 	// against the burst, or they would come on top of a full bucket.
 	ahead []sale
+	// returns is when the last of the callers that were refused was told to return.
+	returns time.Time
 }
 
 // sale is a number of tokens and when they are dead.
@@ -48,6 +50,9 @@
 	dead  time.Time
 }
 
+// longestReturn bounds when a refused caller is told to return.
+const longestReturn = 5 * time.Second
+
 // TokenLife is how long a sold token is good, from before it was asked for.
 const TokenLife = time.Second
 
@@ -138,6 +143,29 @@
 	return count, wait
 }
 
+// Return tells when a refused caller should come back, if the next token accrues in
+// next. Callers that are refused in a row are spread over the tokens to come, at the
+// team's whole rate: all would find the bucket empty if each came for the next one.
+func (s *Seller) Return(team fescuebank.TeamID, rate fescuebank.RequestRate, next time.Duration) time.Duration {
+	h := s.shard(team)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.buckets[team]
+	gap, ok := rate.TimeFor(1)
+	if b == nil || !ok {
+		return next
+	}
+	now := s.clock.Now()
+	if soonest := now.Add(next); b.returns.Before(soonest) {
+		b.returns = soonest
+	}
+	told := b.returns.Sub(now)
+	if told < longestReturn {
+		b.returns = b.returns.Add(gap)
+	}
+	return told
+}
+
 // fill brings the level up to date. A lower burst binds at once.
 func (b *bucket) fill(now time.Time, q fescuebank.Quota) {
 	b.level += float64(q.Rate.Over(now.Sub(b.filled)))
--- a/owners.go
+++ b/owners.go
@@ -114,6 +114,8 @@
 	// Need is the number of requests that wait; Ahead more may be used soon.
 	Need  int `cbor:"2,keyasint"`
 	Ahead int `cbor:"3,keyasint,omitempty"`
+	// Again is set if the owner was asked for the same request before.
+	Again bool `cbor:"4,keyasint,omitempty"`
 }
 
 // BuyReply answers a BuyRequest.
@@ -124,4 +126,7 @@
 	// Young is set while the owner's bucket has not filled since it began empty, so
 	// that a team within its rate may find it empty.
 	Young bool `cbor:"3,keyasint,omitempty"`
+	// Return is when a caller that is refused should come back; 0 if the request
+	// may rather wait for the next token.
+	Return int64 `cbor:"4,keyasint,omitempty"`
 }
