Avoid endpoints that fail far more often than others

Cause: an endpoint that answers 500, hangs or resets a part of its requests while it counts as healthy went on getting its share, and more, as its failures end early and leave it the emptiest. One instance sees too few requests to tell. Change: ejector: instances tell each other the outcomes at endpoints that failed one. A request that its caller left no longer leaves its endpoint out.

--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -245,7 +245,7 @@
 	if answer.Facts.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, readBytes))
 		if answer.Facts.Misdirected {
-			n.Allotter.Shun(e.ID)
+			n.Allotter.Shun(e.ID, allotter.ShunTime)
 		}
 		return steward.CauseNotRun, errNotRun
 	}
@@ -277,7 +277,7 @@
 	if ctx.Err() != nil {
 		return steward.CauseBroken
 	}
-	n.Allotter.Shun(e.ID)
+	n.Allotter.Shun(e.ID, allotter.ShunTime)
 	n.Exchanger.Drop(e.Addr)
 	if errors.Is(err, exchanger.ErrUnreached) {
 		return steward.CauseNotRun
--- a/internal/entry/allotter/allotter.go
+++ b/internal/entry/allotter/allotter.go
@@ -38,12 +38,16 @@
 	retryBase = 300 * time.Millisecond
 	// retrySpread is over how long the return of refused callers is spread.
 	retrySpread = 700 * time.Millisecond
+	// handicap is the load by place that an endpoint which is avoided counts for
+	// beside its own.
+	handicap = 0.6
 	// rateTime is over what time the rate of places given is averaged.
 	rateTime = time.Second
-	// shunDefault is how long an endpoint is left out after a failure.
-	shunDefault = time.Second
 )
 
+// ShunTime is how long an endpoint is left out after one failure.
+const ShunTime = time.Second
+
 // Ask is what a request wants.
 type Ask struct {
 	Service fescuebank.ServiceName
@@ -59,6 +63,8 @@
 	Reconsider time.Time
 	// Priority is the rank, 0 for the most urgent.
 	Priority int
+	// spare is set for work that can wait.
+	spare bool
 }
 
 // Place is a place at an endpoint. It must be released once.
@@ -85,6 +91,8 @@
 	hiddenUntil time.Time
 	// shunned is until when the endpoint gets nothing.
 	shunned time.Time
+	// avoided is until when it gets requests only while the others are well filled.
+	avoided time.Time
 	gone    bool
 }
 
@@ -96,8 +104,18 @@
 	return e.own + e.others
 }
 
-func (e *endpoint) usable(now time.Time) bool {
-	return !e.gone && !e.Leaving && !e.shunned.After(now)
+// height is the load by place that decides among endpoints.
+func (e *endpoint) height(now time.Time) float64 {
+	height := float64(e.load(now)) / float64(e.Slots)
+	if e.avoided.After(now) {
+		height += handicap
+	}
+	return height
+}
+
+// isOpen reports whether the endpoint takes new requests as far as it says itself.
+func (e *endpoint) isOpen() bool {
+	return !e.gone && !e.Leaving
 }
 
 // waiter is a request that waits.
@@ -176,13 +194,53 @@
 	return list
 }
 
-// Shun leaves an endpoint out for a while after a failure.
-func (a *Allotter) Shun(id fescuebank.EndpointID) {
+// Shun leaves an endpoint out for a while, as long as its service has others.
+func (a *Allotter) Shun(id fescuebank.EndpointID, d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e := a.endpoints[id]; e != nil {
+		e.shunned = latest(e.shunned, a.clock.Now().Add(d))
+	}
+}
+
+// Avoid has an endpoint get requests for a while only if the others are well filled, and
+// no work that can wait.
+func (a *Allotter) Avoid(id fescuebank.EndpointID, d time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if e := a.endpoints[id]; e != nil {
-		e.shunned = a.clock.Now().Add(shunDefault)
+		e.avoided = latest(e.avoided, a.clock.Now().Add(d))
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// isDeserted reports whether all endpoints of a service are left out, so that they
+// have to be used all the same.
+func (a *Allotter) isDeserted(service fescuebank.ServiceName, now time.Time) bool {
+	for _, e := range a.endpoints {
+		if e.Service == service && e.isOpen() && !e.shunned.After(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// usable returns the endpoints of a service that may get requests now.
+func (a *Allotter) usable(service fescuebank.ServiceName, now time.Time) []*endpoint {
+	deserted := a.isDeserted(service, now)
+	list := make([]*endpoint, 0, len(a.endpoints))
+	for _, e := range a.endpoints {
+		if e.Service == service && e.isOpen() && (deserted || !e.shunned.After(now)) {
+			list = append(list, e)
+		}
 	}
+	return list
 }
 
 // Counts returns the number of requests that this instance has at each endpoint
@@ -328,8 +386,8 @@
 // are a sample of when those of all instances become free.
 func (a *Allotter) predict(ask Ask, now time.Time, ownAhead int) (time.Duration, bool) {
 	slots, taken, free := 0, 0, 0
-	for _, e := range a.endpoints {
-		if e.Service != ask.Service || !e.usable(now) || slices.Contains(ask.Except, e.ID) {
+	for _, e := range a.usable(ask.Service, now) {
+		if slices.Contains(ask.Except, e.ID) {
 			continue
 		}
 		slots += e.Slots
@@ -427,21 +485,23 @@
 // pick returns a usable endpoint with a free place: the least loaded one, or, while
 // others send requests unseen, one that is filled by them no more than the rest.
 func (a *Allotter) pick(ask Ask, now time.Time) *endpoint {
+	var list []*endpoint
+	for _, e := range a.usable(ask.Service, now) {
+		if e.fits(ask, now) && (!ask.spare || !e.avoided.After(now)) {
+			list = append(list, e)
+		}
+	}
 	if unseen := a.unseen(now); unseen >= 1 {
-		return a.spread(ask, now, unseen)
+		return spread(list, now, unseen)
 	}
-	return a.pickLeast(ask, now)
+	return pickLeast(list, ask.Prefix, now)
 }
 
-// spread picks among the endpoints with a free place by loads that are out of date.
-func (a *Allotter) spread(ask Ask, now time.Time, unseen float64) *endpoint {
+// spread picks among endpoints with a free place by loads that are out of date.
+func spread(list []*endpoint, now time.Time, unseen float64) *endpoint {
 	var s spreader.Spreader
-	var list []*endpoint
-	for _, e := range a.endpoints {
-		if a.fits(e, ask, now) {
-			s.Add(len(list), e.load(now), e.Slots)
-			list = append(list, e)
-		}
+	for i, e := range list {
+		s.Add(i, e.height(now), e.Slots)
 	}
 	i := s.Pick(unseen, rand.Float64())
 	if i < 0 {
@@ -450,21 +510,18 @@
 	return list[i]
 }
 
-// fits reports whether the ask may have a place at the endpoint now.
-func (a *Allotter) fits(e *endpoint, ask Ask, now time.Time) bool {
-	return e.Service == ask.Service && e.usable(now) && e.load(now) < e.Slots && !slices.Contains(ask.Except, e.ID)
+// fits reports whether the endpoint has a free place that the ask may have.
+func (e *endpoint) fits(ask Ask, now time.Time) bool {
+	return e.load(now) < e.Slots && !slices.Contains(ask.Except, e.ID)
 }
 
-// pickLeast returns the usable endpoint with a free place and the least load. Among
-// those that are equal, the ask's prefix decides.
-func (a *Allotter) pickLeast(ask Ask, now time.Time) *endpoint {
+// pickLeast returns the endpoint with the least load. Among those that are equal, the
+// prefix decides.
+func pickLeast(list []*endpoint, prefix string, now time.Time) *endpoint {
 	var best *endpoint
 	var bestKey pickKey
-	for _, e := range a.endpoints {
-		if !a.fits(e, ask, now) {
-			continue
-		}
-		key := pickKey{load: float64(e.load(now)) / float64(e.Slots), hash: xxhash.Sum64String(ask.Prefix + "/" + string(e.ID))}
+	for _, e := range list {
+		key := pickKey{load: e.height(now), hash: xxhash.Sum64String(prefix + "/" + string(e.ID))}
 		if best == nil || key.before(bestKey) {
 			best, bestKey = e, key
 		}
@@ -536,7 +593,7 @@
 		a.mu.Unlock()
 		return nil
 	}
-	p := a.give(Ask{Service: service}, now)
+	p := a.give(Ask{Service: service, spare: true}, now)
 	a.mu.Unlock()
 	if p != nil {
 		a.changed()
@@ -553,10 +610,11 @@
 	return max(0, a.othersWaiting+int(headroom*float64(slots))-free)
 }
 
-// room sums the places of a service's usable endpoints. The caller holds the lock.
+// room sums the places of a service's usable endpoints that none avoids. The caller
+// holds the lock.
 func (a *Allotter) room(service fescuebank.ServiceName, now time.Time) (slots, free int) {
-	for _, e := range a.endpoints {
-		if e.Service != service || !e.usable(now) {
+	for _, e := range a.usable(service, now) {
+		if e.avoided.After(now) {
 			continue
 		}
 		slots += e.Slots
--- a/internal/entry/allotter/allotter_test.go
+++ b/internal/entry/allotter/allotter_test.go
@@ -74,7 +74,7 @@
 		list := endpoints(3, 4)
 		list[0].Leaving = true
 		a.SetEndpoints(list)
-		a.Shun(list[1].ID)
+		a.Shun(list[1].ID, allotter.ShunTime)
 		if got := take(t, a).Endpoint.ID; got != list[2].ID {
 			t.Errorf("got endpoint %s, want the sound one", got)
 		}
--- a/internal/entry/relayer/pass.go
+++ b/internal/entry/relayer/pass.go
@@ -11,6 +11,7 @@
 	"fescuebank"
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/endpoint/scanner"
+	"fescuebank/internal/entry/allotter"
 )
 
 // errSpoiled means that an endpoint's answer is not one of its own.
@@ -20,10 +21,13 @@
 func (f *flight) pass(ctx context.Context, a *exchanger.Answer) (done bool, err error) {
 	success := a.StatusCode/100 == 2
 	if success && (!a.Facts.Signed || a.Header.Get("Content-Encoding") != "") {
-		f.fail(f.endpoint, errSpoiled)
+		f.fail(ctx, f.endpoint, errSpoiled)
 		f.runs-- // It was counted when the head came.
 		return false, errSpoiled
 	}
+	if a.StatusCode >= http.StatusInternalServerError {
+		f.verdict.note(false)
+	}
 	if f.started && !success {
 		return false, errSpoiled
 	}
@@ -80,6 +84,7 @@
 		return f.brokeOff(ctx, a, io.ErrUnexpectedEOF)
 	}
 	f.start(a)
+	f.verdict.note(true)
 	return true, nil
 }
 
@@ -88,7 +93,8 @@
 	if ctx.Err() != nil {
 		return true, f.giveUp(ctx, ctx.Err())
 	}
-	f.allotter.Shun(f.endpoint.ID)
+	f.verdict.note(false)
+	f.allotter.Shun(f.endpoint.ID, allotter.ShunTime)
 	f.log.Info("Answer broke off.", "request", string(f.request.ID), "endpoint", string(f.endpoint.ID),
 		"lastEvent", f.last, "err", cause.Error())
 	return false, cause
@@ -120,6 +126,7 @@
 			}
 		}
 		if readErr == io.EOF {
+			f.verdict.note(true)
 			return true, nil
 		}
 		if readErr != nil {
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -47,6 +47,11 @@
 	FirstTokenWithin(team fescuebank.TeamID, d, objective time.Duration)
 }
 
+// Health takes in how endpoints serve requests.
+type Health interface {
+	Note(id fescuebank.EndpointID, good bool)
+}
+
 // Relayer relays requests.
 type Relayer struct {
 	allotter  *allotter.Allotter
@@ -56,6 +61,7 @@
 	meter     *meter.Meter
 	versions  func() Versions
 	levels    Levels
+	health    Health
 	log       hclog.Logger
 }
 
@@ -76,6 +82,7 @@
 	// Versions returns the versions in force, for the log.
 	Versions func() Versions
 	Levels   Levels
+	Health   Health
 	Log      hclog.Logger
 }
 
@@ -83,7 +90,7 @@
 func New(c Config) *Relayer {
 	return &Relayer{
 		allotter: c.Allotter, exchanger: c.Exchanger, protocol: c.Protocol, clock: c.Clock, meter: c.Meter,
-		versions: c.Versions, levels: c.Levels, log: c.Log,
+		versions: c.Versions, levels: c.Levels, health: c.Health, log: c.Log,
 	}
 }
 
@@ -100,6 +107,8 @@
 	tried  []fescuebank.EndpointID
 	offers int
 	runs   int
+	// verdict is the present attempt's.
+	verdict *verdict
 	// last is the number of the last event passed on, and started whether the
 	// answer's head was.
 	last    string
@@ -180,9 +189,11 @@
 // attempt offers the request to one endpoint. It reports whether the request is
 // done, with its outcome.
 func (f *flight) attempt(ctx context.Context, place *allotter.Place) (done bool, err error) {
+	whole := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e := place.Endpoint
+	f.verdict = &verdict{health: f.health, id: e.ID}
 	f.tried = append(f.tried, e.ID)
 	f.offers++
 	h := make(http.Header, len(f.request.Header)+4)
@@ -190,11 +201,12 @@
 	if f.last != "" {
 		f.protocol.Resume(h, f.last)
 	}
-	stop := f.boundHead(cancel)
+	stop, forget := f.boundHead(cancel), f.watchHead(f.verdict)
 	answer, err := f.exchanger.Send(ctx, e.Addr, f.request, h)
 	stop()
+	forget()
 	if err != nil {
-		f.fail(e, err)
+		f.fail(whole, e, err)
 		return false, err
 	}
 	defer answer.Finish()
@@ -223,13 +235,18 @@
 	return max(minGap, gapFactor*f.request.Route.GapObjective)
 }
 
-// fail counts an attempt without an answer.
-func (f *flight) fail(e fescuebank.ServedEndpoint, err error) {
-	f.allotter.Shun(e.ID)
-	f.exchanger.Drop(e.Addr)
+// fail counts an attempt without an answer. One that the caller left, or whose time
+// was up, says nothing of the endpoint.
+func (f *flight) fail(ctx context.Context, e fescuebank.ServedEndpoint, err error) {
 	if !errors.Is(err, exchanger.ErrUnreached) {
 		f.runs++
 	}
+	if ctx.Err() != nil {
+		return
+	}
+	f.verdict.note(false)
+	f.allotter.Shun(e.ID, allotter.ShunTime)
+	f.exchanger.Drop(e.Addr)
 	f.log.Info("Attempt failed.", "request", string(f.request.ID), "endpoint", string(e.ID), "started", e.Started, "err", err.Error())
 }
 
@@ -239,7 +256,7 @@
 func (f *flight) notRun(e fescuebank.ServedEndpoint, a *exchanger.Answer) error {
 	_, _ = io.Copy(io.Discard, io.LimitReader(a, holdBytes))
 	if a.Facts.Misdirected {
-		f.allotter.Shun(e.ID)
+		f.allotter.Shun(e.ID, allotter.ShunTime)
 	}
 	f.log.Debug("Endpoint refused.", "request", string(f.request.ID), "endpoint", string(e.ID), "status", a.StatusCode)
 	return errNotRun
--- a/internal/entry/spreader/spreader.go
+++ b/internal/entry/spreader/spreader.go
@@ -28,9 +28,9 @@
 	return l.load / l.slots
 }
 
-// Add adds an endpoint with its known load. Slots are 1 or more.
-func (s *Spreader) Add(index, load, slots int) {
-	s.levels = append(s.levels, level{index: index, load: float64(load), slots: float64(slots)})
+// Add adds an endpoint with its known load by place. Slots are 1 or more.
+func (s *Spreader) Add(index int, height float64, slots int) {
+	s.levels = append(s.levels, level{index: index, load: height * float64(slots), slots: float64(slots)})
 }
 
 // Pick returns the index of an endpoint, or -1 without one. Unseen is the number of
--- a/internal/entry/spreader/spreader_test.go
+++ b/internal/entry/spreader/spreader_test.go
@@ -23,7 +23,7 @@
 	for i := range tries {
 		var s spreader.Spreader
 		for j := range loads {
-			s.Add(j, loads[j], slots[j])
+			s.Add(j, float64(loads[j])/float64(slots[j]), slots[j])
 		}
 		got[s.Pick(unseen, (float64(i)+0.5)/tries)] += 1.0 / tries
 	}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -21,10 +21,9 @@
 	longestRetry = 800 * time.Millisecond
 	// quietGap is the least time that a watch without events takes.
 	quietGap = 200 * time.Millisecond
-	// firstPause and longestPause bound the pause between events and the next watch.
-	// It doubles while each watch ends with events.
-	firstPause   = 100 * time.Millisecond
-	longestPause = 400 * time.Millisecond
+	// firstPause is the pause between events and the next watch. It doubles while each
+	// watch ends with events.
+	firstPause = 100 * time.Millisecond
 	// flockGap is the least time that a watch without a flock takes.
 	flockGap = time.Second
 	// outageAfter is how long the store must have been out of reach before
@@ -35,6 +34,10 @@
 	holdMissing = 2200 * time.Millisecond
 )
 
+// LongestPause bounds the pause between events and the next watch where no other
+// bound is set.
+const LongestPause = 400 * time.Millisecond
+
 // Follower mirrors the objects below a prefix.
 type Follower struct {
 	store   fescuebank.ObjectStore
@@ -43,8 +46,11 @@
 	prefix  string
 	changed func([]fescuebank.Object)
 	hint    chan struct{}
+	longest func() time.Duration
 
 	mu sync.Mutex
+	// pausing is set between events and the next watch.
+	pausing bool
 	// objects is the mirror.
 	objects map[string]fescuebank.Object
 	// missing are objects that vanished in an outage, kept until then.
@@ -69,10 +75,17 @@
 func New(store fescuebank.ObjectStore, prefix string, clock fescuebank.Clock, log hclog.Logger, changed func([]fescuebank.Object)) *Follower {
 	return &Follower{
 		store: store, clock: clock, log: log, prefix: prefix, changed: changed, contact: clock.Now(),
-		hint: make(chan struct{}, 1), objects: make(map[string]fescuebank.Object), missing: make(map[string]time.Time),
+		longest: func() time.Duration { return LongestPause },
+		hint:    make(chan struct{}, 1), objects: make(map[string]fescuebank.Object), missing: make(map[string]time.Time),
 	}
 }
 
+// SetLongestPause sets what bounds the pause between events and the next watch. Call
+// it before Run.
+func (f *Follower) SetLongestPause(longest func() time.Duration) {
+	f.longest = longest
+}
+
 // Hint says that the store holds a change that the mirror may lack.
 func (f *Follower) Hint(version fescuebank.StoreVersion) {
 	if f.Lacks(version) {
@@ -80,11 +93,12 @@
 	}
 }
 
-// Lacks reports whether a change at the version may be missing from the mirror.
+// Lacks reports whether a change at the version may be missing from the mirror, though
+// it isn't about to watch again.
 func (f *Follower) Lacks(version fescuebank.StoreVersion) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return version > f.asOf
+	return version > f.asOf && !f.pausing
 }
 
 // Restart lists again on a fresh call.
@@ -193,13 +207,26 @@
 		}
 		if len(events) > 0 {
 			// Changes come in flocks; one more call then brings the rest.
-			_ = fescuebank.Sleep(ctx, f.clock, pause)
-			pause = min(2*pause, longestPause)
+			f.rest(ctx, pause)
+			pause = min(2*pause, f.longest())
 		}
 	}
 	return ctx.Err()
 }
 
+// rest waits before the next watch, which will tell of what came meanwhile.
+func (f *Follower) rest(ctx context.Context, pause time.Duration) {
+	f.setPausing(true)
+	_ = fescuebank.Sleep(ctx, f.clock, pause)
+	f.setPausing(false)
+}
+
+func (f *Follower) setPausing(pausing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pausing = pausing
+}
+
 // watch waits for events, a hint, or the time at which missing objects are due.
 func (f *Follower) watch(ctx context.Context, from fescuebank.StoreVersion) ([]fescuebank.Object, fescuebank.StoreVersion, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/operate/hoster/hoster.go
+++ b/internal/operate/hoster/hoster.go
@@ -19,6 +19,7 @@
 	"fescuebank/internal/batch/envoy"
 	"fescuebank/internal/batch/runner"
 	"fescuebank/internal/batch/steward"
+	"fescuebank/internal/endpoint/ejector"
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/entry/allotter"
 	"fescuebank/internal/entry/relayer"
@@ -108,6 +109,7 @@
 	owners    *follower.Follower
 	elector   *elector.Elector
 	allotter  *allotter.Allotter
+	ejector   *ejector.Ejector
 	exchanger *exchanger.Exchanger
 	buyer     *buyer.Buyer
 	steward   *steward.Steward
@@ -151,6 +153,9 @@
 	h.linker.Handle(fescuebank.KindLevels, h.gatherer.Handle)
 	h.exchanger = exchanger.New(h.platform.Protocol, h.clock)
 	h.allotter = allotter.New(h.clock, h.roster.Kick)
+	h.ejector = ejector.New(ejector.Config{
+		Zone: h.self.Zone, Endpoints: h.allotter.Endpoints, Leave: h.allotter.Avoid, Clock: h.clock, Log: h.part("endpoint"),
+	})
 	calls := detourer.New(h.linker, h.roster)
 	h.linker.Handle(fescuebank.KindDetour, calls.Handle)
 	h.linker.Handle(fescuebank.KindMirror, h.handleMirror)
@@ -186,7 +191,7 @@
 		Table: h.table.Load,
 		Relayer: relayer.New(relayer.Config{
 			Allotter: h.allotter, Exchanger: h.exchanger, Protocol: h.platform.Protocol, Clock: h.clock,
-			Meter: h.counts, Versions: h.versions, Levels: h.levels, Log: h.part("entry"),
+			Meter: h.counts, Versions: h.versions, Levels: h.levels, Health: h.ejector, Log: h.part("entry"),
 		}),
 		Admitter: h.buyer, Batch: batch, Addresses: h.addresses, Ready: h.ready, Leaving: h.leaving.Load,
 		Clock: h.clock, Meter: h.counts, Levels: h.levels, Log: h.part("entry"),
@@ -210,6 +215,8 @@
 	h.config = follower.New(store, h.platform.ConfigPrefix, h.clock, h.part("config"), h.applyConfig)
 	h.endpoints = follower.New(store, h.platform.EndpointPrefix, h.clock, h.part("endpoint"), h.applyEndpoints)
 	h.members = follower.New(store, fescuebank.MemberPrefix, h.clock, h.part("fleet"), h.roster.Apply)
+	h.endpoints.SetLongestPause(h.flockPause)
+	h.members.SetLongestPause(h.flockPause)
 	h.owners = follower.New(store, fescuebank.OwnerListPrefix, h.clock, h.part("owner"), h.applyOwners)
 }
 
--- a/internal/operate/hoster/state.go
+++ b/internal/operate/hoster/state.go
@@ -21,11 +21,14 @@
 	// and fleetPollInterval the one of the whole fleet.
 	pollInterval      = 4500 * time.Millisecond
 	fleetPollInterval = 650 * time.Millisecond
+	// flockPausePerInstance is what each instance adds to the pause between two watches
+	// while changes keep coming, and longestFlockPause the most that it may be.
+	flockPausePerInstance = 16 * time.Millisecond
+	longestFlockPause     = 1200 * time.Millisecond
 	// storeLostAfter is how long the store must fail here before the others are told.
 	storeLostAfter = time.Second
 	// catchUpAfter is how long newer state may be missing before a peer is asked.
-	// It is longer than a follower's pause between two watches.
-	catchUpAfter = 500 * time.Millisecond
+	catchUpAfter = 150 * time.Millisecond
 	// catchUpTimeout bounds the call to the peer.
 	catchUpTimeout = 500 * time.Millisecond
 	// leaveAtLeast is how long a leaving instance goes on to serve callers that
@@ -150,6 +153,8 @@
 	n.Leaving = h.leaving.Load() || h.handing.Load()
 	n.Config, n.Endpoints = h.config.ChangedAt(), h.endpoints.ChangedAt()
 	n.Epoch = h.elector.Epoch()
+	n.Zone = h.self.Zone
+	h.ejector.Tell(n)
 	n.ReadAgo = h.elector.ReadAgo().Milliseconds()
 	answers, since := h.platform.State()
 	n.StoreLost = !answers && since >= storeLostAfter
@@ -159,6 +164,7 @@
 func (h *Hoster) heard(n *fescuebank.News) {
 	h.elector.Acknowledge(fescuebank.Holder{ID: n.From, Incarnation: n.Incarnation}, n.Epoch)
 	h.elector.Hear(n.Epoch, time.Duration(n.ReadAgo)*time.Millisecond)
+	h.ejector.Hear(n)
 	h.allotter.SetFleet(h.roster.Live(), h.roster.Lag())
 	h.allotter.SetOthers(h.roster.Others())
 	h.runner.Kick()
@@ -236,6 +242,13 @@
 	}
 }
 
+// flockPause bounds the pause between two watches while changes keep coming. It grows
+// with the fleet, as each change wakes the watches of all.
+func (h *Hoster) flockPause() time.Duration {
+	pause := time.Duration(h.roster.Live()) * flockPausePerInstance
+	return min(max(follower.LongestPause, pause), longestFlockPause)
+}
+
 // pollPause is the mean time between two reads. It grows with the fleet, since what
 // one instance reads all hear of.
 func (h *Hoster) pollPause() time.Duration {
--- a/news.go
+++ b/news.go
@@ -68,6 +68,13 @@
 	// ReadAgo is how long ago the instance read the list of owners and found the
 	// epoch in force, in milliseconds; 0 if it hasn't.
 	ReadAgo int64 `cbor:"14,keyasint,omitempty"`
+	// Outcomes are those of late at the endpoints that failed a request of any instance,
+	// and OutcomesInAll those at all endpoints.
+	Outcomes      OutcomeCounts `cbor:"15,keyasint,omitempty"`
+	OutcomesInAll Outcomes      `cbor:"18,keyasint"`
+	Zone          Zone          `cbor:"16,keyasint,omitempty"`
+	// Ejected are the endpoints that the instance leaves out by its own judgement.
+	Ejected map[EndpointTag]Ejection `cbor:"17,keyasint,omitempty"`
 }
 
 // RunTag is a short name of one run of an instance for messages between instances.
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,62 @@
+package fescuebank
+
+// Outcomes are numbers of requests that an endpoint served and failed.
+type Outcomes struct {
+	_    struct{} `cbor:",toarray"`
+	Good int
+	Bad  int
+}
+
+// Add adds other to o.
+func (o *Outcomes) Add(other Outcomes) {
+	o.Good += other.Good
+	o.Bad += other.Bad
+}
+
+// Share returns the part of the requests that failed, 0 to 1; 0 without requests.
+func (o Outcomes) Share() float64 {
+	if o.Good+o.Bad == 0 {
+		return 0
+	}
+	return float64(o.Bad) / float64(o.Good+o.Bad)
+}
+
+// Ejection says for how long an instance leaves an endpoint out.
+type Ejection struct {
+	_ struct{} `cbor:",toarray"`
+	// LeftMs is how much longer, and LengthMs how long in all, in milliseconds.
+	LeftMs   int64
+	LengthMs int64
+}
+
+// OutcomeCounts are outcomes by endpoint.
+type OutcomeCounts map[EndpointTag]Outcomes
+
+// Sum returns the outcomes at all endpoints.
+func (c OutcomeCounts) Sum() Outcomes {
+	var sum Outcomes
+	for _, o := range c {
+		sum.Add(o)
+	}
+	return sum
+}
+
+// Note counts one request.
+func (c OutcomeCounts) Note(tag EndpointTag, good bool) {
+	o := c[tag]
+	if good {
+		o.Good++
+	} else {
+		o.Bad++
+	}
+	c[tag] = o
+}
+
+// Add adds other to c.
+func (c OutcomeCounts) Add(other OutcomeCounts) {
+	for tag, o := range other {
+		sum := c[tag]
+		sum.Add(o)
+		c[tag] = sum
+	}
+}
