--- a/internal/entry/allotter/allotter_test.go
+++ b/internal/entry/allotter/allotter_test.go
@@ -312,3 +312,51 @@
 		})
 	}
 }
+
+func TestServiceWhoseEndpointsAreAllLeftOutIsUsedAllTheSame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAllotter(2, 4)
+		for _, e := range endpoints(2, 4) {
+			a.Shun(e.ID, allotter.ShunTime)
+		}
+		take(t, a)
+	})
+}
+
+// TestAvoidedEndpointGetsRequestsWhenTheOthersAreFilled has an endpoint that fails get
+// no request while the other is under 0.6 of its places fuller, and no batch item.
+func TestAvoidedEndpointGetsRequestsWhenTheOthersAreFilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots = 10
+		a := newAllotter(2, slots)
+		avoided := endpoints(2, slots)[0].ID
+		a.Avoid(avoided, time.Minute)
+		for i := range 6 {
+			if got := take(t, a).Endpoint.ID; got == avoided {
+				t.Fatalf("got the avoided endpoint for request %d, want the other", i+1)
+			}
+		}
+		here := 0
+		for range 4 {
+			if take(t, a).Endpoint.ID == avoided {
+				here++
+			}
+		}
+		if here == 0 {
+			t.Error("got no request at the avoided endpoint though the other is filled, want some")
+		}
+		for {
+			p := a.AcquireSpare("s", 0)
+			if p == nil {
+				break
+			}
+			if p.Endpoint.ID == avoided {
+				t.Error("got a place at the avoided endpoint for work that can wait, want none")
+			}
+		}
+		time.Sleep(2 * time.Minute)
+		if p := a.AcquireSpare("s", 0); p == nil || p.Endpoint.ID != avoided {
+			t.Error("got no place at the endpoint after its time, want one")
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/allotter/spare.go
@@ -0,0 +1,47 @@
+package allotter
+
+import (
+	"time"
+
+	"fescuebank"
+)
+
+// AcquireSpare gives a place for work that can wait, without waiting. It returns
+// nil unless the share headroom of the service's places stays free.
+func (a *Allotter) AcquireSpare(service fescuebank.ServiceName, headroom float64) *Place {
+	a.mu.Lock()
+	now := a.clock.Now()
+	slots, free := a.room(service, now)
+	if a.othersWaiting > 0 || float64(free) < 1+headroom*float64(slots) {
+		a.mu.Unlock()
+		return nil
+	}
+	p := a.give(Ask{Service: service, spare: true}, now)
+	a.mu.Unlock()
+	if p != nil {
+		a.changed()
+	}
+	return p
+}
+
+// Excess returns how many places must become free so that no request waits and
+// the share headroom of the service's places is free. It is 0 or more.
+func (a *Allotter) Excess(service fescuebank.ServiceName, headroom float64) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	slots, free := a.room(service, a.clock.Now())
+	return max(0, a.othersWaiting+int(headroom*float64(slots))-free)
+}
+
+// room sums the places of a service's usable endpoints that none avoids. The caller
+// holds the lock.
+func (a *Allotter) room(service fescuebank.ServiceName, now time.Time) (slots, free int) {
+	for _, e := range a.usable(service, now) {
+		if e.avoided.After(now) {
+			continue
+		}
+		slots += e.Slots
+		free += max(0, e.Slots-e.load(now))
+	}
+	return slots, free
+}
