Add a soak of the real programs as separate processes

fescuesoak starts entries and owners with signals and loopback proxies around them, plays three overlapping series of seeded faults and compares what callers were told with what endpoints ran.

--- /dev/null
+++ b/cmd/fescuesoak/main.go
@@ -0,0 +1,77 @@
+// Command fescuesoak runs fescuebankd as separate processes under faults and checks
+// what callers and endpoints see.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"fescuebank/internal/timing/timekeeper"
+	"fescuebank/platform/soaker"
+)
+
+// arguments are those of the command line.
+type arguments struct {
+	Daemon    string        `arg:"--daemon,required" placeholder:"PATH" help:"the fescuebankd to run"`
+	Dir       string        `arg:"--dir" default:"soak" placeholder:"DIR" help:"where settings and logs go, a directory a seed"`
+	Seed      uint64        `arg:"--seed" default:"1" help:"the first seed"`
+	Seeds     int           `arg:"--seeds" default:"1" help:"how many seeds to play, one after the other"`
+	Length    time.Duration `arg:"--length" default:"15s" help:"for how long faults strike"`
+	Entries   int           `arg:"--entries" default:"3" help:"instances that take requests"`
+	Owners    int           `arg:"--owners" default:"3" help:"instances that own teams"`
+	Endpoints int           `arg:"--endpoints" default:"4" help:"endpoints that requests go to"`
+	Callers   int           `arg:"--callers" default:"12" help:"callers at once"`
+}
+
+func (arguments) Description() string {
+	return "Plays seeded faults against real processes on this machine and names the promises that they break."
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	failed, err := run(context.Background(), a, os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fescuesoak:", err)
+		os.Exit(2)
+	}
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// run plays all seeds and returns how many broke a promise.
+func run(ctx context.Context, a arguments, out io.Writer) (failed int, err error) {
+	for seed := a.Seed; seed < a.Seed+uint64(a.Seeds); seed++ {
+		dir := filepath.Join(a.Dir, fmt.Sprintf("seed-%d", seed))
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			return failed, err
+		}
+		log, err := os.Create(filepath.Join(dir, "faults.log"))
+		if err != nil {
+			return failed, err
+		}
+		result, err := soaker.New(soaker.Config{
+			Daemon: a.Daemon, Dir: dir, Seed: seed, Length: a.Length, Entries: a.Entries, Owners: a.Owners,
+			Endpoints: a.Endpoints, Callers: a.Callers, Clock: timekeeper.Timekeeper{}, Log: log,
+		}).Run(ctx)
+		_ = log.Close()
+		if err != nil {
+			return failed, err
+		}
+		fmt.Fprintf(out, "seed %d: %d requests ran, %d jobs, %d promises broken\n", seed, result.Runs, result.Jobs, len(result.Broken))
+		for _, b := range result.Broken {
+			fmt.Fprintln(out, "  "+b)
+		}
+		if len(result.Broken) > 0 {
+			failed++
+		}
+	}
+	return failed, nil
+}
--- /dev/null
+++ b/cmd/fescuesoak/main_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"bytes"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// seeds are those that CI plays. One that ever broke a promise stands here, with the
+// cause of that.
+var seeds = []struct {
+	seed  uint64
+	cause string
+}{
+	{1, ""},
+}
+
+// TestSoak plays seeds against the real program for a short time each.
+func TestSoak(t *testing.T) {
+	dir := t.TempDir()
+	daemon := filepath.Join(dir, "fescuebankd")
+	build := exec.Command("go", "build", "-o", daemon, "fescuebank/cmd/fescuebankd")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("program not built: %v\n%s", err, out)
+	}
+	for _, tt := range seeds {
+		var out bytes.Buffer
+		failed, err := run(t.Context(), arguments{
+			Daemon: daemon, Dir: dir, Seed: tt.seed, Seeds: 1, Length: 5 * time.Second,
+			Entries: 2, Owners: 2, Endpoints: 3, Callers: 8,
+		}, &out)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if failed > 0 {
+			t.Errorf("seed %d %s: got broken promises, want none:\n%s", tt.seed, tt.cause, &out)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/proxier/proxier_test.go
@@ -0,0 +1,95 @@
+package proxier_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"fescuebank/internal/soak/proxier"
+)
+
+// echo starts a server that sends each line back.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestFaults(t *testing.T) {
+	const patience = 400 * time.Millisecond
+	for _, tt := range []struct {
+		name  string
+		fault proxier.Fault
+		// answered is whether a line comes back in time, reset whether the connection
+		// ends.
+		answered, reset bool
+		least           time.Duration
+	}{
+		{"sound", proxier.Sound, true, false, 0},
+		{"slow", proxier.Slow, true, false, 200 * time.Millisecond},
+		{"deaf", proxier.Deaf, false, false, 0},
+		{"mute", proxier.Mute, false, false, 0},
+		{"silent", proxier.Silent, false, false, 0},
+		{"closed", proxier.Closed, false, true, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p, err := proxier.New(echo(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer p.Close()
+			c, err := net.Dial("tcp", p.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			reader := bufio.NewReader(c)
+			if _, err := c.Write([]byte("one\n")); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := reader.ReadString('\n'); err != nil {
+				t.Fatalf("got %v before the fault, want an answer", err)
+			}
+			p.Set(tt.fault)
+			began := time.Now()
+			_, _ = c.Write([]byte("two\n"))
+			_ = c.SetReadDeadline(began.Add(patience))
+			_, err = reader.ReadString('\n')
+			took := time.Since(began)
+			if answered := err == nil; answered != tt.answered {
+				t.Errorf("got answered %v (%v), want %v", answered, err, tt.answered)
+			}
+			if ended := err != nil && took < patience/2; ended != tt.reset {
+				t.Errorf("got ended %v after %v (%v), want %v", ended, took, err, tt.reset)
+			}
+			if took < tt.least {
+				t.Errorf("got an answer after %v, want %v at least", took, tt.least)
+			}
+			if tt.reset {
+				return
+			}
+			p.Set(proxier.Sound)
+			_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+			if err != nil {
+				if _, err := reader.ReadString('\n'); err != nil {
+					t.Errorf("got %v once the fault was over, want what was held up", err)
+				}
+			}
+		})
+	}
+}
