--- /dev/null
+++ b/internal/operate/hoster/news.go
@@ -0,0 +1,76 @@
+package hoster
+
+import (
+	"time"
+
+	"fescuebank"
+	"fescuebank/internal/entry/relayer"
+)
+
+// storeLostAfter is how long the store must fail here before the others are told.
+const storeLostAfter = time.Second
+
+// fillNews completes what this instance tells the others.
+func (h *Hoster) fillNews(n *fescuebank.News) {
+	counts, waiting := h.allotter.Counts()
+	if h.settings.Roles.Entry {
+		n.Online, n.Waiting = counts, waiting
+	} else {
+		n.Batch = counts
+	}
+	n.Ready = h.ready()
+	n.Leaving = h.leaving.Load() || h.handing.Load()
+	n.Config, n.Endpoints = h.config.ChangedAt(), h.endpoints.ChangedAt()
+	n.Epoch = h.elector.Epoch()
+	n.Zone = h.self.Zone
+	h.ejector.Tell(n)
+	n.ReadAgo = h.elector.ReadAgo().Milliseconds()
+	answers, since := h.platform.State()
+	n.StoreLost = !answers && since >= storeLostAfter
+}
+
+// heard takes in the news of a peer.
+func (h *Hoster) heard(n *fescuebank.News) {
+	h.elector.Acknowledge(fescuebank.Holder{ID: n.From, Incarnation: n.Incarnation}, n.Epoch)
+	h.elector.Hear(n.Epoch, time.Duration(n.ReadAgo)*time.Millisecond)
+	h.ejector.Hear(n)
+	h.allotter.SetFleet(h.roster.Live(), h.roster.Lag())
+	h.allotter.SetOthers(h.roster.Others())
+	h.runner.Kick()
+	if h.config.Lacks(n.Config) || h.endpoints.Lacks(n.Endpoints) || n.Epoch > h.elector.Epoch() {
+		h.catchUp(n)
+	}
+}
+
+// versions are the versions of what decisions rest on.
+func (h *Hoster) versions() relayer.Versions {
+	v := relayer.Versions{Epoch: h.elector.Epoch(), Endpoints: h.endpoints.ChangedAt()}
+	if t := h.table.Load(); t != nil {
+		v.Config = t.Version
+	}
+	return v
+}
+
+// gauge serves the present state among the counts.
+func (h *Hoster) gauge() {
+	h.counts.Gauge("versions", func() any { return h.versions() })
+	h.counts.Gauge("inFlight", func() any { return h.flights.Load() })
+	h.counts.Gauge("endpointConnectionsDialed", func() any { return h.exchanger.Dialed() })
+	h.counts.Gauge("waitingForPlaces", func() any {
+		_, waiting := h.allotter.Counts()
+		return waiting
+	})
+	h.counts.Gauge("endpointsHere", func() any { return h.allotter.Loads() })
+	h.counts.Gauge("storeAnswers", func() any {
+		answers, since := h.platform.State()
+		return map[string]any{"answers": answers, "sinceMs": since.Milliseconds()}
+	})
+	h.counts.Gauge("batchRunning", func() any { return h.runner.Running() })
+	h.counts.Gauge("batch", func() any { return h.steward.Status() })
+}
+
+// othersBatch returns the number of batch items that other instances run.
+func (h *Hoster) othersBatch() int {
+	_, _, batch := h.roster.Others()
+	return batch
+}
