Keep SIGHUP from ending an instance that starts or leaves

Cause: the handler was removed as soon as leaving began and set up late, so that the signal's own action, the end of the process, came back. An instance that was asked to reload while it left was gone at once, with the requests that it still had. Change: the signal is taken from the start of serve to the end of the process.

--- a/cmd/fescuebankd/hosted.go
+++ b/cmd/fescuebankd/hosted.go
@@ -4,9 +4,7 @@
 	"context"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -29,7 +27,7 @@
 
 // serveHosted runs an instance on a platform that lists the configuration and
 // the endpoints itself.
-func serveHosted(ctx context.Context, path string, s *fescuebank.Settings) error {
+func serveHosted(ctx context.Context, path string, s *fescuebank.Settings, hangups <-chan os.Signal) error {
 	if s.Limits.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(fescuebank.Bytes(s.Limits.MemoryMiB)*fescuebank.MiB)))
 	}
@@ -43,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	go reloadOnHangup(ctx, path, s, log.Named("settings"))
+	go reloadOnHangup(ctx, path, s, hangups, log.Named("settings"))
 	return h.Run(ctx)
 }
 
@@ -66,12 +64,9 @@
 	}, clock, counts, log)
 }
 
-// reloadOnHangup checks the settings file at each SIGHUP. Settings are read at
-// start; a change is told, and takes effect at the next start.
-func reloadOnHangup(ctx context.Context, path string, inForce *fescuebank.Settings, log hclog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+// reloadOnHangup checks the settings file at each SIGHUP until ctx ends. Settings are
+// read at start; a change is told, and takes effect at the next start.
+func reloadOnHangup(ctx context.Context, path string, inForce *fescuebank.Settings, hangups <-chan os.Signal, log hclog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/cmd/fescuebankd/serve.go
+++ b/cmd/fescuebankd/serve.go
@@ -6,6 +6,8 @@
 	"expvar"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"fescuebank"
 	"fescuebank/internal/config/loader"
@@ -21,12 +23,15 @@
 }
 
 func (c *serveCommand) run(ctx context.Context) error {
+	// SIGHUP would end the process, also while it starts or leaves.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := loader.Loader{}.Load(c.Settings)
 	if err != nil {
 		return err
 	}
 	if settings.Platform.Kind == fescuebank.PlatformObjects {
-		return serveHosted(ctx, c.Settings, settings)
+		return serveHosted(ctx, c.Settings, settings, hangups)
 	}
 	secure, err := certifier.Load(settings.TLS)
 	if err != nil {
--- a/cmd/fescuesoak/main_test.go
+++ b/cmd/fescuesoak/main_test.go
@@ -15,6 +15,7 @@
 	cause string
 }{
 	{1, ""},
+	{143, "a SIGHUP ended an instance that was leaving"},
 }
 
 // TestSoak plays seeds against the real program for a short time each.
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -25,8 +25,11 @@
 // process is one run of the program.
 type process struct {
 	cmd *exec.Cmd
-	// asked is set once a signal was sent that ends the process.
-	asked bool
+	// asked is set once a signal was sent that ends the process, killed if that was
+	// SIGKILL.
+	asked   bool
+	killed  bool
+	started time.Time
 	done  chan struct{}
 	err   error
 }
@@ -48,7 +51,7 @@
 	if err := cmd.Start(); err != nil {
 		return eris.Wrap(err, "Launcher.Start")
 	}
-	p := &process{cmd: cmd, done: make(chan struct{})}
+	p := &process{cmd: cmd, done: make(chan struct{}), started: time.Now()}
 	l.process = p
 	go func() {
 		p.err = cmd.Wait()
@@ -66,7 +69,12 @@
 	}
 }
 
-// Signal sends a signal to the process if it runs.
+// catchTime is how long a program may take to begin to handle its signals. A SIGHUP
+// before that would end it, whatever it does.
+const catchTime = time.Second
+
+// Signal sends a signal to the process if it runs. SIGHUP is left out right after the
+// start.
 func (l *Launcher) Signal(s os.Signal) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -74,14 +82,18 @@
 	if p == nil || p.hasEnded() {
 		return
 	}
+	if s == syscall.SIGHUP && time.Since(p.started) < catchTime {
+		return
+	}
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		p.asked = true
+		p.killed = p.killed || s == syscall.SIGKILL
 	}
 	_ = p.cmd.Process.Signal(s) // One that has just ended needs none.
 }
 
 // Wait waits for the end of the process. It reports false if that takes longer than
-// most, and the error that it ended with.
+// most, and the error that it ended with unless it was killed here.
 func (l *Launcher) Wait(most time.Duration) (ended bool, err error) {
 	l.mu.Lock()
 	p := l.process
@@ -91,6 +103,11 @@
 	}
 	select {
 	case <-p.done:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if p.killed {
+			return true, nil
+		}
 		return true, p.err
 	case <-time.After(most):
 		return false, nil
--- a/internal/soak/launcher/launcher_test.go
+++ b/internal/soak/launcher/launcher_test.go
@@ -53,8 +53,8 @@
 		t.Fatal("got an end before the signal, want none")
 	}
 	l.Signal(syscall.SIGKILL)
-	if ended, err := l.Wait(10 * time.Second); !ended || err == nil {
-		t.Errorf("got ended %v, %v, want an end by a signal", ended, err)
+	if ended, err := l.Wait(10 * time.Second); !ended || err != nil {
+		t.Errorf("got ended %v, %v, want an end without an error", ended, err)
 	}
 	if l.EndedByItself() {
 		t.Error("got an end by itself, want none")
