--- a/internal/endpoint/ejector/ejector.go
+++ b/internal/endpoint/ejector/ejector.go
@@ -1,4 +1,4 @@
-// Package ejector leaves out endpoints that fail requests though they count as healthy.
+// Package ejector has endpoints avoided that fail requests though they count as healthy.
 package ejector
 
 import (
@@ -43,7 +43,7 @@
 	Zone fescuebank.Zone
 	// Endpoints returns the known endpoints.
 	Endpoints func() []fescuebank.ServedEndpoint
-	// Leave leaves an endpoint out for a while.
+	// Leave has an endpoint avoided for a while.
 	Leave func(id fescuebank.EndpointID, d time.Duration)
 	Clock fescuebank.Clock
 	Log   hclog.Logger
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -30,8 +30,8 @@
 	asked   bool
 	killed  bool
 	started time.Time
-	done  chan struct{}
-	err   error
+	done    chan struct{}
+	err     error
 }
 
 // New returns a launcher of the program at path, whose output goes to log.
