Take over what a peer's mirror lacks

Cause: an instance that the store turned away (429) for 16 s took peers' mirrors in, but only what they held, not what they lacked: endpoints that had left at 24.21 s stayed. When the store let it in again at 24.79 s, the first list after an outage holds back what is missing for 2.2 s, as it may have lapsed in the outage; so a batch item was sent to one of them 2,547 ms after it had left, of 2,000 allowed. Change: a mirror comes with the version as of which it is current; a newer one removes what it lacks. Holding back stays for what no peer knows better. Test: a peer's newer mirror removes at once; one of the same time doesn't.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -132,6 +132,12 @@
 
 // Objects returns the mirror.
 func (f *Follower) Objects() []fescuebank.Object {
+	list, _ := f.Mirror()
+	return list
+}
+
+// Mirror returns the mirror and the version as of which it is current.
+func (f *Follower) Mirror() ([]fescuebank.Object, fescuebank.StoreVersion) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := make([]fescuebank.Object, 0, len(f.objects))
@@ -139,17 +145,26 @@
 		list = append(list, o)
 	}
 	slices.SortFunc(list, func(a, b fescuebank.Object) int { return strings.Compare(a.Key, b.Key) })
-	return list
+	return list, f.asOf
 }
 
-// Adopt takes in newer objects that another instance's mirror holds.
-func (f *Follower) Adopt(objects []fescuebank.Object) {
+// Adopt takes in another instance's mirror, which is current as of a version. What that
+// lacks is gone, unless it is newer.
+func (f *Follower) Adopt(objects []fescuebank.Object, at fescuebank.StoreVersion) {
 	f.mu.Lock()
-	changed := false
+	changed, newer := false, at > f.asOf
+	theirs := make(map[string]bool, len(objects))
 	for _, o := range objects {
+		theirs[o.Key] = true
 		changed = f.put(o) || changed
 		f.asOf = max(f.asOf, o.Version)
 	}
+	for key, o := range f.objects {
+		if newer && o.Version <= at && !theirs[key] {
+			changed = f.remove(key, at) || changed
+		}
+	}
+	f.asOf = max(f.asOf, at)
 	f.listed = f.listed || len(objects) > 0
 	f.mu.Unlock()
 	if changed {
@@ -157,6 +172,7 @@
 	}
 }
 
+
 // Listed reports whether the prefix has been read at least once.
 func (f *Follower) Listed() bool {
 	f.mu.Lock()
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -203,11 +203,11 @@
 		m, stop := start(&store)
 		defer stop()
 		time.Sleep(time.Second)
-		m.Adopt([]fescuebank.Object{{Key: "k/a", Value: []byte("1"), Version: old}})
+		m.Adopt([]fescuebank.Object{{Key: "k/a", Value: []byte("1"), Version: old}}, old)
 		if got := m.Objects(); len(got) != 1 || string(got[0].Value) != "2" {
 			t.Errorf("got %v, want the newer object", got)
 		}
-		m.Adopt([]fescuebank.Object{{Key: "k/a", Value: []byte("3"), Version: old + 10}})
+		m.Adopt([]fescuebank.Object{{Key: "k/a", Value: []byte("3"), Version: old + 10}}, old+10)
 		if got := m.values()["k/a"]; got != "3" {
 			t.Errorf("got %q, want the peer's newer object", got)
 		}
@@ -280,3 +280,34 @@
 		}
 	})
 }
+
+// TestRemovalIsAdoptedFromAPeer has an instance that the store turns away learn from a
+// peer's mirror, at once, what is gone.
+func TestRemovalIsAdoptedFromAPeer(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// gap is how much newer than the last change seen the peer's mirror is.
+		gap  fescuebank.StoreVersion
+		want int
+	}{
+		{"newer mirror", 5, 1},
+		{"mirror of the same time", 0, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var store memorizer.Memorizer
+				put(t, &store, "k/a", "1")
+				last := put(t, &store, "k/b", "1")
+				m, stop := start(&store)
+				defer stop()
+				time.Sleep(time.Second)
+				store.SetFaults(memorizer.Faults{Down: true})
+				time.Sleep(5 * time.Second)
+				m.Adopt([]fescuebank.Object{{Key: "k/b", Value: []byte("1"), Version: last}}, last+tt.gap)
+				if got := len(m.values()); got != tt.want {
+					t.Errorf("got %d objects, want %d", got, tt.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/operate/hoster/mirror.go
+++ b/internal/operate/hoster/mirror.go
@@ -87,6 +87,8 @@
 // mirrorReply holds the objects of a mirror.
 type mirrorReply struct {
 	Objects []fescuebank.Object `cbor:"1,keyasint"`
+	// At is the store version as of which the mirror is current.
+	At fescuebank.StoreVersion `cbor:"2,keyasint,omitempty"`
 }
 
 // adopt takes in a peer's mirror.
@@ -104,7 +106,7 @@
 	}
 	h.log.Info("Mirror of a peer taken in.", "peer", string(from), "prefix", prefix, "objects", len(reply.Objects))
 	if f := h.follower(prefix); f != nil {
-		f.Adopt(reply.Objects)
+		f.Adopt(reply.Objects, reply.At)
 	}
 }
 
@@ -130,7 +132,8 @@
 	if f == nil {
 		return nil, fescuebank.ErrAbsent
 	}
-	return &mirrorReply{Objects: f.Objects()}, nil
+	objects, at := f.Mirror()
+	return &mirrorReply{Objects: objects, At: at}, nil
 }
 
 // ownersRequest asks a peer to read the list of owners from the store.
