--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -172,7 +172,6 @@
 	}
 }
 
-
 // Listed reports whether the prefix has been read at least once.
 func (f *Follower) Listed() bool {
 	f.mu.Lock()
