Read the configuration beside the watches more often again

Also suspected: a mirror taken from a peer counted as current as of the peer's version, though that peer's own watch may be blind; then no hint brings a list. Change: a read in 3 s an instance, 150 ms for fleets above 20; a peer's version only decides what is gone, and only while the store is out of reach here. Left: reads at fixed turns instead of at random would bound the time.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -148,10 +148,12 @@
 	return list, f.asOf
 }
 
-// Adopt takes in another instance's mirror, which is current as of a version. What that
-// lacks is gone, unless it is newer.
+// Adopt takes in another instance's mirror, which is current as of a version. While the
+// store is out of reach here, what that lacks is gone, unless it is newer. The version is
+// the peer's belief: it does not make this mirror count as current.
 func (f *Follower) Adopt(objects []fescuebank.Object, at fescuebank.StoreVersion) {
 	f.mu.Lock()
+	cut := f.clock.Now().Sub(f.contact) >= outageAfter
 	changed, newer := false, at > f.asOf
 	theirs := make(map[string]bool, len(objects))
 	for _, o := range objects {
@@ -160,11 +162,10 @@
 		f.asOf = max(f.asOf, o.Version)
 	}
 	for key, o := range f.objects {
-		if newer && o.Version <= at && !theirs[key] {
+		if cut && newer && o.Version <= at && !theirs[key] {
 			changed = f.remove(key, at) || changed
 		}
 	}
-	f.asOf = max(f.asOf, at)
 	f.listed = f.listed || len(objects) > 0
 	f.mu.Unlock()
 	if changed {
--- a/internal/operate/hoster/mirror.go
+++ b/internal/operate/hoster/mirror.go
@@ -12,8 +12,8 @@
 const (
 	// pollInterval is the least mean time between two reads beside the watches here,
 	// and fleetPollInterval the one of the whole fleet.
-	pollInterval      = 4500 * time.Millisecond
-	fleetPollInterval = 650 * time.Millisecond
+	pollInterval      = 3 * time.Second
+	fleetPollInterval = 150 * time.Millisecond
 	// flockPausePerInstance is what each instance adds to the pause between two watches
 	// while changes keep coming, and longestFlockPause the most that it may be.
 	flockPausePerInstance = 16 * time.Millisecond
