--- a/cmd/fescuebankd/hosted_test.go
+++ b/cmd/fescuebankd/hosted_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,6 +129,11 @@
 		g.t.Fatal(err)
 	}
 	h, err := newHosted(s, timekeeper.Timekeeper{}, meter.New(), hclog.NewNullLogger())
+	for errors.Is(err, syscall.EADDRINUSE) {
+		// Another program took the port between its choice and its use.
+		s.Listen.Peers = freeAddr(g.t)
+		h, err = newHosted(s, timekeeper.Timekeeper{}, meter.New(), hclog.NewNullLogger())
+	}
 	if err != nil {
 		g.t.Fatal(err)
 	}
