Keep one copy of the caller of members and of the later of two times

Three packages declared the same interface, two the same function, and the ejector added up its own outcomes twice for one judgement. No change of what they do.

--- a/clock.go
+++ b/clock.go
@@ -26,3 +26,11 @@
 		return ctx.Err()
 	}
 }
+
+// Latest returns the later of two times.
+func Latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/batch/envoy/envoy.go
+++ b/internal/batch/envoy/envoy.go
@@ -33,16 +33,11 @@
 	Owner(team fescuebank.TeamID) (fescuebank.Holder, bool)
 }
 
-// Caller calls a member by its id.
-type Caller interface {
-	Call(ctx context.Context, id fescuebank.InstanceID, kind fescuebank.MessageKind, message, reply any) error
-}
-
 // Config is what an envoy works with.
 type Config struct {
 	Self      fescuebank.Holder
 	Owners    Owners
-	Caller    Caller
+	Caller    fescuebank.MemberCaller
 	Steward   *steward.Steward
 	Depositor *depositor.Depositor
 	Clock     fescuebank.Clock
--- a/internal/endpoint/ejector/ejector.go
+++ b/internal/endpoint/ejector/ejector.go
@@ -181,7 +181,7 @@
 	if now.Before(j.ejected[tag].until) || !j.hasRoom(id, now) {
 		return
 	}
-	if zone != j.Zone && isSound(j.seenHere(tag, now)) {
+	if zone != j.Zone && isSound(j.seenHere(j.sums(), tag, now)) {
 		return
 	}
 	left := time.Duration(by.LeftMs) * time.Millisecond
@@ -229,7 +229,7 @@
 	sums := j.sums()
 	all := sums.Sum()
 	whole := sums[tag]
-	here := j.seenHere(tag, now)
+	here := j.seenHere(sums, tag, now)
 	for _, t := range j.others {
 		whole.Add(t.counts[tag])
 		all.Add(t.all)
@@ -241,9 +241,10 @@
 	return whole, rest.Share()
 }
 
-// seenHere sums the outcomes of an endpoint for the instances in this zone.
-func (j *Ejector) seenHere(tag fescuebank.EndpointTag, now time.Time) fescuebank.Outcomes {
-	here := j.sums()[tag]
+// seenHere adds what the other instances in this zone saw of an endpoint to the
+// outcomes of this one.
+func (j *Ejector) seenHere(own fescuebank.OutcomeCounts, tag fescuebank.EndpointTag, now time.Time) fescuebank.Outcomes {
+	here := own[tag]
 	for id, t := range j.others {
 		if now.Sub(t.at) >= newsLife {
 			delete(j.others, id)
--- a/internal/entry/allotter/endpoint.go
+++ b/internal/entry/allotter/endpoint.go
@@ -94,7 +94,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if e := a.endpoints[id]; e != nil {
-		e.shunned = latest(e.shunned, a.clock.Now().Add(d))
+		e.shunned = fescuebank.Latest(e.shunned, a.clock.Now().Add(d))
 	}
 }
 
@@ -104,17 +104,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if e := a.endpoints[id]; e != nil {
-		e.avoided = latest(e.avoided, a.clock.Now().Add(d))
+		e.avoided = fescuebank.Latest(e.avoided, a.clock.Now().Add(d))
 	}
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // isDeserted reports whether all endpoints of a service are left out, so that they
 // have to be used all the same.
 func (a *Allotter) isDeserted(service fescuebank.ServiceName, now time.Time) bool {
--- a/internal/fleet/roster/entry.go
+++ b/internal/fleet/roster/entry.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		owners++
-		since := now.Sub(latest(m.lastHeard(), m.known))
+		since := now.Sub(fescuebank.Latest(m.lastHeard(), m.known))
 		if since < pace.suspect() {
 			continue
 		}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -183,7 +183,7 @@
 
 // lastHeard is when the peer was last heard here or elsewhere.
 func (m *member) lastHeard() time.Time {
-	return latest(m.heard, m.sign)
+	return fescuebank.Latest(m.heard, m.sign)
 }
 
 // isAlive reports whether the peer was heard here lately.
@@ -242,8 +242,8 @@
 		if m.isAlive(now, pace) {
 			r.live++
 		}
-		since := latest(m.heard, m.known)
-		deaf := now.Sub(since) >= pace.suspect() || now.Sub(latest(m.echoed, m.known)) >= pace.deaf()
+		since := fescuebank.Latest(m.heard, m.known)
+		deaf := now.Sub(since) >= pace.suspect() || now.Sub(fescuebank.Latest(m.echoed, m.known)) >= pace.deaf()
 		if deaf && now.Sub(m.dropped) >= pace.deaf() {
 			m.dropped = now
 			drop = append(drop, m.entry.PeerAddr)
@@ -254,7 +254,7 @@
 			r.discount(m)
 			r.Log.Warn("Instance is silent.", "peer", string(m.entry.ID), "heardMsAgo", now.Sub(since).Milliseconds())
 		}
-		if now.Sub(latest(since, latest(m.sign, m.changed))) >= removeAfter {
+		if now.Sub(fescuebank.Latest(since, fescuebank.Latest(m.sign, m.changed))) >= removeAfter {
 			remove = append(remove, m)
 		}
 	}
@@ -272,13 +272,6 @@
 	}
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // isFirst reports whether no live peer has a lower id. The caller holds the lock.
 func (r *Roster) isFirst(now time.Time) bool {
 	for id, m := range r.members {
--- a/internal/limit/buyer/buyer.go
+++ b/internal/limit/buyer/buyer.go
@@ -46,16 +46,11 @@
 	FloorSlot() (slot, slots int, ok bool)
 }
 
-// Caller calls a member by its id.
-type Caller interface {
-	Call(ctx context.Context, id fescuebank.InstanceID, kind fescuebank.MessageKind, message, reply any) error
-}
-
 // Config is what a buyer works with.
 type Config struct {
 	Self   fescuebank.Holder
 	Owners Owners
-	Caller Caller
+	Caller fescuebank.MemberCaller
 	Seller *seller.Seller
 	// Registered reports whether owners can know that this run may hold tokens.
 	Registered func() bool
--- a/internal/wire/breaker/breaker.go
+++ b/internal/wire/breaker/breaker.go
@@ -23,14 +23,9 @@
 // had no answer and another one is trying it.
 var ErrOpen = errors.New("instance does not answer")
 
-// Caller calls a member by its id.
-type Caller interface {
-	Call(ctx context.Context, id fescuebank.InstanceID, kind fescuebank.MessageKind, message, reply any) error
-}
-
-// Breaker is a Caller that fails at once while an instance doesn't answer.
+// Breaker is a fescuebank.MemberCaller that fails at once while an instance doesn't answer.
 type Breaker struct {
-	caller Caller
+	caller fescuebank.MemberCaller
 	clock  fescuebank.Clock
 	mu     sync.Mutex
 	peers  map[fescuebank.InstanceID]*peer
@@ -50,7 +45,7 @@
 }
 
 // New returns a breaker that has seen no failure.
-func New(caller Caller, clock fescuebank.Clock) *Breaker {
+func New(caller fescuebank.MemberCaller, clock fescuebank.Clock) *Breaker {
 	return &Breaker{caller: caller, clock: clock, peers: make(map[fescuebank.InstanceID]*peer)}
 }
 
--- a/peer.go
+++ b/peer.go
@@ -163,6 +163,12 @@
 	Call(ctx context.Context, addr string, kind MessageKind, request, reply any) error
 }
 
+// MemberCaller calls other instances by their id.
+type MemberCaller interface {
+	// Call is that of a Peer, with the id in place of the address.
+	Call(ctx context.Context, id InstanceID, kind MessageKind, request, reply any) error
+}
+
 // PeerHandler answers one kind of request. It decodes the request with decode.
 type PeerHandler func(ctx context.Context, decode func(into any) error) (reply any, err error)
 
