Relay gossip and watch the store for a zone in large fleets

Cause: every instance sent its counts to every other one and watched four kinds of objects itself.

Change: above 24 peers an instance sends its gossip to three relays of its zone, which bundle it for the zone and for the relays of the others. Two instances of each zone watch the store; the others fetch changes from an instance of their zone that has them, and read the store as a last resort. Both are ordered by weight and a hash; nothing is elected. A relay that sends nothing for a heartbeat is replaced; zones that hold each other for silent try instances in turn. Polls go on at all instances; one that finds a change that watches missed states a version that all others lack. First lists may be stale where a watch follows. Notifications no longer wait for slow readers, and a connection on which a call got no reply is replaced.

--- a/gossip.go
+++ b/gossip.go
@@ -77,6 +77,30 @@
 	Zone          Zone          `cbor:"16,keyasint,omitempty"`
 	// Ejected are the endpoints that the instance itself has ejected as outliers.
 	Ejected map[EndpointTag]Ejection `cbor:"17,keyasint,omitempty"`
+	// Relay asks the receiver to relay the message to all other instances.
+	Relay bool `cbor:"19,keyasint,omitempty"`
+	// MembersVersion is the store version at which the instance last saw a change of the
+	// member entries.
+	MembersVersion StoreVersion `cbor:"20,keyasint,omitempty"`
+}
+
+// RelayedGossip is a gossip message of another instance. Origin and Sequence let a receiver
+// that already has it skip it without decoding.
+type RelayedGossip struct {
+	_        struct{} `cbor:",toarray"`
+	Origin   IncarnationTag
+	Sequence uint64
+	// Body is the encoded message.
+	Body []byte
+}
+
+// GossipBundle is the message with which an instance relays gossip.
+type GossipBundle struct {
+	// From is the relaying instance.
+	From InstanceID `cbor:"1,keyasint"`
+	// Relay asks the receiver to relay the messages to its own zone.
+	Relay    bool            `cbor:"2,keyasint,omitempty"`
+	Messages []RelayedGossip `cbor:"3,keyasint"`
 }
 
 // IncarnationTag is a hash of an instance's id and incarnation that shortens
@@ -97,6 +121,15 @@
 	Epoch FencingNumber
 }
 
+// ReplicaDelta holds the changes of an instance's replica of a prefix since some version.
+type ReplicaDelta struct {
+	Objects []Object `cbor:"1,keyasint,omitempty"`
+	// At is the store version up to which the replica is current.
+	At StoreVersion `cbor:"2,keyasint,omitempty"`
+	// Versions holds the versions of all objects of the replica, by key.
+	Versions map[string]StoreVersion `cbor:"3,keyasint,omitempty"`
+}
+
 // MemberEntry is an instance's registration in the store.
 type MemberEntry struct {
 	ID          InstanceID  `json:"id"`
--- a/internal/fleet/gossiper/entry.go
+++ b/internal/fleet/gossiper/entry.go
@@ -27,7 +27,13 @@
 func (g *Gossiper) register(ctx context.Context) {
 	for ctx.Err() == nil {
 		if g.isEntryLost() || g.mustHeartbeat() {
-			if err := g.writeEntry(ctx); err != nil {
+			err := g.writeEntry(ctx)
+			if errors.Is(err, errForeignEntry) {
+				// The entry of the incarnation before is still there. Its version is
+				// known now, so that it can be replaced at once.
+				err = g.writeEntry(ctx)
+			}
+			if err != nil {
 				g.Log.Warn("Member entry not written.", "err", err.Error())
 				_ = fescuebank.Sleep(ctx, g.Clock, registerRetry)
 				continue
--- a/internal/fleet/gossiper/gossip.go
+++ b/internal/fleet/gossiper/gossip.go
@@ -8,43 +8,84 @@
 	"fescuebank/internal/wire/linker"
 )
 
-// handleGossip applies a gossip message of a peer. Messages that are older than the newest
-// one of the incarnation, and those of unknown instances, are ignored.
+// handleGossip applies a gossip message of a peer, and relays it if the peer asks for it.
 func (g *Gossiper) handleGossip(decode func(into any) error) {
 	var msg fescuebank.Gossip
 	if err := decode(&msg); err != nil {
 		g.Log.Warn("Gossip message not decoded.", "err", err.Error())
 		return
 	}
-	now := g.Clock.Now()
+	acknowledged := make(map[fescuebank.Holder]fescuebank.FencingNumber)
 	g.mu.Lock()
-	m := g.members[msg.From]
-	if m == nil || (m.gossip.Incarnation == msg.Incarnation && msg.Sequence <= m.gossip.Sequence) {
-		g.mu.Unlock()
+	applied := g.apply(&msg, true, g.Clock.Now(), acknowledged)
+	if applied && msg.Relay {
+		g.relay(&msg)
+	}
+	g.mu.Unlock()
+	if !applied {
 		return
 	}
+	if msg.Relay {
+		g.signal()
+	}
+	g.notify([]fescuebank.Gossip{msg}, acknowledged)
+}
+
+// apply applies a gossip message, which direct states to have arrived from its sender
+// without a relay, and reports whether it was new. Messages that are older than the newest
+// one of the incarnation, and those of unknown instances, are ignored. The epochs that
+// other instances acknowledged are added to acknowledged. The caller holds the lock.
+func (g *Gossiper) apply(msg *fescuebank.Gossip, direct bool, now time.Time, acknowledged map[fescuebank.Holder]fescuebank.FencingNumber) bool {
+	m := g.members[msg.From]
+	if m == nil {
+		return false
+	}
+	if direct {
+		m.directAt = now
+		m.directSequence = max(m.directSequence, msg.Sequence)
+	}
+	if m.gossip.Incarnation == msg.Incarnation && msg.Sequence <= m.gossip.Sequence {
+		return false
+	}
 	if m.silent {
 		m.silent = false
 		g.Log.Info("Instance is no longer silent.", "peer", string(msg.From))
 	}
 	g.subtract(m)
-	m.receivedAt, m.gossip, m.counted = now, msg, true
-	g.totals.add(&msg)
+	m.receivedAt, m.gossip, m.counted = now, *msg, true
+	g.totals.add(msg)
 	if ack := msg.Received[g.tag]; ack.Sequence > m.ackedSequence {
 		m.ackedSequence, m.ackedAt = ack.Sequence, now
 	}
-	acknowledged := g.applyReports(&msg, now)
-	g.mu.Unlock()
+	g.applyReports(msg, now, acknowledged)
+	return true
+}
+
+// relay adds a message to those that this instance relays to the fleet. The caller holds
+// the lock.
+func (g *Gossiper) relay(msg *fescuebank.Gossip) {
+	body, err := linker.Encode(msg)
+	if err != nil {
+		g.Log.Error("Gossip message not encoded.", "err", err.Error())
+		return
+	}
+	origin := fescuebank.Holder{ID: msg.From, Incarnation: msg.Incarnation}.Tag()
+	g.pendingFleet = append(g.pendingFleet, fescuebank.RelayedGossip{Origin: origin, Sequence: msg.Sequence, Body: body})
+}
+
+// notify passes new messages and acknowledged epochs on.
+func (g *Gossiper) notify(applied []fescuebank.Gossip, acknowledged map[fescuebank.Holder]fescuebank.FencingNumber) {
 	for h, epoch := range acknowledged {
 		g.OnAcknowledged(h, epoch)
 	}
-	g.OnGossip(&msg)
+	if len(applied) > 0 {
+		g.OnGossip(applied)
+	}
 }
 
-// applyReports applies a peer's reports of what it received from other instances, and
-// returns the epochs that those instances acknowledged. The caller holds the lock.
-func (g *Gossiper) applyReports(msg *fescuebank.Gossip, now time.Time) map[fescuebank.Holder]fescuebank.FencingNumber {
-	acknowledged := make(map[fescuebank.Holder]fescuebank.FencingNumber)
+// applyReports applies a peer's reports of what it received from other instances, and adds
+// the epochs that those instances acknowledged to acknowledged. The caller holds the lock.
+func (g *Gossiper) applyReports(msg *fescuebank.Gossip, now time.Time, acknowledged map[fescuebank.Holder]fescuebank.FencingNumber) {
 	for tag, report := range msg.Received {
 		m := g.byTag[tag]
 		if m == nil || report.Sequence <= m.reportedSequence {
@@ -53,51 +94,56 @@
 		m.reportedSequence, m.reportedAt = report.Sequence, now
 		acknowledged[m.holder()] = report.Epoch
 	}
-	return acknowledged
 }
 
 // Send sends a gossip message at once.
 func (g *Gossiper) Send() {
 	g.send(true)
+	g.flush()
 }
 
-// send sends a gossip message to all members. A full message also reports what was
-// received from other incarnations.
+// send sends a gossip message of this instance to the relays, or to all members in a fleet
+// without relays. A relay itself sends it with the next flush. A full message also reports
+// what was received from other incarnations.
 func (g *Gossiper) send(full bool) {
 	msg := fescuebank.Gossip{From: g.Self.ID, Incarnation: g.Self.Incarnation}
 	g.Fill(&msg)
 	g.mu.Lock()
 	g.sequence++
 	msg.Sequence = g.sequence
-	addrs := make([]string, 0, len(g.members))
-	for _, m := range g.members {
-		addrs = append(addrs, m.entry.PeerAddr)
-	}
 	if full {
 		msg.Received = g.nextReports()
 	}
+	msg.Relay = !g.targets.Direct
+	addrs := g.targets.own
+	if msg.Relay && g.targets.Relaying {
+		g.relay(&msg)
+	}
 	g.mu.Unlock()
+	if len(addrs) == 0 {
+		return
+	}
 	body, err := linker.Encode(&msg)
 	if err != nil {
 		g.Log.Error("Gossip message not encoded.", "err", err.Error())
 		return
 	}
-	for _, addr := range addrs {
-		g.Linker.Notify(addr, fescuebank.KindGossip, body)
-	}
+	g.Linker.Notify(addrs, fescuebank.KindGossip, body)
 }
 
-// nextReports returns what was last received from the next incarnations in reportOrder.
-// The caller holds the lock.
+// nextReports returns what was last received without a relay from the next incarnations in
+// reportOrder. The caller holds the lock.
 func (g *Gossiper) nextReports() map[fescuebank.IncarnationTag]fescuebank.ReceivedFrom {
-	count := min(reportsPerHeartbeat, len(g.reportOrder))
-	reports := make(map[fescuebank.IncarnationTag]fescuebank.ReceivedFrom, count)
-	for range count {
+	reports := make(map[fescuebank.IncarnationTag]fescuebank.ReceivedFrom, reportsPerHeartbeat)
+	for range g.reportOrder {
 		tag := g.reportOrder[g.reportNext%len(g.reportOrder)]
 		g.reportNext++
 		m := g.byTag[tag]
-		if m.gossip.Sequence > 0 && m.gossip.Incarnation == m.entry.Incarnation {
-			reports[tag] = fescuebank.ReceivedFrom{Sequence: m.gossip.Sequence, Epoch: m.gossip.Epoch}
+		if m.directSequence > 0 && m.gossip.Incarnation == m.entry.Incarnation {
+			reports[tag] = fescuebank.ReceivedFrom{Sequence: m.directSequence, Epoch: m.gossip.Epoch}
+		}
+		if len(reports) == reportsPerHeartbeat {
+			break
 		}
 	}
 	return reports
--- a/internal/fleet/gossiper/gossip_test.go
+++ b/internal/fleet/gossiper/gossip_test.go
@@ -107,13 +107,16 @@
 	const maxMessagesPerSecond = 900
 	for _, tt := range []struct {
 		peers int
+		// fanout is the number of peers that an instance sends to.
+		fanout int
 		// suspect is the longest suspect timeout allowed.
 		suspect time.Duration
 	}{
-		{10, time.Second}, {60, 1500 * time.Millisecond}, {77, 1500 * time.Millisecond}, {400, 8 * time.Second},
+		{10, 10, time.Second}, {60, 60, 1500 * time.Millisecond}, {77, 77, 1500 * time.Millisecond}, {400, 400, 8 * time.Second},
+		{195, 47, 2 * time.Second}, {400, 82, 4 * time.Second},
 	} {
-		intervals := intervals(tt.peers)
-		sent := float64(tt.peers) * (1/intervals.update().Seconds() + 1/intervals.heartbeat().Seconds())
+		intervals := intervals{members: tt.peers, fanout: tt.fanout}
+		sent := float64(tt.fanout) * (1/intervals.update().Seconds() + 1/intervals.heartbeat().Seconds())
 		if sent > maxMessagesPerSecond {
 			t.Errorf("%d peers: got %.0f messages a second, want at most %d", tt.peers, sent, maxMessagesPerSecond)
 		}
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -26,17 +27,33 @@
 	entryLivenessTTL = 2500 * time.Millisecond
 )
 
+// Linker sends notifications to other instances and receives theirs.
+type Linker interface {
+	HandleNotification(kind fescuebank.MessageKind, handler linker.NotificationHandler)
+	// Notify sends a notification to each address. It doesn't wait, and drops the
+	// notification where it can't be sent.
+	Notify(addrs []string, kind fescuebank.MessageKind, body []byte)
+	// Disconnect closes the connection to addr, so that the next use makes a new one.
+	Disconnect(addr string)
+	// RemovePeer closes the connection to a peer that has left the fleet.
+	RemovePeer(addr string)
+}
+
 // Config holds the dependencies of a gossiper.
 type Config struct {
 	Self   fescuebank.MemberEntry
 	Store  fescuebank.ObjectStore
-	Linker *linker.Linker
+	Linker Linker
 	Clock  fescuebank.Clock
 	Log    hclog.Logger
 	// Fill completes a gossip message of this instance.
 	Fill func(*fescuebank.Gossip)
-	// OnGossip is called after a peer's gossip message has been applied.
-	OnGossip func(*fescuebank.Gossip)
+	// OnGossip is called after gossip messages of peers have been applied.
+	OnGossip func([]fescuebank.Gossip)
+	// StoreUnreachable reports whether this instance can't reach the store.
+	StoreUnreachable func() bool
+	// OnTargets is called after the peers that gossip is sent to were selected.
+	OnTargets func()
 	// OnAcknowledged is called when a peer reports that an incarnation acknowledged an
 	// epoch.
 	OnAcknowledged func(fescuebank.Holder, fescuebank.FencingNumber)
@@ -49,6 +66,8 @@
 type Gossiper struct {
 	Config
 	wake chan struct{}
+	// changed is set when this instance's state has changed since its last message.
+	changed atomic.Bool
 
 	// tag is the tag of this incarnation.
 	tag fescuebank.IncarnationTag
@@ -68,6 +87,14 @@
 	liveCount int
 	// totals sums the requests of the members that have counted set.
 	totals totals
+	// targets are the peers that gossip is sent to, and selections counts how often they were
+	// selected.
+	targets    targets
+	selections uint64
+	// pendingFleet are messages of the own zone that this instance has to relay to all
+	// others, and pendingZone those of other zones that it has to relay to its own.
+	pendingFleet []fescuebank.RelayedGossip
+	pendingZone  []fescuebank.RelayedGossip
 	// entryLost is set while the store doesn't contain the member entry of this incarnation.
 	entryLost bool
 	// version is the store version of this instance's member entry.
@@ -86,6 +113,15 @@
 	gossip     fescuebank.Gossip
 	// counted is set while gossip is included in the totals of the gossiper.
 	counted bool
+	// directAt is when the peer last sent a message or a bundle to this instance itself,
+	// and directSequence the newest of its own messages that arrived so.
+	directAt       time.Time
+	directSequence uint64
+	// targetSince is since when this instance has been sending gossip to the peer; zero if
+	// it doesn't.
+	targetSince time.Time
+	// relayFailedAt is when the peer last failed as a relay of this instance.
+	relayFailedAt time.Time
 	// reportedSequence is the newest message of the peer that another instance reported
 	// to have received, and reportedAt when that report arrived.
 	reportedSequence uint64
@@ -110,12 +146,20 @@
 		tag:     fescuebank.Holder{ID: c.Self.ID, Incarnation: c.Self.Incarnation}.Tag(),
 		members: make(map[fescuebank.InstanceID]*member), totals: totals{counts: make(fescuebank.EndpointCounts)},
 	}
+	g.targets.Direct = true
 	c.Linker.HandleNotification(fescuebank.KindGossip, g.handleGossip)
+	c.Linker.HandleNotification(fescuebank.KindGossipBundle, g.handleBundle)
 	return g
 }
 
-// Wake makes Run send a message as soon as the update interval allows.
+// Wake makes Run send a message of this instance as soon as the update interval allows.
 func (g *Gossiper) Wake() {
+	g.changed.Store(true)
+	g.signal()
+}
+
+// signal makes Run send what is due as soon as the update interval allows.
+func (g *Gossiper) signal() {
 	select {
 	case g.wake <- struct{}{}:
 	default:
@@ -152,6 +196,7 @@
 		}
 	}
 	g.index()
+	g.selectTargets(now)
 }
 
 // index rebuilds byTag and reportOrder from the members. The caller holds the lock.
@@ -179,6 +224,7 @@
 	next := &member{entry: e, version: version, addedAt: now}
 	if m != nil && m.gossip.Incarnation == e.Incarnation {
 		next.gossip, next.receivedAt, next.ackedSequence, next.ackedAt, next.counted = m.gossip, m.receivedAt, m.ackedSequence, m.ackedAt, m.counted
+		next.directAt, next.directSequence = m.directAt, m.directSequence
 	} else if m != nil {
 		g.subtract(m)
 	}
@@ -219,7 +265,10 @@
 			nextHeartbeat = g.Clock.Now().Add(intervals.heartbeat())
 			g.checkPeers(ctx)
 		}
-		g.send(full)
+		if g.changed.Swap(false) || full {
+			g.send(full)
+		}
+		g.flush()
 		_ = fescuebank.Sleep(ctx, g.Clock, intervals.update())
 		select {
 		case <-ctx.Done():
@@ -238,11 +287,14 @@
 // intervals returns the intervals for the current number of members. The caller holds
 // the lock.
 func (g *Gossiper) intervals() intervals {
-	return intervals(len(g.members))
+	if g.targets.Direct {
+		return intervals{members: len(g.members), fanout: len(g.members)}
+	}
+	return intervals{members: len(g.members), fanout: g.targets.Fanout(), relayed: true}
 }
 
-// checkPeers drops the connections to unresponsive peers, so that they are
-// re-established. A peer is unresponsive if it has sent nothing within the suspect timeout or
+// checkPeers drops the connections to unresponsive peers that gossip is sent to, so that
+// they are re-established, and selects anew which ones it is sent to. A peer is unresponsive if it has sent nothing within the suspect timeout or
 // acknowledged nothing within the acknowledgement timeout. The live instance with the
 // lowest id also removes the member entries of peers that have been silent for removeAfter.
 func (g *Gossiper) checkPeers(ctx context.Context) {
@@ -258,8 +310,9 @@
 			g.liveCount++
 		}
 		since := fescuebank.Latest(m.receivedAt, m.addedAt)
-		unresponsive := now.Sub(since) >= intervals.suspectTimeout() || now.Sub(fescuebank.Latest(m.ackedAt, m.addedAt)) >= intervals.ackTimeout()
-		if unresponsive && now.Sub(m.reconnectedAt) >= intervals.ackTimeout() {
+		isTarget := !m.targetSince.IsZero()
+		unresponsive := now.Sub(since) >= intervals.suspectTimeout() || now.Sub(fescuebank.Latest(m.ackedAt, m.targetSince)) >= intervals.ackTimeout()
+		if isTarget && unresponsive && now.Sub(m.reconnectedAt) >= intervals.ackTimeout() {
 			m.reconnectedAt = now
 			reconnect = append(reconnect, m.entry.PeerAddr)
 		}
@@ -275,10 +328,13 @@
 	}
 	manySilent := silent > 1 && silent*2 >= len(g.members)
 	first := g.isFirst(now)
+	g.checkRelays(now)
+	g.selectTargets(now)
 	g.mu.Unlock()
 	for _, addr := range reconnect {
 		g.Linker.Disconnect(addr)
 	}
+	g.OnTargets()
 	if manySilent {
 		g.OnConnectionsStalled()
 	}
@@ -357,7 +413,7 @@
 
 // Lag returns how old the counts reported by the members may be.
 func (g *Gossiper) Lag() time.Duration {
-	return g.currentIntervals().update()
+	return g.currentIntervals().lag()
 }
 
 // peer returns the state of a member. The caller holds the lock.
--- a/internal/fleet/replicator/replicator.go
+++ b/internal/fleet/replicator/replicator.go
@@ -51,8 +51,16 @@
 	onChange func([]fescuebank.Object)
 	relist   chan struct{}
 	maxPause func() time.Duration
+	// staleStart is set if the first list may be out of date.
+	staleStart bool
+	// firstPause is the pause between the first list and the first watch.
+	firstPause time.Duration
 
 	mu sync.Mutex
+	// following is set while other instances watch the prefix for this one, and
+	// modeChanged is signalled when that changes.
+	following   bool
+	modeChanged chan struct{}
 	// pausing is set between events and the next watch.
 	pausing bool
 	// objects is the replica, by key.
@@ -83,7 +91,7 @@
 	return &Replicator{
 		store: store, clock: clock, log: log, prefix: prefix, onChange: onChange, lastContact: clock.Now(),
 		maxPause: func() time.Duration { return DefaultMaxPause },
-		relist:   make(chan struct{}, 1), objects: make(map[string]fescuebank.Object), missingUntil: make(map[string]time.Time),
+		relist:   make(chan struct{}, 1), modeChanged: make(chan struct{}, 1), objects: make(map[string]fescuebank.Object), missingUntil: make(map[string]time.Time),
 	}
 }
 
@@ -93,6 +101,41 @@
 	r.maxPause = maxPause
 }
 
+// AllowStaleStart allows the first list to be seconds old. Call it before Run.
+func (r *Replicator) AllowStaleStart() {
+	r.staleStart = true
+}
+
+// SetFirstPause sets the pause between the first list and the first watch. Within it, an
+// instance that starts may learn that others watch the prefix for it. Call it before Run.
+func (r *Replicator) SetFirstPause(pause time.Duration) {
+	r.firstPause = pause
+}
+
+// SetFollowing sets whether other instances watch the prefix for this one. A following
+// replicator lists the prefix once and is then kept current by Poll and ApplyReplica.
+// When it stops following, it lists the prefix again.
+func (r *Replicator) SetFollowing(following bool) {
+	r.mu.Lock()
+	changed := r.following != following
+	r.following = following
+	r.mu.Unlock()
+	if !changed {
+		return
+	}
+	select {
+	case r.modeChanged <- struct{}{}:
+	default:
+	}
+}
+
+// IsFollowing reports whether other instances watch the prefix for this one.
+func (r *Replicator) IsFollowing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.following
+}
+
 // Hint reports that the store holds a change at a version. The store is listed again if the
 // replica may lack the change.
 func (r *Replicator) Hint(version fescuebank.StoreVersion) {
@@ -109,8 +152,12 @@
 	return version > r.asOf && !r.pausing
 }
 
-// Relist makes Run interrupt the watch and list the prefix again.
+// Relist makes Run interrupt the watch and list the prefix again. It does nothing while
+// other instances watch the prefix.
 func (r *Replicator) Relist() {
+	if r.IsFollowing() {
+		return
+	}
 	select {
 	case r.relist <- struct{}{}:
 	default:
@@ -125,7 +172,9 @@
 }
 
 // Poll lists the prefix independently of the watch, and restarts the watch if it missed a
-// change. It reports whether the store answered.
+// change. A change that the watches of other instances may have missed too counts as made at
+// the version of the list, so that they don't take their replicas for newer. Poll reports
+// whether the store answered.
 func (r *Replicator) Poll(ctx context.Context) bool {
 	objects, at, err := r.store.List(ctx, r.prefix)
 	if err != nil {
@@ -133,6 +182,9 @@
 	}
 	if r.replace(objects, at) {
 		r.log.Warn("Watch missed a change.", "prefix", r.prefix, "revision", uint64(at))
+		r.mu.Lock()
+		r.changedAt = max(r.changedAt, at)
+		r.mu.Unlock()
 		r.Relist()
 	}
 	return true
@@ -157,31 +209,59 @@
 	return list, r.asOf
 }
 
-// ApplyReplica applies the replica of another instance, which is current up to the version
-// at. Newer objects of the peer replace those of this replica. If at is newer than this
-// replica and the store is unreachable from this instance, objects that the peer's replica
-// lacks are removed, unless they are newer than at. Only the versions of the objects make
-// this replica count as current, not at, which only the peer asserts.
-func (r *Replicator) ApplyReplica(objects []fescuebank.Object, at fescuebank.StoreVersion) {
+// Delta returns the objects of the replica that changed after a version, and the versions of
+// all of its objects.
+func (r *Replicator) Delta(since fescuebank.StoreVersion) fescuebank.ReplicaDelta {
+	objects, at := r.Replica()
+	delta := fescuebank.ReplicaDelta{At: at, Versions: make(map[string]fescuebank.StoreVersion, len(objects))}
+	for _, o := range objects {
+		delta.Versions[o.Key] = o.Version
+		if o.Version > since {
+			delta.Objects = append(delta.Objects, o)
+		}
+	}
+	return delta
+}
+
+// AsOf returns the store version up to which the replica is current.
+func (r *Replicator) AsOf() fescuebank.StoreVersion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asOf
+}
+
+// ApplyDelta applies changes from the replica of another instance and reports whether this
+// replica now holds all that the peer's does. Newer objects of the peer replace those of this
+// replica. If the peer's replica is newer, objects that it lacks are removed, unless they
+// are newer still. They are only removed if this replicator follows, or if the store is
+// unreachable from this instance; otherwise it learns of removals from the store.
+func (r *Replicator) ApplyDelta(delta fescuebank.ReplicaDelta) (complete bool) {
 	r.mu.Lock()
 	disconnected := r.clock.Now().Sub(r.lastContact) >= outageThreshold
-	changed, newer := false, at > r.asOf
-	peerKeys := make(map[string]bool, len(objects))
-	for _, o := range objects {
-		peerKeys[o.Key] = true
+	changed, newer := false, delta.At > r.asOf
+	for _, o := range delta.Objects {
 		changed = r.put(o) || changed
 		r.asOf = max(r.asOf, o.Version)
 	}
 	for key, o := range r.objects {
-		if disconnected && newer && o.Version <= at && !peerKeys[key] {
-			changed = r.remove(key, at) || changed
+		_, known := delta.Versions[key]
+		if (disconnected || r.following) && newer && o.Version <= delta.At && !known {
+			changed = r.remove(key, delta.At) || changed
 		}
 	}
-	r.listed = r.listed || len(objects) > 0
+	complete = true
+	for key, version := range delta.Versions {
+		complete = complete && r.objects[key].Version >= version
+	}
+	if r.following && complete {
+		r.asOf = max(r.asOf, delta.At)
+	}
+	r.listed = r.listed || len(delta.Versions) > 0
 	r.mu.Unlock()
 	if changed {
 		r.notify()
 	}
+	return complete
 }
 
 // Listed reports whether the prefix has been read at least once.
@@ -195,7 +275,7 @@
 func (r *Replicator) Run(ctx context.Context) {
 	backoff := minRetry
 	for ctx.Err() == nil {
-		err := r.follow(ctx)
+		err := r.maintain(ctx)
 		if errors.Is(err, errRelist) {
 			backoff = minRetry
 			continue
@@ -209,19 +289,31 @@
 	}
 }
 
-// errRelist means that the prefix has to be listed again at once.
-var errRelist = errors.New("replica must be listed again")
+var (
+	// errRelist means that the prefix has to be listed again at once.
+	errRelist = errors.New("replica must be listed again")
+	// errFollow means that other instances watch the prefix from now on.
+	errFollow = errors.New("other instances watch the prefix")
+)
 
-// follow lists the prefix and then watches it until a call fails or a new list is needed.
-func (r *Replicator) follow(ctx context.Context) error {
-	objects, version, err := r.store.List(ctx, r.prefix)
+// maintain lists the prefix and then watches it until a call fails or a new list is needed.
+// While other instances watch it, maintain only waits.
+func (r *Replicator) maintain(ctx context.Context) error {
+	objects, version, err := r.list(ctx)
 	if err != nil {
 		return err
 	}
 	r.recordContact()
+	isFirst := !r.Listed()
 	r.replace(objects, version)
+	if isFirst {
+		r.pauseWatch(ctx, r.firstPause)
+	}
 	pause := minPause
 	for ctx.Err() == nil {
+		if r.IsFollowing() {
+			return r.waitWhileFollowing(ctx)
+		}
 		began := r.clock.Now()
 		events, next, err := r.watch(ctx, version)
 		if err != nil {
@@ -243,6 +335,28 @@
 	return ctx.Err()
 }
 
+// list lists the prefix. Before the first watch, a list may be out of date, unless the replica
+// must be current from the start: the watch then reports what it lacks.
+func (r *Replicator) list(ctx context.Context) ([]fescuebank.Object, fescuebank.StoreVersion, error) {
+	if lister, ok := r.store.(fescuebank.StaleLister); ok && r.staleStart && !r.Listed() {
+		return lister.ListStale(ctx, r.prefix)
+	}
+	return r.store.List(ctx, r.prefix)
+}
+
+// waitWhileFollowing waits until the prefix has to be listed again, because other instances
+// no longer watch it.
+func (r *Replicator) waitWhileFollowing(ctx context.Context) error {
+	for r.IsFollowing() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.modeChanged:
+		}
+	}
+	return errRelist
+}
+
 // pauseWatch waits before the next watch, which will return the changes made meanwhile.
 func (r *Replicator) pauseWatch(ctx context.Context, pause time.Duration) {
 	r.setPausing(true)
@@ -265,6 +379,9 @@
 	started := r.clock.Now()
 	events, next, err := r.store.Watch(ctx, r.prefix, from)
 	stop() // A call of Relist up to now counts, even if the watch has already ended.
+	if errors.Is(context.Cause(ctx), errFollow) {
+		return nil, from, nil
+	}
 	if errors.Is(context.Cause(ctx), errRelist) || errors.Is(err, fescuebank.ErrWatchLost) {
 		return nil, 0, errRelist
 	}
@@ -292,6 +409,8 @@
 		select {
 		case <-r.relist:
 			cancel(errRelist)
+		case <-r.modeChanged:
+			cancel(errFollow)
 		case <-due:
 			cancel(errRelist)
 		case <-done:
--- a/internal/fleet/replicator/replicator_test.go
+++ b/internal/fleet/replicator/replicator_test.go
@@ -43,8 +43,18 @@
 }
 
 func start(store fescuebank.ObjectStore) (r *replica, stop func()) {
+	return startWith(store, func(*replicator.Replicator) {})
+}
+
+// startStale starts a replica whose first list may be out of date.
+func startStale(store fescuebank.ObjectStore) (r *replica, stop func()) {
+	return startWith(store, (*replicator.Replicator).AllowStaleStart)
+}
+
+func startWith(store fescuebank.ObjectStore, configure func(*replicator.Replicator)) (r *replica, stop func()) {
 	r = &replica{}
 	r.Replicator = replicator.New(store, "k/", timekeeper.Timekeeper{}, hclog.NewNullLogger(), r.record)
+	configure(r.Replicator)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -199,6 +209,15 @@
 	})
 }
 
+// wholeReplica returns a peer's whole replica, which is current up to the version at.
+func wholeReplica(at fescuebank.StoreVersion, objects ...fescuebank.Object) fescuebank.ReplicaDelta {
+	delta := fescuebank.ReplicaDelta{Objects: objects, At: at, Versions: make(map[string]fescuebank.StoreVersion)}
+	for _, o := range objects {
+		delta.Versions[o.Key] = o.Version
+	}
+	return delta
+}
+
 func TestOlderReplicaOfAPeerChangesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var store memorystorer.MemoryStorer
@@ -207,11 +226,11 @@
 		r, stop := start(&store)
 		defer stop()
 		time.Sleep(time.Second)
-		r.ApplyReplica([]fescuebank.Object{{Key: "k/a", Value: []byte("1"), Version: old}}, old)
+		r.ApplyDelta(wholeReplica(old, fescuebank.Object{Key: "k/a", Value: []byte("1"), Version: old}))
 		if got := r.Objects(); len(got) != 1 || string(got[0].Value) != "2" {
 			t.Errorf("got %v, want the newer object", got)
 		}
-		r.ApplyReplica([]fescuebank.Object{{Key: "k/a", Value: []byte("3"), Version: old + 10}}, old+10)
+		r.ApplyDelta(wholeReplica(old+10, fescuebank.Object{Key: "k/a", Value: []byte("3"), Version: old + 10}))
 		if got := r.values()["k/a"]; got != "3" {
 			t.Errorf("got %q, want the peer's newer object", got)
 		}
@@ -309,7 +328,7 @@
 				time.Sleep(time.Second)
 				store.SetFaults(memorystorer.Faults{Down: true})
 				time.Sleep(5 * time.Second)
-				r.ApplyReplica([]fescuebank.Object{{Key: "k/b", Value: []byte("1"), Version: last}}, last+tt.gap)
+				r.ApplyDelta(wholeReplica(last+tt.gap, fescuebank.Object{Key: "k/b", Value: []byte("1"), Version: last}))
 				if got := len(r.values()); got != tt.want {
 					t.Errorf("got %d objects, want %d", got, tt.want)
 				}
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -22,25 +22,32 @@
 	g.Ready = s.ready()
 	g.Leaving = s.leaving.Load() || s.released.Load()
 	g.ConfigVersion, g.EndpointsVersion = s.config.ChangedAt(), s.endpoints.ChangedAt()
+	g.MembersVersion = s.members.ChangedAt()
 	g.Epoch = s.elector.Epoch()
 	g.Zone = s.self.Zone
 	s.ejector.FillGossip(g)
 	g.OwnerListAgeMs = s.elector.ListAge().Milliseconds()
+	g.StoreUnreachable = s.storeUnreachable()
+}
+
+// storeUnreachable reports whether this instance can't reach the store.
+func (s *Server) storeUnreachable() bool {
 	reachable, since := s.platform.StoreState()
-	g.StoreUnreachable = !reachable && since >= storeUnreachableAfter
+	return !reachable && since >= storeUnreachableAfter
 }
 
-// handleGossip applies a gossip message of a peer.
-func (s *Server) handleGossip(g *fescuebank.Gossip) {
-	s.elector.Acknowledge(fescuebank.Holder{ID: g.From, Incarnation: g.Incarnation}, g.Epoch)
-	s.elector.RecordPeerRead(g.Epoch, time.Duration(g.OwnerListAgeMs)*time.Millisecond)
-	s.ejector.ApplyGossip(g)
+// handleGossip applies gossip messages of peers.
+func (s *Server) handleGossip(messages []fescuebank.Gossip) {
+	for i := range messages {
+		g := &messages[i]
+		s.elector.Acknowledge(fescuebank.Holder{ID: g.From, Incarnation: g.Incarnation}, g.Epoch)
+		s.elector.RecordPeerRead(g.Epoch, time.Duration(g.OwnerListAgeMs)*time.Millisecond)
+		s.ejector.ApplyGossip(g)
+		s.catchUp(g)
+	}
 	s.allocator.SetFleet(s.gossiper.LiveCount(), s.gossiper.Lag())
 	s.allocator.SetPeerCounts(s.gossiper.PeerTotals())
 	s.runner.Wake()
-	if s.config.IsBehind(g.ConfigVersion) || s.endpoints.IsBehind(g.EndpointsVersion) || g.Epoch > s.elector.Epoch() {
-		s.catchUp(g)
-	}
 }
 
 // versions returns the versions of the state that decisions are based on.
--- a/internal/operate/server/replica.go
+++ b/internal/operate/server/replica.go
@@ -14,47 +14,17 @@
 	// polls of this instance, so that a large fleet as a whole polls once per
 	// pollIntervalPerInstance. minPollInterval is the minimum of that mean time.
 	minPollInterval         = 3 * time.Second
-	pollIntervalPerInstance = 150 * time.Millisecond
+	pollIntervalPerInstance = 250 * time.Millisecond
 	// watchPausePerInstance is what each instance adds to the maximum pause between
 	// two watches while changes keep arriving, and watchPauseLimit caps the sum.
 	watchPausePerInstance = 16 * time.Millisecond
 	watchPauseLimit       = 1200 * time.Millisecond
-	// catchUpDelay is the delay before missing state is read from the store, and again
-	// before it is fetched from the peer.
-	catchUpDelay = 150 * time.Millisecond
-	// catchUpTimeout bounds a call to a peer.
-	catchUpTimeout = 500 * time.Millisecond
+	// membersFirstPause is the pause between the first list of the members and the first
+	// watch of them, and othersFirstPause the same for all other objects.
+	membersFirstPause = 300 * time.Millisecond
+	othersFirstPause  = 700 * time.Millisecond
 )
 
-// catchUp fetches newer state that a peer's gossip message indicates: first from the
-// store, and from the peer if this instance is still behind afterwards.
-func (s *Server) catchUp(g *fescuebank.Gossip) {
-	if !s.catchingUp.CompareAndSwap(false, true) {
-		return
-	}
-	from, config, endpoints, epoch := g.From, g.ConfigVersion, g.EndpointsVersion, g.Epoch
-	go func() {
-		defer s.catchingUp.Store(false)
-		ctx := context.Background()
-		_ = fescuebank.Sleep(ctx, s.clock, catchUpDelay)
-		s.config.Hint(config)
-		s.endpoints.Hint(endpoints)
-		if epoch > s.elector.Epoch() {
-			s.owners.Relist()
-		}
-		_ = fescuebank.Sleep(ctx, s.clock, catchUpDelay)
-		if s.config.IsBehind(config) {
-			s.fetchReplica(ctx, from, s.platform.ConfigPrefix)
-		}
-		if s.endpoints.IsBehind(endpoints) {
-			s.fetchReplica(ctx, from, s.platform.EndpointPrefix)
-		}
-		if epoch > s.elector.Epoch() {
-			s.fetchReplica(ctx, from, fescuebank.OwnerListPrefix)
-		}
-	}()
-}
-
 // poll reads the configuration and the endpoints alternately, in addition to the
 // watches. The watches of all instances may miss the same change; when one instance
 // polls it, the others learn of it by gossip.
@@ -69,6 +39,16 @@
 	}
 }
 
+// setFollowing sets whether other instances watch the store for this one.
+func (s *Server) setFollowing(following bool) {
+	if s.owners.IsFollowing() != following {
+		s.log.Info("Watching of the store changed.", "following", following)
+	}
+	for _, r := range []*replicator.Replicator{s.config, s.endpoints, s.members, s.owners} {
+		r.SetFollowing(following)
+	}
+}
+
 // maxWatchPause returns the maximum pause between two watches while changes keep
 // arriving. It grows with the fleet, because each change ends the watches of all
 // instances.
@@ -83,64 +63,6 @@
 	return max(minPollInterval, time.Duration(s.gossiper.LiveCount())*pollIntervalPerInstance)
 }
 
-// replicaRequest asks a peer for its replica of a prefix.
-type replicaRequest struct {
-	Prefix string `cbor:"1,keyasint"`
-}
-
-// replicaReply holds the objects of a replica.
-type replicaReply struct {
-	Objects []fescuebank.Object `cbor:"1,keyasint"`
-	// At is the store version up to which the replica is current.
-	At fescuebank.StoreVersion `cbor:"2,keyasint,omitempty"`
-}
-
-// fetchReplica fetches a peer's replica of a prefix and applies it.
-func (s *Server) fetchReplica(ctx context.Context, from fescuebank.InstanceID, prefix string) {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
-	p, ok := s.gossiper.Find(from)
-	if !ok {
-		return
-	}
-	var reply replicaReply
-	if err := s.linker.Call(ctx, p.PeerAddr, fescuebank.KindReplica, &replicaRequest{Prefix: prefix}, &reply); err != nil {
-		s.log.Debug("Replica of a peer not received.", "peer", string(from), "err", err.Error())
-		return
-	}
-	s.log.Info("Replica of a peer received.", "peer", string(from), "prefix", prefix, "objects", len(reply.Objects))
-	if r := s.replicator(prefix); r != nil {
-		r.ApplyReplica(reply.Objects, reply.At)
-	}
-}
-
-// replicator returns the replicator of a prefix whose replicas are exchanged between
-// instances, or nil for any other prefix.
-func (s *Server) replicator(prefix string) *replicator.Replicator {
-	switch prefix {
-	case s.platform.ConfigPrefix:
-		return s.config
-	case s.platform.EndpointPrefix:
-		return s.endpoints
-	case fescuebank.OwnerListPrefix:
-		return s.owners
-	}
-	return nil
-}
-
-func (s *Server) handleReplica(_ context.Context, decode func(into any) error) (any, error) {
-	var request replicaRequest
-	if err := decode(&request); err != nil {
-		return nil, err
-	}
-	r := s.replicator(request.Prefix)
-	if r == nil {
-		return nil, fescuebank.ErrAbsent
-	}
-	objects, at := r.Replica()
-	return &replicaReply{Objects: objects, At: at}, nil
-}
-
 // ownersRequest asks a peer to read the list of owners from the store.
 type ownersRequest struct{}
 
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -207,6 +207,7 @@
 	s.gossiper = gossiper.New(gossiper.Config{
 		Self: s.self, Store: store, Linker: s.linker, Clock: s.clock, Log: s.logFor("fleet"),
 		Fill: s.fillGossip, OnGossip: s.handleGossip, OnConnectionsStalled: s.reconnect,
+		StoreUnreachable: s.storeUnreachable, OnTargets: func() { s.setFollowing(!s.gossiper.Watching()) },
 		OnAcknowledged: func(holder fescuebank.Holder, epoch fescuebank.FencingNumber) { s.elector.Acknowledge(holder, epoch) },
 	})
 	s.elector = elector.New(elector.Config{
@@ -220,6 +221,17 @@
 	s.endpoints.SetMaxPause(s.maxWatchPause)
 	s.members.SetMaxPause(s.maxWatchPause)
 	s.owners = replicator.New(store, fescuebank.OwnerListPrefix, s.clock, s.logFor("owner"), s.applyOwners)
+	// The members are watched first: by them this instance learns whether it has to watch
+	// the rest at all.
+	s.members.SetFirstPause(membersFirstPause)
+	for _, r := range []*replicator.Replicator{s.config, s.endpoints, s.owners} {
+		r.SetFirstPause(othersFirstPause)
+	}
+	// The configuration must be current before the first request. Owners read their list
+	// again before they act by it.
+	for _, r := range []*replicator.Replicator{s.endpoints, s.members, s.owners} {
+		r.AllowStaleStart()
+	}
 }
 
 // Run serves until ctx ends. It then shuts down, giving the requests in flight until the
--- a/internal/wire/linker/link.go
+++ b/internal/wire/linker/link.go
@@ -30,6 +30,9 @@
 	maxFrameBytes = 8 << 20
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
+	// maxQueuedNotifications is the number of notifications that wait for a peer that reads
+	// slowly. More are dropped.
+	maxQueuedNotifications = 16
 )
 
 // frame is one message on a connection.
@@ -52,16 +55,21 @@
 	closeOnce sync.Once
 
 	writeMu sync.Mutex
+	// notifications holds the encoded frames that wait to be written.
+	notifications chan []byte
 
 	mu      sync.Mutex
 	lastID  uint64
 	pending map[uint64]chan []byte
+	// lastRead is when the last reply arrived.
+	lastRead time.Time
 }
 
 func newFrameConn(c net.Conn) *frameConn {
 	return &frameConn{
 		conn: c, reader: bufio.NewReaderSize(c, readBufferBytes),
 		closed: make(chan struct{}), pending: make(map[uint64]chan []byte),
+		notifications: make(chan []byte, maxQueuedNotifications),
 	}
 }
 
@@ -82,15 +90,28 @@
 	return f, err
 }
 
-func (c *frameConn) writeFrame(f frame, deadline time.Time) error {
+// encodeFrame returns the bytes of a frame.
+func encodeFrame(f frame) ([]byte, error) {
 	if len(f.body) > maxFrameBytes {
-		return errFrameTooLong
+		return nil, errFrameTooLong
 	}
 	b := make([]byte, headerBytes, headerBytes+len(f.body))
 	binary.BigEndian.PutUint32(b, uint32(len(f.body)))
 	b[4], b[5] = byte(f.typ), byte(f.kind)
 	binary.BigEndian.PutUint64(b[6:], f.id)
-	b = append(b, f.body...)
+	return append(b, f.body...), nil
+}
+
+func (c *frameConn) writeFrame(f frame, deadline time.Time) error {
+	b, err := encodeFrame(f)
+	if err != nil {
+		return err
+	}
+	return c.write(b, deadline)
+}
+
+// write writes an encoded frame.
+func (c *frameConn) write(b []byte, deadline time.Time) error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	if err := c.conn.SetWriteDeadline(deadline); err != nil {
@@ -100,6 +121,15 @@
 	return err
 }
 
+// enqueue adds an encoded notification to those that wait to be written, or drops it if too
+// many wait.
+func (c *frameConn) enqueue(b []byte) {
+	select {
+	case c.notifications <- b:
+	default:
+	}
+}
+
 // addPending returns the id of a new call and the channel that receives its reply.
 func (c *frameConn) addPending() (uint64, <-chan []byte) {
 	c.mu.Lock()
@@ -116,10 +146,19 @@
 	delete(c.pending, id)
 }
 
-func (c *frameConn) deliver(f frame) {
+// isUnresponsive reports whether no reply has arrived since a call was sent and no other
+// call waits for one.
+func (c *frameConn) isUnresponsive(sentAt time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) == 0 && c.lastRead.Before(sentAt)
+}
+
+func (c *frameConn) deliver(f frame, now time.Time) {
 	c.mu.Lock()
 	response := c.pending[f.id]
 	delete(c.pending, f.id)
+	c.lastRead = now
 	c.mu.Unlock()
 	if response != nil {
 		response <- f.body
@@ -200,6 +239,7 @@
 	}
 	k.conn = newFrameConn(c)
 	go k.readReplies(k.conn)
+	go k.writeNotifications(k.conn)
 }
 
 // readReplies delivers replies until the connection fails.
@@ -210,7 +250,22 @@
 			k.closeConn(c, err)
 			return
 		}
-		c.deliver(f)
+		c.deliver(f, k.clock.Now())
+	}
+}
+
+// writeNotifications writes the queued notifications until the connection ends.
+func (k *link) writeNotifications(c *frameConn) {
+	for {
+		select {
+		case <-c.closed:
+			return
+		case b := <-c.notifications:
+			if err := c.write(b, k.clock.Now().Add(writeTimeout)); err != nil {
+				k.closeConn(c, err)
+				return
+			}
+		}
 	}
 }
 
--- a/internal/wire/linker/linker.go
+++ b/internal/wire/linker/linker.go
@@ -164,6 +164,7 @@
 	}
 	id, responses := conn.addPending()
 	defer conn.removePending(id)
+	sentAt := l.clock.Now()
 	if err := conn.writeFrame(frame{typ: frameCall, id: id, kind: kind, body: body}, l.clock.Now().Add(writeTimeout)); err != nil {
 		peer.closeConn(conn, err)
 		return eris.Wrapf(fescuebank.ErrPeerLost, "Linker.Call: %v", err)
@@ -174,21 +175,30 @@
 	case <-conn.closed:
 		return eris.Wrap(fescuebank.ErrPeerLost, "Linker.Call: connection closed")
 	case <-ctx.Done():
+		conn.removePending(id)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && conn.isUnresponsive(sentAt) {
+			// The connection may be dead without having been closed.
+			peer.closeConn(conn, errUnresponsive)
+		}
 		return eris.Wrapf(fescuebank.ErrPeerLost, "Linker.Call: %v", ctx.Err())
 	}
 }
 
-// Notify sends a one-way message. If there is no connection to the peer, Notify drops
-// the message and starts to connect.
-func (l *Linker) Notify(addr string, kind fescuebank.MessageKind, body []byte) {
-	peer := l.link(addr)
-	conn := peer.current()
-	if conn == nil {
-		go func() { _, _ = peer.connect(context.Background()) }()
+// Notify sends a one-way message to each address without waiting for slow peers. It drops
+// the message and starts to connect where there is no connection.
+func (l *Linker) Notify(addrs []string, kind fescuebank.MessageKind, body []byte) {
+	b, err := encodeFrame(frame{typ: frameNotification, kind: kind, body: body})
+	if err != nil {
+		l.log.Error("Notification not encoded.", "kind", kind, "err", err.Error())
 		return
 	}
-	if err := conn.writeFrame(frame{typ: frameNotification, kind: kind, body: body}, l.clock.Now().Add(writeTimeout)); err != nil {
-		peer.closeConn(conn, err)
+	for _, addr := range addrs {
+		peer := l.link(addr)
+		if conn := peer.current(); conn != nil {
+			conn.enqueue(b)
+			continue
+		}
+		go func() { _, _ = peer.connect(context.Background()) }()
 	}
 }
 
@@ -197,12 +207,20 @@
 	return encodeBody(message)
 }
 
+// Decode decodes the body of a notification that Encode encoded.
+func Decode(body []byte, into any) error {
+	return decodeBody(body, into)
+}
+
 // Disconnect closes the connection to addr, so that the next use makes a new one.
 func (l *Linker) Disconnect(addr string) {
 	l.link(addr).close(errDisconnected)
 }
 
-var errDisconnected = errors.New("connection closed by this instance")
+var (
+	errDisconnected = errors.New("connection closed by this instance")
+	errUnresponsive = errors.New("no reply on this connection within the time of a call")
+)
 
 func (l *Linker) link(addr string) *link {
 	l.mu.Lock()
--- a/internal/wire/linker/linker_test.go
+++ b/internal/wire/linker/linker_test.go
@@ -54,10 +54,14 @@
 
 func call(t *testing.T, from, to *linker.Linker, text string) (string, error) {
 	t.Helper()
+	return callAddr(from, to.Addr(), text)
+}
+
+func callAddr(from *linker.Linker, addr, text string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	var reply message
-	err := from.Call(ctx, to.Addr(), fescuebank.KindReadResults, &message{Text: text}, &reply)
+	err := from.Call(ctx, addr, fescuebank.KindReadResults, &message{Text: text}, &reply)
 	return reply.Text, err
 }
 
@@ -147,8 +151,8 @@
 		t.Fatal(err)
 	}
 	for until := time.Now().Add(2 * time.Second); received.Load() != "gossip"; time.Sleep(10 * time.Millisecond) {
-		a.Notify(c.Addr(), fescuebank.KindGossip, body)
-		b.Notify(c.Addr(), fescuebank.KindWithdraw, body) // No handler is registered.
+		a.Notify([]string{c.Addr()}, fescuebank.KindGossip, body)
+		b.Notify([]string{c.Addr()}, fescuebank.KindWithdraw, body) // No handler is registered.
 		if time.Now().After(until) {
 			t.Fatal("got no notification within 2 s, want one")
 		}
--- a/peer.go
+++ b/peer.go
@@ -33,6 +33,7 @@
 	KindOwners
 	KindProgressHandover
 	KindServiceLevels
+	KindGossipBundle
 )
 
 // ProbeRequest checks whether an instance is alive and carries health updates.
--- a/store.go
+++ b/store.go
@@ -62,3 +62,10 @@
 	// without a change.
 	Watch(ctx context.Context, prefix string, from StoreVersion) ([]Object, StoreVersion, error)
 }
+
+// StaleLister is an ObjectStore that also offers lists that may be seconds old, at a lower
+// cost than List. A watch from the version that such a list returns reports all later
+// changes.
+type StaleLister interface {
+	ListStale(ctx context.Context, prefix string) ([]Object, StoreVersion, error)
+}
