--- a/internal/operate/server/replica.go
+++ b/internal/operate/server/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"fescuebank"
@@ -10,11 +9,6 @@
 )
 
 const (
-	// pollIntervalPerInstance is what each instance adds to the mean time between two
-	// polls of this instance, so that a large fleet as a whole polls once per
-	// pollIntervalPerInstance. minPollInterval is the minimum of that mean time.
-	minPollInterval         = 3 * time.Second
-	pollIntervalPerInstance = 250 * time.Millisecond
 	// watchPausePerInstance is what each instance adds to the maximum pause between
 	// two watches while changes keep arriving, and watchPauseLimit caps the sum.
 	watchPausePerInstance = 16 * time.Millisecond
@@ -25,20 +19,6 @@
 	othersFirstPause  = 700 * time.Millisecond
 )
 
-// poll reads the configuration and the endpoints alternately, in addition to the
-// watches. The watches of all instances may miss the same change; when one instance
-// polls it, the others learn of it by gossip.
-func (s *Server) poll(ctx context.Context) {
-	_ = fescuebank.Sleep(ctx, s.clock, rand.N(s.meanPollInterval()))
-	for i := 0; ctx.Err() == nil; i++ {
-		if r := []*replicator.Replicator{s.config, s.endpoints}[i%2]; r.Listed() {
-			r.Poll(ctx)
-		}
-		mean := s.meanPollInterval()
-		_ = fescuebank.Sleep(ctx, s.clock, mean/2+rand.N(mean))
-	}
-}
-
 // setFollowing sets whether other instances watch the store for this one.
 func (s *Server) setFollowing(following bool) {
 	if s.owners.IsFollowing() != following {
@@ -57,12 +37,6 @@
 	return min(max(replicator.DefaultMaxPause, pause), watchPauseLimit)
 }
 
-// meanPollInterval returns the mean time between two polls. It grows with the fleet,
-// because a change that one instance reads reaches all others by gossip.
-func (s *Server) meanPollInterval() time.Duration {
-	return max(minPollInterval, time.Duration(s.gossiper.LiveCount())*pollIntervalPerInstance)
-}
-
 // ownersRequest asks a peer to read the list of owners from the store.
 type ownersRequest struct{}
 
