Predict waits without a sample where own requests are too few

Cause: the wait was predicted from the release times of the instance's own slots. At 165 entries an instance holds one or two of 600 slots, so that a request that would have waited for milliseconds was refused at once whenever that one slot was new.

Change: below one own slot in 16 the slots are taken to be released at equal intervals.

Result: the test with one own slot of 600 was refused before; it now waits, and a request behind 400 others is still refused at once.

--- a/internal/entry/allocator/wait.go
+++ b/internal/entry/allocator/wait.go
@@ -85,12 +85,18 @@
 	return nil, cause
 }
 
-// preemptionTime is how long it takes until a slot of preempted batch work is free.
-const preemptionTime = 60 * time.Millisecond
+const (
+	// preemptionTime is how long it takes until a slot of preempted batch work is free.
+	preemptionTime = 60 * time.Millisecond
+	// maxSlotsPerRelease is the largest number of slots for which one slot of this instance
+	// is taken as a sample.
+	maxSlotsPerRelease = 16
+)
 
 // predictWait estimates the wait of a request behind ownAhead requests of this instance.
 // It reports false if there is no endpoint. The release times of this instance's slots
-// serve as a sample of those of all instances.
+// serve as a sample of those of all instances. If they are too few, as in a large fleet,
+// the slots are assumed to be released one after the other at equal intervals.
 func (a *Allocator) predictWait(request SlotRequest, now time.Time, ownAhead int) (time.Duration, bool) {
 	slots, taken, free := 0, 0, 0
 	for _, e := range a.usable(request.Service, now) {
@@ -113,11 +119,12 @@
 	}
 	missing -= a.peerBatch
 	releases := a.expectedReleases(request.Service, now)
-	if len(releases) == 0 {
-		return a.meanHold * time.Duration(missing) / time.Duration(slots), true
+	online := max(1, taken-a.peerBatch)
+	if len(releases)*maxSlotsPerRelease < online {
+		return a.meanHold * time.Duration(missing) / time.Duration(online), true
 	}
 	// Each slot of this instance stands for slotsPerRelease slots of all instances.
-	slotsPerRelease := max(1, float64(taken-a.peerBatch)/float64(len(releases)))
+	slotsPerRelease := max(1, float64(online)/float64(len(releases)))
 	rounds, index := 0, int(float64(missing-1)/slotsPerRelease)
 	for index >= len(releases) {
 		index -= len(releases)
