Account for what other instances do unseen when slots are picked and batch items paced

Cause: at 195 instances counts are 0.1 to 0.2 s old. An instance took the others' rate for its own times their number, which is noise at two requests a second, and picked the same free endpoints as they did. Each owner of batch items started items in all slots that it saw free, and cancelled its share of an excess again at every check until the others' cancellations arrived. Batch items filled all but a tenth of the slots, which the crest of a wave takes within the lag.

Change: instances state how many online requests they have started, and the fleet's rate follows from that; picks are spread by twice the requests expected unseen, and batch work leaves as many slots free beside its reserve. A pacer divides free slots and excess among the owners once per lag.

--- a/gossip.go
+++ b/gossip.go
@@ -77,6 +77,8 @@
 	Zone          Zone          `cbor:"16,keyasint,omitempty"`
 	// Ejected are the endpoints that the instance itself has ejected as outliers.
 	Ejected map[EndpointTag]Ejection `cbor:"17,keyasint,omitempty"`
+	// Started counts the online requests that the instance has sent to endpoints.
+	Started uint64 `cbor:"21,keyasint,omitempty"`
 	// Relay asks the receiver to relay the message to all other instances.
 	Relay bool `cbor:"19,keyasint,omitempty"`
 	// MembersVersion is the store version at which the instance last saw a change of the
@@ -98,6 +100,8 @@
 type GossipBundle struct {
 	// From is the relaying instance.
 	From InstanceID `cbor:"1,keyasint"`
+	// Started counts the online requests that the instance has sent to endpoints.
+	Started uint64 `cbor:"21,keyasint,omitempty"`
 	// Relay asks the receiver to relay the messages to its own zone.
 	Relay    bool            `cbor:"2,keyasint,omitempty"`
 	Messages []RelayedGossip `cbor:"3,keyasint"`
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -15,17 +15,13 @@
 
 	"fescuebank"
 	"fescuebank/internal/batch/manager"
+	"fescuebank/internal/batch/pacer"
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/endpoint/scanner"
 	"fescuebank/internal/entry/allocator"
 )
 
 const (
-	// startReservedShare is the share of a service's slots that must stay free when an
-	// item starts; items are preempted when online requests wait or the free share falls
-	// below minReservedShare.
-	startReservedShare = 0.10
-	minReservedShare   = 0.04
 	// checkInterval is how often the runner checks for free and needed slots without
 	// being woken.
 	checkInterval = 250 * time.Millisecond
@@ -35,6 +31,8 @@
 	idleTimeout = 1500 * time.Millisecond
 	// readBufferBytes is the size of the buffer for reads from an endpoint.
 	readBufferBytes = 4 << 10
+	// releaseTime is how long after its cancellation an item releases its slot, at most.
+	releaseTime = 60 * time.Millisecond
 )
 
 // Config holds a runner's dependencies.
@@ -45,8 +43,12 @@
 	Protocol  fescuebank.EndpointProtocol
 	// PeerBatchItems returns the number of batch items that the other instances run.
 	PeerBatchItems func() int
-	Clock          fescuebank.Clock
-	Log            hclog.Logger
+	// Owners returns the number of instances that run batch items.
+	Owners func() int
+	// Lag returns the maximum age of the counts of the other instances.
+	Lag   func() time.Duration
+	Clock fescuebank.Clock
+	Log   hclog.Logger
 }
 
 // Runner takes items from the manager and runs them at endpoints.
@@ -57,6 +59,7 @@
 	mu sync.Mutex
 	// running are the attempts in progress.
 	running []*attempt
+	pacer   *pacer.Pacer
 	// stopped is set when no further item may start.
 	stopped bool
 }
@@ -72,7 +75,7 @@
 
 // New returns a runner.
 func New(c Config) *Runner {
-	return &Runner{Config: c, wake: make(chan struct{}, 1)}
+	return &Runner{Config: c, wake: make(chan struct{}, 1), pacer: pacer.New()}
 }
 
 // Wake makes Run check at once whether slots are free or needed.
@@ -127,33 +130,20 @@
 		own[a.task.Request.Service] = append(own[a.task.Request.Service], a)
 	}
 	for service, list := range own {
-		excess := r.Allocator.BatchExcess(service, minReservedShare)
-		if excess == 0 {
-			continue
-		}
-		preempted := 0
-		for _, a := range list {
-			if a.preempted {
-				preempted++
-			}
-		}
-		share := (excess*len(list) + len(list) + peerItems - 1) / (len(list) + peerItems)
-		slices.SortFunc(list, func(a, b *attempt) int { return b.task.Due.Compare(a.task.Due) })
-		for _, a := range list {
-			if preempted >= share {
-				break
-			}
-			if a.preempted {
-				continue
-			}
+		running := slices.DeleteFunc(slices.Clone(list), func(a *attempt) bool { return a.preempted })
+		count := r.pacer.Cancel(service, r.Clock.Now(), pacer.Load{
+			Excess: r.Allocator.BatchExcess(service, pacer.MinReservedShare), Running: len(running),
+			Cancelled: len(list) - len(running), Others: peerItems, Lag: r.Lag() + releaseTime,
+		})
+		slices.SortFunc(running, func(a, b *attempt) int { return b.task.Due.Compare(a.task.Due) })
+		for _, a := range running[:count] {
 			a.preempted = true
 			a.cancel()
-			preempted++
 		}
 	}
 }
 
-// startItems starts items while items wait and startReservedShare of their service's slots
+// startItems starts items while items wait and pacer.StartReservedShare of their service's slots
 // stays free.
 func (r *Runner) startItems() {
 	for {
@@ -173,7 +163,7 @@
 		cancel()
 		return false
 	}
-	slot := r.Allocator.AcquireBatch(task.Request.Service, startReservedShare)
+	slot := r.acquire(task.Request.Service)
 	if slot == nil {
 		r.Manager.Requeue(task, manager.CausePreempted, task.Progress)
 		cancel()
@@ -187,6 +177,24 @@
 	return true
 }
 
+// acquire returns a slot for an item, or nil if this instance may not take one now.
+func (r *Runner) acquire(service fescuebank.ServiceName) *allocator.Slot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	room := pacer.Room{
+		Free: r.Allocator.BatchRoom(service, pacer.StartReservedShare), Instances: r.Owners(), Lag: r.Lag(),
+	}
+	if !r.pacer.MayStart(service, now, room) {
+		return nil
+	}
+	slot := r.Allocator.AcquireBatch(service, pacer.StartReservedShare)
+	if slot != nil {
+		r.pacer.RecordStart(service, now)
+	}
+	return slot
+}
+
 func (r *Runner) run(ctx context.Context, a *attempt) {
 	started := r.Clock.Now()
 	progress := a.task.Progress
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -83,13 +83,15 @@
 	meanHold time.Duration
 	// heldSlots are the slots held by this instance's requests.
 	heldSlots map[*Slot]bool
-	// assignRate is the moving average of slots assigned per second, as of assignRateAt.
-	assignRate   float64
-	assignRateAt time.Time
-	// instances is the number of instances that use the endpoints, and peerLag the
-	// maximum age of the other instances' counts.
-	instances int
-	peerLag   time.Duration
+	// started counts the slots assigned to online requests.
+	started uint64
+	// peerStarts counts the slots that the other instances assigned to online requests, and
+	// peerRate is the moving average of how many they assign per second, as of peerRateAt.
+	// peerLag is the maximum age of their counts.
+	peerStarts uint64
+	peerRate   float64
+	peerRateAt time.Time
+	peerLag    time.Duration
 	// peersWaiting is the number of requests waiting at other instances, and peerBatch the
 	// number of slots held by their batch work, which is preempted for waiting requests.
 	peersWaiting int
@@ -130,6 +132,13 @@
 	a.assignWaiting()
 }
 
+// Started returns the number of slots assigned to online requests so far.
+func (a *Allocator) Started() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.started
+}
+
 // Acquire returns a slot, waiting for one until the request's deadline. It fails with
 // ErrFull at once if the predicted wait is longer, and with ErrNoEndpoint if there is no
 // endpoint to wait for.
@@ -184,8 +193,9 @@
 	if best == nil {
 		return nil
 	}
-	a.assignRate = a.currentRate(now) + 1/rateWindow.Seconds()
-	a.assignRateAt = now
+	if !request.batch {
+		a.started++
+	}
 	best.ownRequests++
 	slot := &Slot{Endpoint: best.ServedEndpoint, Load: best.load(now), acquiredAt: now, endpoint: best, allocator: a}
 	a.heldSlots[slot] = true
--- a/internal/entry/allocator/batch.go
+++ b/internal/entry/allocator/batch.go
@@ -6,14 +6,15 @@
 	"fescuebank"
 )
 
+// Batch work leaves a share of the service's slots free, and besides as many as the other
+// instances are expected to have taken unseen.
+
 // AcquireBatch returns a slot for batch work without waiting. It returns nil if requests
-// wait at other instances or the free slots would fall below the reserved share of the
-// service's slots.
+// wait at other instances or the free slots would fall below the reserve.
 func (a *Allocator) AcquireBatch(service fescuebank.ServiceName, reservedShare float64) *Slot {
 	a.mu.Lock()
 	now := a.clock.Now()
-	slots, free := a.batchCapacity(service, now)
-	if a.peersWaiting > 0 || float64(free) < 1+reservedShare*float64(slots) {
+	if a.batchRoom(service, reservedShare, now) <= 0 {
 		a.mu.Unlock()
 		return nil
 	}
@@ -25,14 +26,32 @@
 	return slot
 }
 
+// BatchRoom returns the number of slots that batch work may take: those that are free beyond
+// the reserve, or none while requests wait at other instances.
+func (a *Allocator) BatchRoom(service fescuebank.ServiceName, reservedShare float64) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.batchRoom(service, reservedShare, a.clock.Now())
+}
+
+// batchRoom is BatchRoom for a caller that holds the lock.
+func (a *Allocator) batchRoom(service fescuebank.ServiceName, reservedShare float64, now time.Time) int {
+	if a.peersWaiting > 0 {
+		return 0
+	}
+	slots, free := a.batchCapacity(service, now)
+	return max(0, int(float64(free)-reservedShare*float64(slots)-a.estimateUnreported(now)))
+}
+
 // BatchExcess returns the number of slots that batch work of all instances must release so
-// that the requests waiting at other instances get slots and the reserved share of the
-// service's slots is free. It is 0 or more.
+// that the requests waiting at other instances get slots and the reserve is free. It is 0 or
+// more.
 func (a *Allocator) BatchExcess(service fescuebank.ServiceName, reservedShare float64) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	slots, free := a.batchCapacity(service, a.clock.Now())
-	return max(0, a.peersWaiting+int(reservedShare*float64(slots))-free)
+	now := a.clock.Now()
+	slots, free := a.batchCapacity(service, now)
+	return max(0, a.peersWaiting+int(reservedShare*float64(slots)+a.estimateUnreported(now))-free)
 }
 
 // batchCapacity returns the slots of a service's usable endpoints and how many of them
--- a/internal/entry/allocator/herd_test.go
+++ b/internal/entry/allocator/herd_test.go
@@ -17,6 +17,8 @@
 	instances []*allocator.Allocator
 	actual    fescuebank.EndpointCounts
 	slots     map[time.Time][]*allocator.Slot
+	// lag is the age of the counts that the instances are told; 0 if they are told none.
+	lag time.Duration
 }
 
 func newFleet(instances, endpointCount, slots int, lag time.Duration, modelLag bool) *fleet {
@@ -24,12 +26,12 @@
 		random: rand.New(rand.NewPCG(1, 1)), actual: make(fescuebank.EndpointCounts),
 		slots: make(map[time.Time][]*allocator.Slot),
 	}
+	if modelLag {
+		f.lag = lag
+	}
 	for range instances {
 		a := allocator.New(timekeeper.Timekeeper{}, func() {})
 		a.SetEndpoints(endpoints(endpointCount, slots))
-		if modelLag {
-			a.SetFleet(instances, lag)
-		}
 		f.instances = append(f.instances, a)
 	}
 	return f
@@ -43,11 +45,14 @@
 // receive applies the published counts of the other instances to instance i.
 func (f *fleet) receive(published []fescuebank.EndpointCounts, i int) {
 	peers := make(fescuebank.EndpointCounts)
+	starts := uint64(0)
 	for j, counts := range published {
 		if j != i {
 			peers.Add(counts)
+			starts += f.instances[j].Started()
 		}
 	}
+	f.instances[i].SetPeerStarts(starts, f.lag)
 	f.instances[i].SetPeerCounts(peers, 0, 0)
 }
 
@@ -71,7 +76,7 @@
 		minShare, maxShare float64
 	}{
 		{"least loaded endpoint, as the control", false, 0.10, 1},
-		{"sampling by estimated unreported requests", true, 0, 0.05},
+		{"sampling by the rate of the others", true, 0, 0.05},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/allocator/pick.go
+++ b/internal/entry/allocator/pick.go
@@ -10,27 +10,41 @@
 	"fescuebank/internal/entry/sampler"
 )
 
-// rateWindow is the time constant of the moving average of the assignment rate.
-const rateWindow = time.Second
+const (
+	// rateWindow is the time constant of the moving average of the other instances' rate.
+	rateWindow = 500 * time.Millisecond
+	// unreportedFactor is how many times the requests that arrive within the lag of the
+	// counts are taken for unreported. Too many only spread requests more widely; too few
+	// send them to the same endpoints.
+	unreportedFactor = 2
+)
 
-// SetFleet sets the number of instances that use the endpoints, including this one, and
-// the maximum age of the other instances' counts.
-func (a *Allocator) SetFleet(instances int, lag time.Duration) {
+// SetPeerStarts sets the number of slots that the other instances have assigned to online
+// requests, and the maximum age of their counts.
+func (a *Allocator) SetPeerStarts(starts uint64, lag time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.instances, a.peerLag = instances, lag
+	now := a.clock.Now()
+	if !a.peerRateAt.IsZero() && starts > a.peerStarts {
+		a.peerRate = a.currentPeerRate(now) + float64(starts-a.peerStarts)/rateWindow.Seconds()
+		a.peerRateAt = now
+	}
+	if a.peerRateAt.IsZero() {
+		a.peerRateAt = now
+	}
+	a.peerStarts, a.peerLag = starts, lag
 }
 
-// currentRate returns the number of slots assigned here per second. The caller holds the
-// lock.
-func (a *Allocator) currentRate(now time.Time) float64 {
-	return a.assignRate * math.Exp(-now.Sub(a.assignRateAt).Seconds()/rateWindow.Seconds())
+// currentPeerRate returns the number of slots that the other instances assign per second. The
+// caller holds the lock.
+func (a *Allocator) currentPeerRate(now time.Time) float64 {
+	return a.peerRate * math.Exp(-now.Sub(a.peerRateAt).Seconds()/rateWindow.Seconds())
 }
 
-// estimateUnreported estimates how many requests the other instances sent since their
-// last counts, assuming that each sends at this instance's rate.
+// estimateUnreported estimates how many requests the other instances sent since their last
+// counts. The caller holds the lock.
 func (a *Allocator) estimateUnreported(now time.Time) float64 {
-	return a.currentRate(now) * a.peerLag.Seconds() * float64(max(0, a.instances-1))
+	return a.currentPeerRate(now) * a.peerLag.Seconds()
 }
 
 // pick returns a usable endpoint with a free slot, or nil: the least loaded one, or one
@@ -42,7 +56,7 @@
 			list = append(list, e)
 		}
 	}
-	if unreported := a.estimateUnreported(now); unreported >= 1 {
+	if unreported := unreportedFactor * a.estimateUnreported(now); unreported >= 1 {
 		return pickSampled(list, now, unreported)
 	}
 	return pickLeastLoaded(list, request.Prefix, now)
--- a/internal/fleet/gossiper/gossip.go
+++ b/internal/fleet/gossiper/gossip.go
@@ -52,6 +52,7 @@
 		g.Log.Info("Instance is no longer silent.", "peer", string(msg.From))
 	}
 	g.subtract(m)
+	g.peerStarts += startedSince(&m.gossip, msg)
 	m.receivedAt, m.gossip, m.counted = now, *msg, true
 	g.totals.add(msg)
 	if ack := msg.Received[g.tag]; ack.Sequence > m.ackedSequence {
@@ -61,6 +62,23 @@
 	return true
 }
 
+// startedSince returns the number of requests that an instance started between two of its
+// messages.
+func startedSince(before, next *fescuebank.Gossip) uint64 {
+	if before.Incarnation == next.Incarnation && next.Started >= before.Started {
+		return next.Started - before.Started
+	}
+	return next.Started
+}
+
+// PeerStarts returns the number of online requests that the other instances are known to have
+// sent to endpoints.
+func (g *Gossiper) PeerStarts() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peerStarts
+}
+
 // relay adds a message to those that this instance relays to the fleet. The caller holds
 // the lock.
 func (g *Gossiper) relay(msg *fescuebank.Gossip) {
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -87,6 +87,9 @@
 	liveCount int
 	// totals sums the requests of the members that have counted set.
 	totals totals
+	// peerStarts counts the online requests that all other instances, also former ones, are
+	// known to have sent to endpoints.
+	peerStarts uint64
 	// targets are the peers that gossip is sent to, and selections counts how often they were
 	// selected.
 	targets    targets
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -15,7 +15,7 @@
 func (s *Server) fillGossip(g *fescuebank.Gossip) {
 	counts, waiting := s.allocator.Counts()
 	if s.settings.Roles.Entry {
-		g.Online, g.Waiting = counts, waiting
+		g.Online, g.Waiting, g.Started = counts, waiting, s.allocator.Started()
 	} else {
 		g.Batch = counts
 	}
@@ -45,7 +45,7 @@
 		s.ejector.ApplyGossip(g)
 		s.catchUp(g)
 	}
-	s.allocator.SetFleet(s.gossiper.LiveCount(), s.gossiper.Lag())
+	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
 	s.allocator.SetPeerCounts(s.gossiper.PeerTotals())
 	s.runner.Wake()
 }
@@ -82,3 +82,12 @@
 	_, _, batch := s.gossiper.PeerTotals()
 	return batch
 }
+
+// ownerCount returns the number of instances that own teams and run batch items.
+func (s *Server) ownerCount() int {
+	l := s.elector.List()
+	if l == nil {
+		return 1
+	}
+	return len(l.Owners)
+}
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -180,7 +180,7 @@
 	s.linker.Handle(fescuebank.KindProgressHandover, s.manager.HandleProgressHandover)
 	s.runner = runner.New(runner.Config{
 		Manager: s.manager, Allocator: s.allocator, Exchanger: s.exchanger, Protocol: s.platform.Protocol,
-		PeerBatchItems: s.peerBatchItems, Clock: s.clock, Log: s.logFor("run"),
+		PeerBatchItems: s.peerBatchItems, Owners: s.ownerCount, Lag: s.gossiper.Lag, Clock: s.clock, Log: s.logFor("run"),
 	})
 	batchClient := client.New(client.Config{
 		Self: self, Owners: s.elector, Caller: caller, Manager: s.manager, Persister: batchPersister, Clock: s.clock, Log: s.logFor("batch"),
