Don't count a wait in an endpoint's queue against a batch item

After all machines had lost power the slots were overfilled, and attempts ended without an answer within 1.5 s. Three of these in a row held an item back for 15 s, as if it crashed its endpoints.

Change: an attempt without a response within the timeout counts as not run. A broken connection still counts as an interruption.

--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -172,7 +172,7 @@
 	// CausePreempted means that the slot was needed for online requests, or that no
 	// slot was free for the attempt.
 	CausePreempted Cause = iota
-	// CauseNotRun means that no endpoint ran the item.
+	// CauseNotRun means that no endpoint ran the item, or that none began to respond in time.
 	CauseNotRun
 	// CauseInterrupted means that the endpoint or the connection to it failed, or that
 	// the attempt was cancelled for another reason than preemption.
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -247,9 +247,14 @@
 	defer cancel()
 	headTimer := time.AfterFunc(idleTimeout, cancel)
 	response, err := r.Exchanger.Send(exchange, endpoint.Addr, request, header)
-	headTimer.Stop()
+	timedOut := !headTimer.Stop()
 	if err != nil {
-		return r.excludeEndpoint(ctx, endpoint, err), err
+		cause := r.excludeEndpoint(ctx, endpoint, err)
+		if timedOut && ctx.Err() == nil {
+			// The item waited in the endpoint's queue, which says nothing about the item.
+			cause = manager.CauseNotRun
+		}
+		return cause, err
 	}
 	defer response.Finish()
 	if response.Info.Load != nil {
