Open all addresses before an instance starts, and fix what reading found

Causes: the tests of cmd/fescuebankd chose ports and closed them before the instance opened them, which failed once when another process took one in between; a log line after the end of the log writer, and a team's first request among more than 1,024 teams, ended the process with a panic; a shutdown that used up its time left the member entry; an error at the start left listeners open.

Change: the server opens all its addresses in New, closes them after an error, and states the chosen ports, so that tests use port 0. Lines after the end of the log are dropped; idle teams are evicted before the new one is added; the entry is removed with time of its own.

--- a/cmd/fescuebankd/objectplatform_test.go
+++ b/cmd/fescuebankd/objectplatform_test.go
@@ -8,14 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -89,29 +85,8 @@
  "tenants":[{"name":"t1","apiKeys":["k1"]},{"name":"limited","apiKeys":["k2"],"ratePerS":2,"burst":3}]}`, d.version, routes))
 }
 
-// nextPort counts up through a range below the system's ephemeral ports, so that
-// no outgoing connection takes a port between its choice and its use.
-var nextPort atomic.Int32
-
-const (
-	firstPort = 20_000
-	portCount = 10_000
-)
-
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	for range portCount {
-		port := firstPort + (os.Getpid()*97+int(nextPort.Add(1)))%portCount
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		return l.Addr().String()
-	}
-	t.Fatal("got no free port, want one")
-	return ""
-}
+// anyAddr lets the system choose a free port when the instance opens it.
+const anyAddr = "127.0.0.1:0"
 
 // start runs an instance with the entry role, which serves callers, or else with
 // the owner role.
@@ -123,19 +98,14 @@
 	s.Platform.Kind, s.Platform.URL = fescuebank.PlatformObjects, d.url
 	s.Roles.Entry, s.Roles.Owner = entry, !entry
 	s.Timing.AddressTTL, s.Timing.Grace = 3*time.Second, 4*time.Second
-	s.Listen.Peers = freeAddr(d.t)
+	s.Listen.Peers = anyAddr
 	if entry {
-		s.Listen.Callers, s.Listen.Ready, s.Listen.Addresses = freeAddr(d.t), freeAddr(d.t), freeAddr(d.t)
+		s.Listen.Callers, s.Listen.Ready, s.Listen.Addresses = anyAddr, anyAddr, anyAddr
 	}
 	if err := s.Validate(); err != nil {
 		d.t.Fatal(err)
 	}
 	instance, err := newObjectPlatformServer(s, timekeeper.Timekeeper{}, meter.New(), hclog.NewNullLogger())
-	for errors.Is(err, syscall.EADDRINUSE) {
-		// Another process took the port between its choice and its use.
-		s.Listen.Peers = freeAddr(d.t)
-		instance, err = newObjectPlatformServer(s, timekeeper.Timekeeper{}, meter.New(), hclog.NewNullLogger())
-	}
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -464,6 +434,23 @@
 	<-a.done
 }
 
+// TestObjectPlatformEntryOfASlowShutdownIsRemoved shuts an instance down while a request runs
+// for longer than the grace period. Its member entry must be removed all the same, or the
+// others keep it for half a minute.
+func TestObjectPlatformEntryOfASlowShutdownIsRemoved(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, 1)
+	a, _ := d.startAll()
+	d.endpoints[0].EventInterval = 3 * time.Second
+	go func() { _, _ = d.send(a, http.MethodPost, "/stream/1", "k1", "r1", nil) }()
+	d.eventually("request at the endpoint", 2*time.Second, func() bool { return len(d.endpoints[0].Requests()) > 0 })
+	a.cancel()
+	<-a.done
+	if _, err := d.store.Memory.Get(t.Context(), fescuebank.MemberPrefix+"entry-a"); !errors.Is(err, fescuebank.ErrAbsent) {
+		t.Errorf("got %v for the member entry after the shutdown, want %v", err, fescuebank.ErrAbsent)
+	}
+}
+
 // TestObjectPlatformProgressIsHandedOver shuts down two owners in turn while items run.
 // The next owner must resume each item from the progress handed over, not restart it.
 func TestObjectPlatformProgressIsHandedOver(t *testing.T) {
--- a/internal/entry/queuer/queuer.go
+++ b/internal/entry/queuer/queuer.go
@@ -93,9 +93,9 @@
 func (q *Queuer) flow(team fescuebank.TeamID) *flow {
 	f, ok := q.flows[team]
 	if !ok {
+		q.evictIdle() // Before the new flow is added, which is idle too.
 		f = &flow{team: team, index: -1}
 		q.flows[team] = f
-		q.evictIdle()
 	}
 	return f
 }
--- a/internal/entry/queuer/queuer_test.go
+++ b/internal/entry/queuer/queuer_test.go
@@ -123,3 +123,19 @@
 		})
 	}
 }
+
+// TestNewTeamIsNotEvictedAmongMany queues and removes one request of each of more teams than
+// are kept while idle. The flow of a new team is idle until its request is queued.
+func TestNewTeamIsNotEvictedAmongMany(t *testing.T) {
+	q := queuer.New(10)
+	for i := range 3000 {
+		item := &queuer.Item{Team: fescuebank.TeamID(fmt.Sprintf("team-%d", i)), Weight: 1, Cost: 1}
+		if !q.Push(item) {
+			t.Fatalf("team %d: got the request rejected, want it queued", i)
+		}
+		q.Remove(item)
+	}
+	if got := q.Len(); got != 0 {
+		t.Errorf("got %d waiting requests, want none", got)
+	}
+}
--- a/internal/operate/logwriter/logwriter.go
+++ b/internal/operate/logwriter/logwriter.go
@@ -43,6 +43,8 @@
 	dropped    atomic.Int64
 
 	mu sync.Mutex
+	// closed is set from the start of Close, after which no line is queued.
+	closed bool
 	// windowStart is the start of the current window of one second, and ordinaryCount
 	// and allCount the lines accepted in it.
 	windowStart   time.Time
@@ -60,9 +62,13 @@
 	return w
 }
 
-// Write queues a line. It neither blocks nor fails.
+// Write queues a line, or drops it after Close. It neither blocks nor fails.
 func (w *LogWriter) Write(line []byte) (int, error) {
-	if !w.allow(line) {
+	ordinary := w.isOrdinary(line)
+	now := w.clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed || !w.allow(ordinary, now) {
 		w.dropped.Add(1)
 		return len(line), nil
 	}
@@ -74,12 +80,9 @@
 	return len(line), nil
 }
 
-// allow reports whether a line is within the rate, and counts it if so.
-func (w *LogWriter) allow(line []byte) bool {
-	ordinary := w.isOrdinary(line)
-	now := w.clock.Now()
-	w.mu.Lock()
-	defer w.mu.Unlock()
+// allow reports whether a line is within the rate, and counts it if so. The caller holds the
+// lock.
+func (w *LogWriter) allow(ordinary bool, now time.Time) bool {
 	if now.Sub(w.windowStart) >= time.Second {
 		w.windowStart, w.ordinaryCount, w.allCount = now, 0, 0
 	}
@@ -98,10 +101,13 @@
 	return w.dropped.Load()
 }
 
-// Close waits until the queued lines have been written, for at most reportInterval.
-// Write must not be called afterwards.
+// Close waits until the queued lines have been written, for at most reportInterval. Call it
+// once.
 func (w *LogWriter) Close() {
+	w.mu.Lock()
+	w.closed = true
 	close(w.lines)
+	w.mu.Unlock()
 	select {
 	case <-w.done:
 	case <-w.clock.After(reportInterval):
--- a/internal/operate/logwriter/logwriter_test.go
+++ b/internal/operate/logwriter/logwriter_test.go
@@ -83,3 +83,17 @@
 		_, _ = w.Write(line)
 	}
 }
+
+// TestWriteAfterCloseIsDropped checks that components that still log while the process ends
+// don't end it with a panic.
+func TestWriteAfterCloseIsDropped(t *testing.T) {
+	var out bytes.Buffer
+	w := logwriter.New(&out, timekeeper.Timekeeper{}, logwriter.Rate{Ordinary: 10, All: 10}, func([]byte) bool { return false })
+	w.Close()
+	if n, err := w.Write([]byte("late\n")); n != 5 || err != nil {
+		t.Errorf("got %d, %v, want 5 bytes taken", n, err)
+	}
+	if got := w.Dropped(); got != 1 {
+		t.Errorf("got %d lines dropped, want 1", got)
+	}
+}
--- a/internal/operate/server/leave.go
+++ b/internal/operate/server/leave.go
@@ -106,12 +106,15 @@
 		}
 		_ = fescuebank.Sleep(ctx, s.clock, idlePollInterval)
 	}
-	ctx, cancel := context.WithDeadline(ctx, start.Add(s.settings.Timing.Grace-leaveMargin/2))
+	shutdownCtx, cancel := context.WithDeadline(ctx, start.Add(s.settings.Timing.Grace-leaveMargin/2))
 	defer cancel()
 	for _, server := range servers {
-		_ = server.Shutdown(ctx) // Requests still in flight at the end of the grace period are cut off.
+		_ = server.Shutdown(shutdownCtx) // Requests still in flight at the end of the grace period are cut off.
 	}
-	s.gossiper.Leave(ctx)
+	// The shutdown may have used up its time; the entry must be removed all the same.
+	leaveCtx, cancelLeave := context.WithDeadline(ctx, start.Add(s.settings.Timing.Grace))
+	defer cancelLeave()
+	s.gossiper.Leave(leaveCtx)
 }
 
 // hasHandedOver reports whether the list of owners no longer has this incarnation.
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -102,6 +102,7 @@
 	released atomic.Bool
 	inFlight atomic.Int64
 
+	listeners     *listeners
 	linker        *linker.Linker
 	gossiper      *gossiper.Gossiper
 	config        *replicator.Replicator
@@ -122,9 +123,19 @@
 	catchingUp atomic.Bool
 }
 
-// New returns a server and opens its address for peers.
+// New returns a server and opens its addresses. It replaces port 0 in the settings by the
+// ports that were chosen.
 func New(settings *fescuebank.Settings, p Platform, clock fescuebank.Clock, m *meter.Meter, log hclog.Logger) (*Server, error) {
 	s := &Server{settings: settings, platform: p, clock: clock, meter: m, log: log.With("instance", string(settings.Instance.ID))}
+	var err error
+	if s.listeners, err = openListeners(settings); err != nil {
+		return nil, eris.Wrap(err, "server.New")
+	}
+	if s.linker, err = linker.New(settings.Listen.Peers, clock, s.logFor("link")); err != nil {
+		s.listeners.close()
+		return nil, eris.Wrap(err, "server.New")
+	}
+	settings.Listen.Peers = s.linker.Addr()
 	s.self = fescuebank.MemberEntry{
 		ID: settings.Instance.ID, Incarnation: fescuebank.Incarnation(fescuebank.NewRandomID("")), Zone: settings.Instance.Zone,
 		PeerAddr: settings.Listen.Peers, Owner: settings.Roles.Owner, Weight: settings.Instance.Weight,
@@ -132,11 +143,9 @@
 	if settings.Roles.Entry {
 		s.self.CallerAddr = settings.Listen.Callers
 	}
-	var err error
-	if s.linker, err = linker.New(settings.Listen.Peers, clock, s.logFor("link")); err != nil {
-		return nil, eris.Wrap(err, "server.New")
-	}
 	if err := s.build(); err != nil {
+		s.listeners.close()
+		s.linker.Close()
 		return nil, eris.Wrap(err, "server.New")
 	}
 	return s, nil
@@ -154,7 +163,7 @@
 	s.aggregator = aggregator.New(s.gossiper, s.linker, s.serviceLevels)
 	s.linker.Handle(fescuebank.KindServiceLevels, s.aggregator.Handle)
 	s.exchanger = exchanger.New(s.platform.Protocol, s.clock)
-	s.allocator = allocator.New(s.clock, s.gossiper.Wake)
+	s.allocator = allocator.New(s.self.Zone, s.clock, s.gossiper.Wake)
 	s.ejector = ejector.New(ejector.Config{
 		Zone: s.self.Zone, Endpoints: s.allocator.Endpoints, Eject: s.allocator.Deprioritize, Clock: s.clock, Log: s.logFor("endpoint"),
 	})
@@ -250,21 +259,11 @@
 		retirements := replicator.New(s.platform.Store, s.platform.RetirementPrefix, s.clock, s.logFor("retire"), s.applyRetirements)
 		group.Go(func() { retirements.Run(componentCtx) })
 	}
-	if s.settings.Listen.Metrics != "" {
-		if err := s.serveMetrics(); err != nil {
-			return err
-		}
-	}
-	var servers []*http.Server
-	if s.settings.Roles.Entry {
-		started, err := s.serve()
-		if err != nil {
-			return err
-		}
-		servers = started
-	}
+	s.serveMetrics()
+	servers := s.serve()
 	s.log.Info("Instance started.", "incarnation", string(s.self.Incarnation),
-		"callers", s.self.CallerAddr, "peers", s.self.PeerAddr, "owner", s.self.Owner)
+		"callers", s.self.CallerAddr, "ready", s.settings.Listen.Ready, "addresses", s.settings.Listen.Addresses,
+		"peers", s.self.PeerAddr, "owner", s.self.Owner)
 	<-ctx.Done()
 	s.leave(servers)
 	stop()
@@ -280,39 +279,37 @@
 	idleTimeout       = 30 * time.Second
 )
 
-// serve opens the addresses for callers. The last server returned is the one for
-// callers' requests.
-func (s *Server) serve() ([]*http.Server, error) {
+// serve starts the HTTP servers for callers, if this instance has that role. The last server
+// returned is the one for callers' requests.
+func (s *Server) serve() []*http.Server {
+	if !s.settings.Roles.Entry {
+		return nil
+	}
 	handlers := s.platform.Handlers(s.entry)
 	var servers []*http.Server
-	for _, listener := range []struct {
-		addr    string
-		handler http.Handler
+	for _, served := range []struct {
+		listener net.Listener
+		handler  http.Handler
 	}{
-		{s.settings.Listen.Ready, handlers.Ready},
-		{s.settings.Listen.Addresses, handlers.Addresses},
-		{s.settings.Listen.Callers, s.countInFlight(handlers.Callers)},
+		{s.listeners.ready, handlers.Ready},
+		{s.listeners.addresses, handlers.Addresses},
+		{s.listeners.callers, s.countInFlight(handlers.Callers)},
 	} {
-		l, err := net.Listen("tcp", listener.addr)
-		if err != nil {
-			return nil, eris.Wrap(err, "Server.serve")
-		}
 		server := &http.Server{
-			Handler: listener.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+			Handler: served.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: int(s.settings.Limits.HeaderBytes),
 			ErrorLog:       s.logFor("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		}
 		servers = append(servers, server)
-		go func() { _ = server.Serve(l) }()
+		go func() { _ = server.Serve(served.listener) }()
 	}
-	return servers, nil
+	return servers
 }
 
-// serveMetrics opens the address for metrics.
-func (s *Server) serveMetrics() error {
-	l, err := net.Listen("tcp", s.settings.Listen.Metrics)
-	if err != nil {
-		return eris.Wrap(err, "Server.serveMetrics")
+// serveMetrics starts the HTTP server for metrics, if one is wanted.
+func (s *Server) serveMetrics() {
+	if s.listeners.metrics == nil {
+		return
 	}
 	expvar.Publish("fescuebank", expvar.Func(func() any { return s.meter.Snapshot() }))
 	mux := http.NewServeMux()
@@ -320,8 +317,7 @@
 	mux.Handle("/burn", s.aggregator)
 	mux.Handle("/debug/vars", expvar.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = server.Serve(l) }()
-	return nil
+	go func() { _ = server.Serve(s.listeners.metrics) }()
 }
 
 // countInFlight tracks the number of requests in flight.
--- a/internal/wire/linker/linker.go
+++ b/internal/wire/linker/linker.go
@@ -75,7 +75,7 @@
 
 // Run serves peers until ctx ends.
 func (l *Linker) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, l.close)
+	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
 	for {
 		c, err := l.listener.Accept()
@@ -92,7 +92,8 @@
 	}
 }
 
-func (l *Linker) close() {
+// Close stops listening and closes all connections.
+func (l *Linker) Close() {
 	_ = l.listener.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
