--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -71,7 +71,6 @@
 
 // Allocator counts the requests at each endpoint and assigns free slots.
 type Allocator struct {
-	zone  fescuebank.Zone
 	clock fescuebank.Clock
 	// onChange is called without the lock held when this instance's counts change.
 	onChange func()
@@ -99,10 +98,10 @@
 	peerBatch    int
 }
 
-// New returns an allocator without endpoints, for an instance of the zone.
-func New(zone fescuebank.Zone, clock fescuebank.Clock, onChange func()) *Allocator {
+// New returns an allocator without endpoints.
+func New(clock fescuebank.Clock, onChange func()) *Allocator {
 	return &Allocator{
-		zone: zone, clock: clock, onChange: onChange, meanHold: initialHoldTime,
+		clock: clock, onChange: onChange, meanHold: initialHoldTime,
 		endpoints: make(map[fescuebank.EndpointID]*endpoint), heldSlots: make(map[*Slot]bool),
 	}
 }
--- a/internal/entry/allocator/pick.go
+++ b/internal/entry/allocator/pick.go
@@ -17,10 +17,6 @@
 	// counts are taken for unreported. Too many only spread requests more widely; too few
 	// send them to the same endpoints.
 	unreportedFactor = 2
-	// zonePreference is how many times as often an endpoint of this instance's zone is picked
-	// as an equally loaded one of another zone. It saves connections and traffic between
-	// zones.
-	zonePreference = 8
 )
 
 // SetPeerStarts sets the number of slots that the other instances have assigned to online
@@ -61,20 +57,16 @@
 		}
 	}
 	if unreported := unreportedFactor * a.estimateUnreported(now); unreported >= 1 {
-		return a.pickSampled(list, now, unreported)
+		return pickSampled(list, now, unreported)
 	}
 	return pickLeastLoaded(list, request.Prefix, now)
 }
 
 // pickSampled picks among endpoints with a free slot by loads that are out of date.
-func (a *Allocator) pickSampled(list []*endpoint, now time.Time, unreported float64) *endpoint {
+func pickSampled(list []*endpoint, now time.Time, unreported float64) *endpoint {
 	var s sampler.Sampler
 	for i, e := range list {
-		preference := 1.0
-		if e.Zone == a.zone {
-			preference = zonePreference
-		}
-		s.Add(i, e.utilization(now), e.Slots, preference)
+		s.Add(i, e.utilization(now), e.Slots)
 	}
 	i := s.Pick(unreported, rand.Float64())
 	if i < 0 {
--- a/internal/entry/sampler/sampler.go
+++ b/internal/entry/sampler/sampler.go
@@ -10,7 +10,7 @@
 // Sampler picks among endpoints whose known loads are slightly out of date. Requests that
 // other instances sent meanwhile are assumed to have gone to the least utilized endpoints
 // first (water-filling). Each endpoint is picked with a probability proportional to the
-// requests assigned to it by that rule, times its preference. Picking the least utilized endpoint instead would
+// requests assigned to it by that rule. Picking the least utilized endpoint instead would
 // send all instances to the same one.
 type Sampler struct {
 	candidates []candidate
@@ -18,11 +18,10 @@
 
 // candidate is the known state of one endpoint.
 type candidate struct {
-	index      int
-	load       float64
-	slots      float64
-	preference float64
-	// fill is the number of requests that raise it to the common level, times preference.
+	index int
+	load  float64
+	slots float64
+	// fill is the number of requests that raise it to the common level.
 	fill float64
 }
 
@@ -31,12 +30,9 @@
 	return c.load / c.slots
 }
 
-// Add adds an endpoint with its known load per slot. Slots must be at least 1 and the
-// preference above 0.
-func (s *Sampler) Add(index int, utilization float64, slots int, preference float64) {
-	s.candidates = append(s.candidates, candidate{
-		index: index, load: utilization * float64(slots), slots: float64(slots), preference: preference,
-	})
+// Add adds an endpoint with its known load per slot. Slots must be at least 1.
+func (s *Sampler) Add(index int, utilization float64, slots int) {
+	s.candidates = append(s.candidates, candidate{index: index, load: utilization * float64(slots), slots: float64(slots)})
 }
 
 // Pick returns the index of an endpoint, or -1 if there is none. unreported is the number
@@ -74,7 +70,7 @@
 	level := (load + requests) / slots
 	for i := range s.candidates[:count] {
 		c := &s.candidates[i]
-		c.fill = (level*c.slots - c.load) * c.preference
+		c.fill = level*c.slots - c.load
 	}
 }
 
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -163,7 +163,7 @@
 	s.aggregator = aggregator.New(s.gossiper, s.linker, s.serviceLevels)
 	s.linker.Handle(fescuebank.KindServiceLevels, s.aggregator.Handle)
 	s.exchanger = exchanger.New(s.platform.Protocol, s.clock)
-	s.allocator = allocator.New(s.self.Zone, s.clock, s.gossiper.Wake)
+	s.allocator = allocator.New(s.clock, s.gossiper.Wake)
 	s.ejector = ejector.New(ejector.Config{
 		Zone: s.self.Zone, Endpoints: s.allocator.Endpoints, Eject: s.allocator.Deprioritize, Clock: s.clock, Log: s.logFor("endpoint"),
 	})
