Run the batch items first that can still be done in time

Change: the run time of an item is estimated from its route's earlier ones and its own progress; items that can't be done in time any more come last.

--- a/internal/batch/manager/fuzz_test.go
+++ b/internal/batch/manager/fuzz_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"fescuebank"
+	"fescuebank/internal/batch/estimator"
 	"fescuebank/internal/batch/manager"
 	"fescuebank/internal/batch/persister"
 	"fescuebank/internal/standin/memorystorer"
@@ -85,6 +86,7 @@
 	}
 	p.tasks[i] = nil
 	next := manager.New(manager.Config{
+		Estimator: estimator.New(),
 		OnItemEnd: func(fescuebank.TeamID, bool, bool) {},
 		Owns: func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) {
 			p.mu.Lock()
--- a/internal/batch/manager/manager.go
+++ b/internal/batch/manager/manager.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"fescuebank"
+	"fescuebank/internal/batch/estimator"
 	"fescuebank/internal/batch/persister"
 )
 
@@ -45,8 +46,10 @@
 	Persister *persister.Persister
 	// Table returns the current configuration, or nil.
 	Table func() *fescuebank.RouteTable
-	Clock fescuebank.Clock
-	Log   hclog.Logger
+	// Estimator estimates the run times of items.
+	Estimator *estimator.Estimator
+	Clock     fescuebank.Clock
+	Log       hclog.Logger
 	// OnItemEnd is called when Finish records an item's outcome.
 	OnItemEnd func(team fescuebank.TeamID, failed, onTime bool)
 	// OnItemsAvailable is called when items may be waiting.
--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -62,33 +62,57 @@
 	return m.mostUrgent(m.Clock.Now()) != nil
 }
 
-// mostUrgent returns the waiting item whose job is due first. Jobs past their due
-// time come after those that can still meet it.
+// mostUrgent returns the waiting item that should run first.
 func (m *Manager) mostUrgent(now time.Time) *Task {
 	var best *Task
+	var bestUrgency urgency
 	for _, j := range m.openJobs() {
 		route := m.route(j.spec)
 		if route == nil {
 			continue
 		}
-		due := j.spec.Submitted.Add(route.CompletionObjective)
-		if best != nil && !dueBefore(due, best.Due, now) {
+		it, events := j.firstWaiting(now)
+		if it == nil {
 			continue
 		}
-		if it := j.firstWaiting(now); it != nil {
-			best = &Task{job: j, item: it, Due: due, Request: m.newRequest(j, it, route, now)}
+		u := urgency{due: j.spec.Submitted.Add(route.CompletionObjective), remaining: m.Estimator.Remaining(route.Name, events)}
+		if best == nil || u.before(bestUrgency, now) {
+			best, bestUrgency = &Task{job: j, item: it, Due: u.due, Request: m.newRequest(j, it, route, now)}, u
 		}
 	}
 	return best
 }
 
-// dueBefore reports whether a comes before b: by due time, past ones last.
-func dueBefore(a, b, now time.Time) bool {
-	lateA, lateB := a.Before(now), b.Before(now)
-	if lateA != lateB {
-		return lateB
+// urgency orders waiting items.
+type urgency struct {
+	due time.Time
+	// remaining is how long the item is expected to run; 0 if unknown.
+	remaining time.Duration
+}
+
+// before reports whether an item runs before another one: by due time, those that can't be done
+// in time any more last.
+func (u urgency) before(other urgency, now time.Time) bool {
+	late, otherLate := u.isLate(now), other.isLate(now)
+	if late != otherLate {
+		return otherLate
+	}
+	return u.due.Before(other.due)
+}
+
+// isLate reports whether the item can't be done in time.
+func (u urgency) isLate(now time.Time) bool {
+	return u.due.Add(-u.remaining).Before(now)
+}
+
+// ObserveAttempt applies the end of an attempt, in which an item generated events up to the
+// number progress.Events, to the estimates of run times.
+func (m *Manager) ObserveAttempt(t *Task, progress fescuebank.Progress, took time.Duration, completed bool) {
+	route := t.Request.Route.Name
+	m.Estimator.ObserveAttempt(route, progress.Events-t.Progress.Events, took)
+	if completed {
+		m.Estimator.ObserveItem(route, progress.Events)
 	}
-	return a.Before(b)
 }
 
 func (m *Manager) openJobs() []*job {
@@ -107,16 +131,18 @@
 	return list
 }
 
-func (j *job) firstWaiting(now time.Time) *item {
+// firstWaiting returns the first item that may run now and the number of events that it has
+// generated, or nil.
+func (j *job) firstWaiting(now time.Time) (it *item, events int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for i := range j.spec.Items {
 		it := j.items[j.spec.Items[i].ID]
 		if it.phase == phaseWaiting && !it.notBefore.After(now) {
-			return it
+			return it, it.progress.Events
 		}
 	}
-	return nil
+	return nil, 0
 }
 
 // newRequest converts an item into a request to an endpoint.
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -215,6 +215,8 @@
 
 // report passes the end of an attempt to the manager and logs it.
 func (r *Runner) report(a *attempt, cause manager.Cause, err error, progress fescuebank.Progress, started time.Time) {
+	took := r.Clock.Now().Sub(started)
+	r.Manager.ObserveAttempt(a.task, progress, took, err == nil)
 	outcome := "completed"
 	switch {
 	case err == nil:
@@ -231,7 +233,7 @@
 	}
 	r.Log.Info("Item attempted.", "request", string(a.task.Request.ID), "team", string(a.task.Request.Team),
 		"endpoint", string(a.slot.Endpoint.ID), "started", a.slot.Endpoint.StartedUnixMilli, "load", a.slot.Load,
-		"events", progress.Events, "ms", r.Clock.Now().Sub(started).Milliseconds(),
+		"events", progress.Events, "ms", took.Milliseconds(),
 		"slackMs", a.task.Due.Sub(r.Clock.Now()).Milliseconds(), "outcome", outcome)
 }
 
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -16,6 +16,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/batch/client"
+	"fescuebank/internal/batch/estimator"
 	"fescuebank/internal/batch/manager"
 	"fescuebank/internal/batch/persister"
 	"fescuebank/internal/batch/runner"
@@ -183,7 +184,7 @@
 	}
 	s.manager = manager.New(manager.Config{
 		Owns: s.owns, TookOver: s.elector.TookOver,
-		Persister: batchPersister, Table: s.table.Load, Clock: s.clock, Log: s.logFor("batch"),
+		Persister: batchPersister, Table: s.table.Load, Estimator: estimator.New(), Clock: s.clock, Log: s.logFor("batch"),
 		OnItemEnd: s.serviceLevels.BatchItem, OnItemsAvailable: func() { s.runner.Wake() }, SendHandover: func(p manager.ProgressHandover) { s.sendHandover(caller, p) },
 	})
 	s.linker.Handle(fescuebank.KindProgressHandover, s.manager.HandleProgressHandover)
