Commit batch outcomes by the due time of their job, and leave a margin for late items

Change: an item counts as too late with a margin of three tenths of its expected run time and half a second; outcomes from before the due time are committed half a second before it.

--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -23,7 +23,11 @@
 	// progress after which the item itself may be crashing its endpoints;
 	// suspectPause is then the pause between its attempts.
 	suspectInterruptions = 3
-	suspectPause         = 15 * time.Second
+	// commitTime is the time allowed for the commit of an outcome before its due time.
+	commitTime = 500 * time.Millisecond
+	// runTimeMargin is the factor by which an item may take longer than expected.
+	runTimeMargin = 1.3
+	suspectPause  = 15 * time.Second
 )
 
 // Task is an item that has been handed out to be run.
@@ -100,9 +104,11 @@
 	return u.due.Before(other.due)
 }
 
-// isLate reports whether the item can't be done in time.
+// isLate reports whether the item is not expected to be committed in time, with a margin for an
+// attempt that is preempted or slower than others.
 func (u urgency) isLate(now time.Time) bool {
-	return u.due.Add(-u.remaining).Before(now)
+	needed := commitTime + time.Duration(runTimeMargin*float64(u.remaining))
+	return u.due.Add(-needed).Before(now)
 }
 
 // ObserveAttempt applies the end of an attempt, in which an item generated events up to the
@@ -280,7 +286,7 @@
 // awaitMore waits for more outcomes that can be committed in the same segment.
 func (m *Manager) awaitMore(j *job) {
 	for {
-		wait := j.commitWait(m.Clock.Now())
+		wait := j.commitWait(m.Clock.Now(), m.due(j))
 		if wait <= 0 {
 			return
 		}
@@ -288,14 +294,28 @@
 	}
 }
 
-// commitWait returns how long to wait for more outcomes.
-func (j *job) commitWait(now time.Time) time.Duration {
+// due returns when the results of a job are due, or a zero time if its route is gone.
+func (m *Manager) due(j *job) time.Time {
+	route := m.route(j.spec)
+	if route == nil {
+		return time.Time{}
+	}
+	return j.spec.Submitted.Add(route.CompletionObjective)
+}
+
+// commitWait returns how long to wait for more outcomes, so that those of before the due time are
+// committed by then.
+func (j *job) commitWait(now, due time.Time) time.Duration {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if len(j.pending)+len(j.results) >= len(j.spec.Items) || j.expedited {
 		return 0
 	}
-	return max(0, j.pendingSince.Add(maxCommitDelay).Sub(now))
+	until := j.pendingSince.Add(maxCommitDelay)
+	if latest := due.Add(-commitTime); now.Before(due) && latest.Before(until) {
+		until = latest
+	}
+	return max(0, until.Sub(now))
 }
 
 // nextSegment returns the outcomes to commit next and the number of their segment,
--- a/internal/batch/manager/urgency_test.go
+++ b/internal/batch/manager/urgency_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"fescuebank"
 )
 
 // TestWhichItemRunsFirst checks the order of waiting items: by due time, those that can't be
@@ -28,6 +30,31 @@
 	}
 }
 
+// TestOutcomesAreCommittedByTheDueTime checks how long outcomes wait for others: not beyond the
+// due time of their job, if they are from before it.
+func TestOutcomesAreCommittedByTheDueTime(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	for _, tt := range []struct {
+		name string
+		// due is the due time, relative to now.
+		due  time.Duration
+		want time.Duration
+	}{
+		{"due much later", time.Minute, maxCommitDelay},
+		{"due soon", time.Second, time.Second - commitTime},
+		{"due at once", commitTime / 2, 0},
+		{"past due", -time.Second, maxCommitDelay},
+	} {
+		j := &job{
+			spec:    &fescuebank.RoutedJob{Items: make([]fescuebank.RoutedItem, 3)},
+			pending: make([]fescuebank.RoutedResult, 1), pendingSince: now,
+		}
+		if got := j.commitWait(now, now.Add(tt.due)); got != tt.want {
+			t.Errorf("%s: got a wait of %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 // TestOverloadLeavesItemsInTime plays three times as many items as 60 slots can run for a minute:
 // 38 a second of 4.8 s, due after 18 s. The slots must be spent on items that are done in time.
 // By due time alone, nearly all would be done just too late.
