--- a/internal/fleet/gossiper/entry.go
+++ b/internal/fleet/gossiper/entry.go
@@ -20,19 +20,11 @@
 	entryHeartbeatWindow = 15 * time.Second
 	// registerRetry is the pause between attempts to write the member entry.
 	registerRetry = 300 * time.Millisecond
-	// maxMembersWait is how long the first write of the member entry waits for the list of
-	// members, which shows the version of the entry of a former incarnation.
-	maxMembersWait = 150 * time.Millisecond
 )
 
 // register writes the member entry of this incarnation whenever the store doesn't contain
 // it, and periodically while mustHeartbeat requires it.
 func (g *Gossiper) register(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-g.membersListed:
-	case <-g.Clock.After(maxMembersWait):
-	}
 	for ctx.Err() == nil {
 		if g.isEntryLost() || g.mustHeartbeat() {
 			err := g.writeEntry(ctx)
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -69,9 +69,6 @@
 	// changed is set when this instance's state has changed since its last message.
 	changed atomic.Bool
 
-	// membersListed is closed when the members have been listed for the first time.
-	membersListed chan struct{}
-	listedOnce    sync.Once
 	// tag is the tag of this incarnation.
 	tag fescuebank.IncarnationTag
 
@@ -148,7 +145,7 @@
 // New returns a gossiper without members.
 func New(c Config) *Gossiper {
 	g := &Gossiper{
-		Config: c, wake: make(chan struct{}, 1), entryLost: true, membersListed: make(chan struct{}),
+		Config: c, wake: make(chan struct{}, 1), entryLost: true,
 		tag:     fescuebank.Holder{ID: c.Self.ID, Incarnation: c.Self.Incarnation}.Tag(),
 		members: make(map[fescuebank.InstanceID]*member), totals: totals{counts: make(fescuebank.EndpointCounts)},
 	}
@@ -203,7 +200,6 @@
 	}
 	g.index()
 	g.selectTargets(now)
-	g.listedOnce.Do(func() { close(g.membersListed) })
 }
 
 // index rebuilds byTag and reportOrder from the members. The caller holds the lock.
