Fix a race and an unrelated cost in two new tests

The counters are read under the lock; the message is encoded once before the measured part, whose bound stays.

--- a/internal/fleet/replicator/following_test.go
+++ b/internal/fleet/replicator/following_test.go
@@ -166,6 +166,8 @@
 		time.Sleep(time.Second)
 		r.Relist()
 		time.Sleep(time.Second)
+		store.mu.Lock()
+		defer store.mu.Unlock()
 		if store.staleLists != 1 || store.lists != 1 {
 			t.Errorf("got %d stale lists and %d others, want 1 of each", store.staleLists, store.lists)
 		}
--- a/internal/wire/linker/stalled_test.go
+++ b/internal/wire/linker/stalled_test.go
@@ -80,25 +80,25 @@
 	})
 	go fast.Run(t.Context())
 	addrs := []string{slow.Addr().String(), fast.Addr()}
-	notify := func(text string) {
+	encode := func(text string) []byte {
 		body, err := linker.Encode(&message{Text: text})
 		if err != nil {
 			t.Fatal(err)
 		}
-		a.Notify(addrs, fescuebank.KindGossip, body)
+		return body
 	}
-	notify("connect")
+	a.Notify(addrs, fescuebank.KindGossip, encode("connect"))
 	time.Sleep(100 * time.Millisecond)
-	large := string(make([]byte, 1<<20))
+	large := encode(string(make([]byte, 1<<20)))
 	started := time.Now()
 	for range 20 {
-		notify(large) // Far more than the socket buffers hold.
+		a.Notify(addrs, fescuebank.KindGossip, large) // Far more than the socket buffers hold.
 	}
 	if took := time.Since(started); took > 500*time.Millisecond {
 		t.Errorf("got 20 notifications sent in %v, want no wait for the slow reader", took)
 	}
 	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
-		notify("last")
+		a.Notify(addrs, fescuebank.KindGossip, encode("last"))
 		select {
 		case <-received:
 			return
