--- /dev/null
+++ b/internal/fleet/replicator/replica.go
@@ -0,0 +1,190 @@
+package replicator
+
+import (
+	"slices"
+	"strings"
+
+	"fescuebank"
+)
+
+// IsBehind reports whether the replica may lack a change at a version. It doesn't count as
+// behind during the pause before the next watch, which will return the change.
+func (r *Replicator) IsBehind(version fescuebank.StoreVersion) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return version > r.asOf && !r.pausing
+}
+
+// ChangedAt returns the store version of the newest change applied.
+func (r *Replicator) ChangedAt() fescuebank.StoreVersion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changedAt
+}
+
+// Objects returns the objects of the replica, sorted by key.
+func (r *Replicator) Objects() []fescuebank.Object {
+	list, _ := r.Replica()
+	return list
+}
+
+// Replica returns the objects of the replica, sorted by key, and the store version up to
+// which it is current.
+func (r *Replicator) Replica() ([]fescuebank.Object, fescuebank.StoreVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]fescuebank.Object, 0, len(r.objects))
+	for _, o := range r.objects {
+		list = append(list, o)
+	}
+	slices.SortFunc(list, func(a, b fescuebank.Object) int { return strings.Compare(a.Key, b.Key) })
+	return list, r.asOf
+}
+
+// Delta returns the objects of the replica that changed after a version, and the versions of
+// all of its objects.
+func (r *Replicator) Delta(since fescuebank.StoreVersion) fescuebank.ReplicaDelta {
+	objects, at := r.Replica()
+	delta := fescuebank.ReplicaDelta{At: at, Versions: make(map[string]fescuebank.StoreVersion, len(objects))}
+	for _, o := range objects {
+		delta.Versions[o.Key] = o.Version
+		if o.Version > since {
+			delta.Objects = append(delta.Objects, o)
+		}
+	}
+	return delta
+}
+
+// AsOf returns the store version up to which the replica is current.
+func (r *Replicator) AsOf() fescuebank.StoreVersion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asOf
+}
+
+// ApplyDelta applies changes from the replica of another instance and reports whether this
+// replica now holds all that the peer's does. Newer objects of the peer replace those of this
+// replica. If the peer's replica is newer, objects that it lacks are removed, unless they
+// are newer still. They are only removed if this replicator follows, or if the store is
+// unreachable from this instance; otherwise it learns of removals from the store.
+func (r *Replicator) ApplyDelta(delta fescuebank.ReplicaDelta) (complete bool) {
+	r.mu.Lock()
+	disconnected := r.clock.Now().Sub(r.lastContact) >= outageThreshold
+	changed, newer := false, delta.At > r.asOf
+	for _, o := range delta.Objects {
+		changed = r.put(o) || changed
+		r.asOf = max(r.asOf, o.Version)
+	}
+	for key, o := range r.objects {
+		_, known := delta.Versions[key]
+		if (disconnected || r.following) && newer && o.Version <= delta.At && !known {
+			changed = r.remove(key, delta.At) || changed
+		}
+	}
+	complete = true
+	for key, version := range delta.Versions {
+		complete = complete && r.objects[key].Version >= version
+	}
+	if r.following && complete {
+		r.asOf = max(r.asOf, delta.At)
+	}
+	r.listed = r.listed || len(delta.Versions) > 0
+	r.mu.Unlock()
+	if changed {
+		r.notify()
+	}
+	return complete
+}
+
+// Listed reports whether the prefix has been read at least once.
+func (r *Replicator) Listed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed
+}
+
+// replace replaces the replica by a list that is current up to a version, and reports
+// whether the replica changed. A list that is older than the replica is ignored.
+func (r *Replicator) replace(objects []fescuebank.Object, at fescuebank.StoreVersion) bool {
+	r.mu.Lock()
+	if at < r.asOf {
+		r.mu.Unlock()
+		return false
+	}
+	listed := make(map[string]bool, len(objects))
+	changed := !r.listed
+	r.listed = true
+	for _, o := range objects {
+		if o.Deleted {
+			continue
+		}
+		listed[o.Key] = true
+		changed = r.put(o) || changed
+	}
+	for key := range r.objects {
+		if listed[key] {
+			continue
+		}
+		if r.recovering {
+			r.missingUntil[key] = r.recoveredAt.Add(missingGrace)
+		}
+		changed = r.remove(key, at) || changed
+	}
+	r.recovering = false
+	r.asOf = at
+	r.mu.Unlock()
+	if changed {
+		r.notify()
+	}
+	return changed
+}
+
+// apply applies events in order, which make the replica current up to a version.
+func (r *Replicator) apply(events []fescuebank.Object, at fescuebank.StoreVersion) {
+	r.mu.Lock()
+	changed := false
+	for _, o := range events {
+		if o.Deleted {
+			changed = r.remove(o.Key, at) || changed
+			continue
+		}
+		changed = r.put(o) || changed
+	}
+	r.asOf = max(r.asOf, at)
+	r.mu.Unlock()
+	if changed {
+		r.notify()
+	}
+}
+
+// put stores an object if it is newer than the one in the replica. The caller holds the
+// lock.
+func (r *Replicator) put(o fescuebank.Object) (changed bool) {
+	delete(r.missingUntil, o.Key)
+	if current, ok := r.objects[o.Key]; ok && current.Version >= o.Version {
+		return false
+	}
+	r.changedAt = max(r.changedAt, o.Version)
+	r.objects[o.Key] = o
+	return true
+}
+
+// remove removes an object, unless it may have expired during an outage of the store and
+// its writer still has time to write it again. The caller holds the lock.
+func (r *Replicator) remove(key string, at fescuebank.StoreVersion) (changed bool) {
+	if _, ok := r.objects[key]; !ok {
+		return false
+	}
+	if until, isMissing := r.missingUntil[key]; isMissing && r.clock.Now().Before(until) {
+		return false
+	}
+	delete(r.missingUntil, key)
+	delete(r.objects, key)
+	r.changedAt = max(r.changedAt, at)
+	return true
+}
+
+// notify passes the replica to onChange.
+func (r *Replicator) notify() {
+	r.onChange(r.Objects())
+}
--- a/internal/operate/server/listeners.go
+++ b/internal/operate/server/listeners.go
@@ -17,7 +17,7 @@
 }
 
 // openListeners opens the addresses of the settings, all or none, and replaces port 0 in the
-// settings by the ports that were chosen.
+// settings by the ports that the system assigned.
 func openListeners(settings *fescuebank.Settings) (*listeners, error) {
 	l := &listeners{}
 	for _, wanted := range []struct {
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -125,7 +125,7 @@
 }
 
 // New returns a server and opens its addresses. It replaces port 0 in the settings by the
-// ports that were chosen.
+// ports that the system assigned.
 func New(settings *fescuebank.Settings, p Platform, clock fescuebank.Clock, m *meter.Meter, log hclog.Logger) (*Server, error) {
 	s := &Server{settings: settings, platform: p, clock: clock, meter: m, log: log.With("instance", string(settings.Instance.ID))}
 	var err error
