--- a/internal/fleet/gossiper/relay_test.go
+++ b/internal/fleet/gossiper/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -143,15 +144,19 @@
 func (f *simulatedFleet) relays(zone fescuebank.Zone) []*Gossiper {
 	var list []*Gossiper
 	for _, g := range f.list {
-		g.mu.Lock()
-		if g.Self.Zone == zone && g.targets.Relaying && !f.isDown(g) {
+		if g.Self.Zone == zone && isRelaying(g) && !f.isDown(g) {
 			list = append(list, g)
 		}
-		g.mu.Unlock()
 	}
 	return list
 }
 
+func isRelaying(g *Gossiper) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.targets.Relaying
+}
+
 // uninformed returns the running instances that don't know the sum of the waiting requests
 // of all other running instances.
 func (f *simulatedFleet) uninformed() []fescuebank.InstanceID {
@@ -234,13 +239,16 @@
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
+		f.network.mu.Lock()
+		sent := maps.Clone(f.network.sent)
+		f.network.mu.Unlock()
 		for _, g := range f.list {
 			limit := maxOther
-			if g.targets.Relaying {
+			if isRelaying(g) {
 				limit = maxRelay
 			}
-			if got := f.network.sent[g.Self.PeerAddr]; got > limit {
-				t.Errorf("%s, relaying %v: got %d messages a second, want at most %d", g.Self.ID, g.targets.Relaying, got, limit)
+			if got := sent[g.Self.PeerAddr]; got > limit {
+				t.Errorf("%s, relaying %v: got %d messages a second, want at most %d", g.Self.ID, isRelaying(g), got, limit)
 			}
 		}
 	})
@@ -292,7 +300,7 @@
 		f := startFleet(ctx, 6, 33)
 		time.Sleep(settleTime)
 		g := f.list[0]
-		if g.targets.Relaying {
+		if isRelaying(g) {
 			g = f.list[1]
 		}
 		f.network.mu.Lock()
