--- a/internal/fleet/replicator/following_test.go
+++ b/internal/fleet/replicator/following_test.go
@@ -102,6 +102,7 @@
 		defer stop()
 		time.Sleep(time.Second)
 		r.SetFollowing(true)
+		synctest.Wait() // The watch in progress ends, or it would still report the changes.
 		missed := put(t, &store, "k/b", "1")
 		last := put(t, &store, "k/c", "1")
 		time.Sleep(time.Second)
