Don't end an answer because its endpoint is silent

The endpoint was sound. Endpoints may fall silent for a second or so and go on.

Cause: a resumable stream without an event for the progress timeout of 1 s was cancelled at its endpoint before it was known where it could go on. If the route's attempts were used up, or no other endpoint had a free slot, the response that had begun was cut off, and one that had not begun became a 502. Besides, the timer of the header wait cancelled the context by which the relayer told whether the caller had left: if it fired while the head arrived, the request ended as "caller left" with no answer at all (found by reading; the window is too short for a test).

Change: the attempt ends only once a slot at another endpoint is held for the stream, and only if the route allows another run. Otherwise it continues until its deadline, and tries again each progress timeout. The new slot is used by the next attempt, so the stream can't lose it between two steps. Whether the caller has left is told by the request's context, which only the caller and the deadline end.

--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -168,6 +168,17 @@
 	return a.wait(ctx, w)
 }
 
+// TryAcquire returns a slot if one is free now, else nil.
+func (a *Allocator) TryAcquire(request SlotRequest) *Slot {
+	a.mu.Lock()
+	slot := a.assign(request, a.clock.Now())
+	a.mu.Unlock()
+	if slot != nil {
+		a.onChange()
+	}
+	return slot
+}
+
 // LogFields returns the state from which waits for the service are predicted, as log
 // fields.
 func (a *Allocator) LogFields(service fescuebank.ServiceName) []any {
--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -19,7 +19,7 @@
 // caller began, or a server error that can be retried.
 var errCorrupted = errors.New("response corrupted")
 
-// forward relays an endpoint's response to the caller.
+// forward relays an endpoint's response to the caller. ctx is the request's.
 func (t *transfer) forward(ctx context.Context, resp *exchanger.Response) (done bool, err error) {
 	success := resp.StatusCode/100 == 2
 	if success && (!resp.Info.Signed || resp.Header.Get("Content-Encoding") != "") {
@@ -58,10 +58,8 @@
 	var events scanner.Scanner
 	buffer := make([]byte, readBufferBytes)
 	for {
-		if t.request.Route.Resumable {
-			resp.SetReadDeadline(t.clock.Now().Add(t.progressTimeout()))
-		}
 		n, readErr := resp.Read(buffer)
+		t.stalls.progress()
 		if complete := events.Feed(buffer[:n]); len(complete) > 0 {
 			t.sendHeader(resp)
 			if err := t.writer.Write(complete); err != nil {
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -111,8 +111,11 @@
 	tried    []fescuebank.EndpointID
 	attempts int
 	runs     int
-	// attemptHealth reports the outcome of the current attempt.
+	// attemptHealth reports the outcome of the current attempt, and stalls watches its progress.
 	attemptHealth *attemptHealth
+	stalls        *stallWatch
+	// next is the slot of the next attempt if it was acquired before the last one ended.
+	next *allocator.Slot
 	// lastEvent is the id of the last event sent to the caller, and headerSent whether
 	// the response header was sent.
 	lastEvent  string
@@ -139,6 +142,7 @@
 }
 
 func (t *transfer) run(ctx context.Context) error {
+	defer t.releaseNext()
 	for {
 		slot, err := t.acquire(ctx)
 		if err != nil {
@@ -146,6 +150,7 @@
 		}
 		done, err := t.attempt(ctx, slot)
 		slot.Release()
+		t.next = t.stalls.stop()
 		if done {
 			return err
 		}
@@ -155,6 +160,14 @@
 	}
 }
 
+// releaseNext releases the slot of an attempt that doesn't take place.
+func (t *transfer) releaseNext() {
+	if t.next != nil {
+		t.next.Release()
+		t.next = nil
+	}
+}
+
 // mayRunAgain reports whether the request may be run once more.
 func (t *transfer) mayRunAgain() bool {
 	return t.request.Route.Repeatable() && t.runs < t.request.Route.Attempts
@@ -168,10 +181,10 @@
 	return t.request.Route.Objective
 }
 
-func (t *transfer) acquire(ctx context.Context) (*allocator.Slot, error) {
+// slotRequest describes the slot for the next attempt.
+func (t *transfer) slotRequest(now time.Time) allocator.SlotRequest {
 	r := t.request
 	objective := t.objective()
-	now := t.clock.Now()
 	deadline := r.Arrived.Add(time.Duration(maxWaitShare * float64(objective)))
 	if t.attempts > 0 {
 		deadline = now.Add(time.Duration(maxWaitShare * float64(objective)))
@@ -179,12 +192,22 @@
 	if deadline.After(r.Deadline) {
 		deadline = r.Deadline
 	}
-	slot, err := t.allocator.Acquire(ctx, allocator.SlotRequest{
+	return allocator.SlotRequest{
 		Service: r.Service, Prefix: r.PrefixKey(), Tried: t.tried, Deadline: deadline, Priority: r.Priority,
 		ReconsiderAt: r.Arrived.Add(time.Duration(reconsiderShare * float64(objective))),
-	})
-	if err != nil {
-		return nil, err
+	}
+}
+
+// acquire returns the slot for the next attempt.
+func (t *transfer) acquire(ctx context.Context) (*allocator.Slot, error) {
+	now := t.clock.Now()
+	slot := t.next
+	t.next = nil
+	if slot == nil {
+		var err error
+		if slot, err = t.allocator.Acquire(ctx, t.slotRequest(now)); err != nil {
+			return nil, err
+		}
 	}
 	t.slotWait = t.clock.Now().Sub(now)
 	t.endpoint, t.slotLoad = slot.Endpoint, slot.Load
@@ -194,8 +217,7 @@
 // attempt sends the request to one endpoint. It reports whether the request is finished,
 // and its error.
 func (t *transfer) attempt(ctx context.Context, slot *allocator.Slot) (done bool, err error) {
-	requestCtx := ctx
-	ctx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e := slot.Endpoint
 	t.attemptHealth = &attemptHealth{health: t.health, id: e.ID}
@@ -206,12 +228,12 @@
 	if t.lastEvent != "" {
 		t.protocol.Resume(h, t.lastEvent)
 	}
-	stopLimit, stopWatch := t.limitHeaderWait(cancel), t.watchHeaderWait(t.attemptHealth)
-	resp, err := t.exchanger.Send(ctx, e.Addr, t.request, h)
-	stopLimit()
-	stopWatch()
+	t.stalls = t.watchStalls(cancel)
+	stopHeaderWatch := t.watchHeaderWait(t.attemptHealth)
+	resp, err := t.exchanger.Send(attemptCtx, e.Addr, t.request, h)
+	stopHeaderWatch()
 	if err != nil {
-		t.recordFailure(requestCtx, e, err)
+		t.recordFailure(ctx, e, err)
 		return false, err
 	}
 	defer resp.Finish()
@@ -226,18 +248,8 @@
 	return t.forward(ctx, resp)
 }
 
-// limitHeaderWait cancels an attempt of a resumable stream whose response does not begin
-// within the progress timeout, until stop is called.
-func (t *transfer) limitHeaderWait(cancel context.CancelFunc) (stop func()) {
-	if !t.request.Route.Resumable {
-		return func() {}
-	}
-	timer := time.AfterFunc(t.progressTimeout(), cancel)
-	return func() { timer.Stop() }
-}
-
 // progressTimeout returns how long a resumable stream may receive no data before it moves
-// to another endpoint.
+// to another endpoint if it can.
 func (t *transfer) progressTimeout() time.Duration {
 	return max(minProgressTimeout, progressTimeoutFactor*t.request.Route.GapObjective)
 }
