Log the software version of endpoints and which streams are taken up

Endpoints are decoded with their version. "Request ended." states `endpointVersion`, `resumes` and `resumeAfter`; a request that takes up a stream is not an ordinary one. No decision changes.

--- a/exchange.go
+++ b/exchange.go
@@ -36,6 +36,9 @@
 	MaxOutputTokens Tokens
 	// ResumeAfter is the id of the last event that the caller received, or empty.
 	ResumeAfter string
+	// Resumes is the id of the caller's attempt that began the stream, if the caller has
+	// received events of it; empty if the caller doesn't name one.
+	Resumes RequestID
 	// Priority ranks the request; 0 is the most urgent.
 	Priority int
 }
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -328,10 +328,10 @@
 	outcomeCallerLeft = "caller left"
 )
 
-// IsOrdinary reports whether a log line records a request that was answered normally.
-// Such lines are dropped first when the log rate is exceeded.
+// IsOrdinary reports whether a log line records a request that was answered normally and
+// resumed no stream. Such lines are dropped first when the log rate is exceeded.
 func IsOrdinary(line []byte) bool {
-	return bytes.Contains(line, []byte(`"outcome":"answered"`))
+	return bytes.Contains(line, []byte(`"outcome":"answered"`)) && bytes.Contains(line, []byte(`"resumeAfter":""`))
 }
 
 // logEnd logs the end of the request and updates the metrics.
@@ -358,7 +358,8 @@
 	v := t.versions()
 	t.log.Info("Request ended.", "request", string(r.ID), "team", string(r.Team), "route", r.Route.Name, "priority", r.Priority,
 		"configVersion", uint64(v.Config), "ownerEpoch", uint64(v.Epoch), "endpointsRevision", uint64(v.Endpoints),
-		"endpoint", string(t.endpoint.ID), "started", t.endpoint.StartedUnixMilli, "load", t.slotLoad,
+		"endpoint", string(t.endpoint.ID), "started", t.endpoint.StartedUnixMilli, "endpointVersion", t.endpoint.Version,
+		"resumes", string(r.Resumes), "resumeAfter", r.ResumeAfter, "load", t.slotLoad,
 		"reportedRunning", t.reportedLoad.Running, "reportedWaiting", t.reportedLoad.Waiting, "offers", t.attempts, "runs", t.runs,
 		"lastEvent", t.lastEvent, "waitMs", t.slotWait.Milliseconds(), "firstMs", t.firstByte.Milliseconds(),
 		"totalMs", t.clock.Now().Sub(r.Arrived).Milliseconds(), "leftMs", r.Deadline.Sub(t.clock.Now()).Milliseconds(),
--- a/route.go
+++ b/route.go
@@ -167,6 +167,9 @@
 	// Addr is IP:PORT.
 	Addr string
 	Zone Zone
+	// Version is that of the endpoint's software. A stream continues only at endpoints of
+	// the same version.
+	Version string
 	// Slots is how many requests it can run at once, 1 or more.
 	Slots int
 	// Leaving endpoints accept no new requests.
