Store at which version each resumable stream began, also at other instances

Callers whose stream broke could get the rest of it from an endpoint of another software version than the one that began it: the instance that received the new attempt didn't know the version, and none could know it once the instance that began the stream was lost.

entry/resumer stores the version under the request's id when the first event is relayed, and sends copies to four backups by rendezvous hash, one per zone as far as there are enough. Any instance computes the same order and asks there. Copies are calls: one that isn't acknowledged goes to the next instance in the order, so neither a missing connection nor a lost backup loses it. This commit adds the package, its messages and its place in the server; nothing calls Record and Find yet.

--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -24,6 +24,7 @@
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/entry/relayer"
+	"fescuebank/internal/entry/resumer"
 	"fescuebank/internal/fleet/elector"
 	"fescuebank/internal/fleet/gossiper"
 	"fescuebank/internal/fleet/replicator"
@@ -114,6 +115,7 @@
 	allocator     *allocator.Allocator
 	ejector       *ejector.Ejector
 	exchanger     *exchanger.Exchanger
+	resumer       *resumer.Resumer
 	acquirer      *acquirer.Acquirer
 	manager       *manager.Manager
 	runner        *runner.Runner
@@ -168,6 +170,9 @@
 	s.ejector = ejector.New(ejector.Config{
 		Zone: s.self.Zone, Endpoints: s.allocator.Endpoints, Eject: s.allocator.Deprioritize, Clock: s.clock, Log: s.logFor("endpoint"),
 	})
+	s.resumer = resumer.New(resumer.Config{Members: s.gossiper, Peer: s.linker, Clock: s.clock, Log: s.logFor("resume")})
+	s.linker.Handle(fescuebank.KindRecordStreams, s.resumer.HandleRecord)
+	s.linker.Handle(fescuebank.KindFindStream, s.resumer.HandleFind)
 	caller := rerouter.New(s.linker, s.gossiper)
 	s.linker.Handle(fescuebank.KindRelay, caller.Handle)
 	s.linker.Handle(fescuebank.KindReplica, s.handleReplica)
@@ -251,7 +256,7 @@
 	defer stop()
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
-		s.linker.Run, s.config.Run, s.endpoints.Run, s.members.Run, s.owners.Run, s.gossiper.Run, s.elector.Run, s.poll,
+		s.linker.Run, s.config.Run, s.endpoints.Run, s.members.Run, s.owners.Run, s.gossiper.Run, s.elector.Run, s.resumer.Run, s.poll,
 	} {
 		group.Go(func() { run(componentCtx) })
 	}
--- a/peer.go
+++ b/peer.go
@@ -34,6 +34,8 @@
 	KindProgressHandover
 	KindServiceLevels
 	KindGossipBundle
+	KindRecordStreams
+	KindFindStream
 )
 
 // ProbeRequest checks whether an instance is alive and carries health updates.
@@ -213,3 +215,32 @@
 type LoadReply struct {
 	Credits []EndpointCredit `cbor:"1,keyasint"`
 }
+
+// StreamRecord states the software version of the endpoints that a resumable stream began
+// at. Only endpoints of that version may continue the stream.
+type StreamRecord struct {
+	// ID is the id of the request whose response contained the first event.
+	ID RequestID `cbor:"1,keyasint"`
+	// Version is empty if the endpoint states no version.
+	Version string `cbor:"2,keyasint,omitempty"`
+}
+
+// RecordStreamsRequest stores copies of an instance's stream records at another one.
+type RecordStreamsRequest struct {
+	Records []StreamRecord `cbor:"1,keyasint"`
+}
+
+// RecordStreamsReply acknowledges that all records of the request are stored.
+type RecordStreamsReply struct{}
+
+// FindStreamRequest asks an instance for its record of a stream.
+type FindStreamRequest struct {
+	ID RequestID `cbor:"1,keyasint"`
+}
+
+// FindStreamReply answers a FindStreamRequest.
+type FindStreamReply struct {
+	// Found is set if the instance has a record of the stream; otherwise Version is empty.
+	Found   bool   `cbor:"1,keyasint,omitempty"`
+	Version string `cbor:"2,keyasint,omitempty"`
+}
