Continue streams only at the software version that began them

Cause: a caller that takes up a stream was a request like any other. The instance that got it picked an endpoint by load alone, and so did the relayer for the next attempt within one response.

Change: a stream is bound to the version of the endpoint that sends its first event. The relayer continues it only there: after a failure, after silence, and when a caller takes it up. The version of a caller's stream comes from the record that the resumer keeps at several instances. Without a record the only version that has served for 30 s is taken, if this instance hears most of the others. Otherwise the request is refused at once (503, not run). A stream that goes on gets a slot before requests that begin, and waits up to 1 s for one, as only some of the endpoints can serve it.

--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -188,7 +188,7 @@
 	if !r.pacer.MayStart(service, now, room) {
 		return nil
 	}
-	slot := r.Allocator.AcquireBatch(service, pacer.StartReservedShare)
+	slot := r.Allocator.AcquireBatch(service, "", pacer.StartReservedShare)
 	if slot != nil {
 		r.pacer.RecordStart(service, now)
 	}
--- a/internal/batch/runner/runner_test.go
+++ b/internal/batch/runner/runner_test.go
@@ -70,7 +70,7 @@
 			r := New(Config{
 				Allocator: a, Exchanger: exchanger.New(plainProtocol{}, clock), Protocol: plainProtocol{}, Clock: clock, Log: hclog.NewNullLogger(),
 			})
-			slot := a.AcquireBatch("s", 0)
+			slot := a.AcquireBatch("s", "", 0)
 			if slot == nil {
 				t.Fatal("got no slot, want one")
 			}
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -42,6 +42,10 @@
 // SlotRequest describes the slot that a request needs.
 type SlotRequest struct {
 	Service fescuebank.ServiceName
+	// Version restricts the slot to endpoints of a software version; empty means any.
+	Version string
+	// Resuming is set for a stream that has begun before. It goes before requests that begin.
+	Resuming bool
 	// Prefix breaks ties among equally loaded endpoints, so that requests with a common
 	// prompt prefix go to the same endpoint. It may be empty.
 	Prefix string
@@ -77,6 +81,7 @@
 
 	mu           sync.Mutex
 	endpoints    map[fescuebank.EndpointID]*endpoint
+	versions     versionHistory
 	waiting      []*waiter
 	nextSequence uint64
 	// meanHold is the moving average of how long a slot is held.
@@ -145,14 +150,14 @@
 func (a *Allocator) Acquire(ctx context.Context, request SlotRequest) (*Slot, error) {
 	a.mu.Lock()
 	now := a.clock.Now()
-	if len(a.waiting) == 0 {
+	if len(a.waiting) == 0 || request.Resuming {
 		if slot := a.assign(request, now); slot != nil {
 			a.mu.Unlock()
 			a.onChange()
 			return slot, nil
 		}
 	}
-	wait, ok := a.predictWait(request, now, len(a.waiting))
+	wait, ok := a.predictWait(request, now, a.countAhead(request))
 	if !ok || now.Add(wait).After(request.Deadline) {
 		a.mu.Unlock()
 		if !ok {
--- a/internal/entry/allocator/allocator_test.go
+++ b/internal/entry/allocator/allocator_test.go
@@ -208,7 +208,7 @@
 func TestBatchLeavesReservedSlots(t *testing.T) {
 	a := newAllocator(2, 10)
 	acquired := 0
-	for a.AcquireBatch("s", 0.2) != nil {
+	for a.AcquireBatch("s", "", 0.2) != nil {
 		acquired++
 	}
 	if want := 16; acquired != want {
@@ -227,7 +227,7 @@
 	if got := a.BatchExcess("s", 0.2); got != 7 {
 		t.Errorf("got excess %d while 3 wait elsewhere, want 7", got)
 	}
-	if a.AcquireBatch("s", 0) != nil {
+	if a.AcquireBatch("s", "", 0) != nil {
 		t.Error("got a slot for batch work while requests wait, want none")
 	}
 }
@@ -353,7 +353,7 @@
 			t.Error("got no request at the deprioritized endpoint while the other is filled, want some")
 		}
 		for {
-			slot := a.AcquireBatch("s", 0)
+			slot := a.AcquireBatch("s", "", 0)
 			if slot == nil {
 				break
 			}
@@ -362,7 +362,7 @@
 			}
 		}
 		time.Sleep(2 * time.Minute)
-		if slot := a.AcquireBatch("s", 0); slot == nil || slot.Endpoint.ID != deprioritized {
+		if slot := a.AcquireBatch("s", "", 0); slot == nil || slot.Endpoint.ID != deprioritized {
 			t.Error("got no slot at the endpoint after its deprioritization ended, want one")
 		}
 	})
--- a/internal/entry/allocator/batch.go
+++ b/internal/entry/allocator/batch.go
@@ -9,16 +9,20 @@
 // Batch work leaves a share of the service's slots free, and besides as many as the other
 // instances are expected to have taken unseen.
 
-// AcquireBatch returns a slot for batch work without waiting. It returns nil if requests
-// wait at other instances or the free slots would fall below the reserve.
-func (a *Allocator) AcquireBatch(service fescuebank.ServiceName, reservedShare float64) *Slot {
+// AcquireBatch returns a slot for batch work without waiting, at an endpoint of the software
+// version if that is set and one has a free slot. It returns nil if requests wait at other
+// instances or the free slots would fall below the reserve.
+func (a *Allocator) AcquireBatch(service fescuebank.ServiceName, version string, reservedShare float64) *Slot {
 	a.mu.Lock()
 	now := a.clock.Now()
 	if a.batchRoom(service, reservedShare, now) <= 0 {
 		a.mu.Unlock()
 		return nil
 	}
-	slot := a.assign(SlotRequest{Service: service, batch: true}, now)
+	slot := a.assign(SlotRequest{Service: service, Version: version, batch: true}, now)
+	if slot == nil && version != "" {
+		slot = a.assign(SlotRequest{Service: service, batch: true}, now)
+	}
 	a.mu.Unlock()
 	if slot != nil {
 		a.onChange()
@@ -57,7 +61,7 @@
 // batchCapacity returns the slots of a service's usable endpoints and how many of them
 // are free, without deprioritized endpoints. The caller holds the lock.
 func (a *Allocator) batchCapacity(service fescuebank.ServiceName, now time.Time) (slots, free int) {
-	for _, e := range a.usable(service, now) {
+	for _, e := range a.usable(service, "", now) {
 		if e.deprioritizedUntil.After(now) {
 			continue
 		}
--- a/internal/entry/allocator/endpoint.go
+++ b/internal/entry/allocator/endpoint.go
@@ -50,6 +50,12 @@
 	return u
 }
 
+// serves reports whether the endpoint belongs to the service and, if version is not empty,
+// runs that software version.
+func (e *endpoint) serves(service fescuebank.ServiceName, version string) bool {
+	return e.Service == service && (version == "" || e.Version == version)
+}
+
 // acceptsRequests reports whether the endpoint is registered and not leaving.
 func (e *endpoint) acceptsRequests() bool {
 	return !e.removed && !e.Leaving
@@ -60,6 +66,7 @@
 func (a *Allocator) SetEndpoints(list []fescuebank.ServedEndpoint) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.versions.record(a.endpoints, a.clock.Now())
 	next := make(map[fescuebank.EndpointID]*endpoint, len(list))
 	for _, spec := range list {
 		old := a.endpoints[spec.ID]
@@ -110,23 +117,24 @@
 	}
 }
 
-// allExcluded reports whether all endpoints of a service are excluded. They are used
-// regardless then.
-func (a *Allocator) allExcluded(service fescuebank.ServiceName, now time.Time) bool {
+// allExcluded reports whether all endpoints of a service, or of one software version of it,
+// are excluded. They are used regardless then.
+func (a *Allocator) allExcluded(service fescuebank.ServiceName, version string, now time.Time) bool {
 	for _, e := range a.endpoints {
-		if e.Service == service && e.acceptsRequests() && !e.excludedUntil.After(now) {
+		if e.serves(service, version) && e.acceptsRequests() && !e.excludedUntil.After(now) {
 			return false
 		}
 	}
 	return true
 }
 
-// usable returns the endpoints of a service that may get requests now.
-func (a *Allocator) usable(service fescuebank.ServiceName, now time.Time) []*endpoint {
-	allExcluded := a.allExcluded(service, now)
+// usable returns the endpoints of a service that may get requests now, those of one software
+// version if it is not empty.
+func (a *Allocator) usable(service fescuebank.ServiceName, version string, now time.Time) []*endpoint {
+	allExcluded := a.allExcluded(service, version, now)
 	list := make([]*endpoint, 0, len(a.endpoints))
 	for _, e := range a.endpoints {
-		if e.Service == service && e.acceptsRequests() && (allExcluded || !e.excludedUntil.After(now)) {
+		if e.serves(service, version) && e.acceptsRequests() && (allExcluded || !e.excludedUntil.After(now)) {
 			list = append(list, e)
 		}
 	}
--- a/internal/entry/allocator/pick.go
+++ b/internal/entry/allocator/pick.go
@@ -51,7 +51,7 @@
 // sampled by load while the other instances are expected to have unreported requests.
 func (a *Allocator) pick(request SlotRequest, now time.Time) *endpoint {
 	var list []*endpoint
-	for _, e := range a.usable(request.Service, now) {
+	for _, e := range a.usable(request.Service, request.Version, now) {
 		if e.hasSlotFor(request, now) && (!request.batch || !e.deprioritizedUntil.After(now)) {
 			list = append(list, e)
 		}
--- /dev/null
+++ b/internal/entry/allocator/version_test.go
@@ -0,0 +1,121 @@
+package allocator_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fescuebank"
+	"fescuebank/internal/entry/allocator"
+	"fescuebank/internal/timing/timekeeper"
+)
+
+// versionedEndpoints returns one endpoint of 2 slots for each version.
+func versionedEndpoints(versions ...string) []fescuebank.ServedEndpoint {
+	list := endpoints(len(versions), 2)
+	for i := range list {
+		list[i].Version = versions[i]
+	}
+	return list
+}
+
+// TestSoleVersionIsNotAssumed guards against streams that continue at the only version listed
+// although another one may have begun them.
+func TestSoleVersionIsNotAssumed(t *testing.T) {
+	type step struct {
+		versions []string
+		// lasts is how long the list is in force.
+		lasts time.Duration
+	}
+	for _, tt := range []struct {
+		name  string
+		steps []step
+		want  string
+		ok    bool
+	}{
+		{"no endpoints", nil, "", false},
+		{"one version since long", []step{{[]string{"v1", "v1"}, time.Minute}}, "v1", true},
+		{"one version since the start of the instance", []step{{[]string{"v1", "v1"}, 10 * time.Second}}, "", false},
+		{"two versions", []step{{[]string{"v1", "v2"}, time.Minute}}, "", false},
+		{"the other one left a moment ago", []step{{[]string{"v1", "v2"}, time.Minute}, {[]string{"v2", "v2"}, 5 * time.Second}}, "", false},
+		{"the other one left long ago", []step{{[]string{"v1", "v2"}, time.Minute}, {[]string{"v2", "v2"}, 31 * time.Second}}, "v2", true},
+		{"endpoints state no version", []step{{[]string{"", ""}, time.Second}}, "", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := allocator.New(timekeeper.Timekeeper{}, func() {})
+				for _, s := range tt.steps {
+					a.SetEndpoints(versionedEndpoints(s.versions...))
+					time.Sleep(s.lasts)
+				}
+				got, ok := a.SoleVersion("s")
+				if ok != tt.ok || (ok && got != tt.want) {
+					t.Errorf("got %q, %v, want %q, %v", got, ok, tt.want, tt.ok)
+				}
+			})
+		})
+	}
+}
+
+// TestResumingStreamGoesFirst guards against streams that don't go on because requests that
+// arrived before them take the slots of their version.
+func TestResumingStreamGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := allocator.New(timekeeper.Timekeeper{}, func() {})
+		a.SetEndpoints(versionedEndpoints("v1", "v2"))
+		held := make(map[string][]*allocator.Slot)
+		for range 4 {
+			slot := mustAcquire(t, a)
+			held[slot.Endpoint.Version] = append(held[slot.Endpoint.Version], slot)
+		}
+		assigned := make(chan string, 2)
+		acquire := func(name string, request allocator.SlotRequest) {
+			request.Service, request.Deadline = "s", time.Now().Add(2*time.Second)
+			slot, err := a.Acquire(context.Background(), request)
+			if err != nil {
+				t.Errorf("%s: got %v, want a slot", name, err)
+				return
+			}
+			assigned <- name + " at " + slot.Endpoint.Version
+		}
+		go acquire("first", allocator.SlotRequest{})
+		synctest.Wait()
+		go acquire("resuming", allocator.SlotRequest{Version: "v1", Resuming: true})
+		synctest.Wait()
+		held["v1"][0].Release()
+		if got, want := <-assigned, "resuming at v1"; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+		held["v2"][0].Release()
+		if got, want := <-assigned, "first at v2"; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	})
+}
+
+// TestResumingStreamIsRefusedWithoutItsVersion guards against a wait that can't succeed.
+func TestResumingStreamIsRefusedWithoutItsVersion(t *testing.T) {
+	a := allocator.New(timekeeper.Timekeeper{}, func() {})
+	list := versionedEndpoints("v1", "v2")
+	list[0].Leaving = true
+	a.SetEndpoints(list)
+	_, err := a.Acquire(context.Background(), allocator.SlotRequest{Service: "s", Version: "v1", Resuming: true, Deadline: time.Now().Add(time.Second)})
+	if !errors.Is(err, allocator.ErrNoEndpoint) {
+		t.Errorf("got %v, want %v", err, allocator.ErrNoEndpoint)
+	}
+}
+
+// TestBatchWorkPrefersItsVersion guards against items that begin anew although an endpoint of
+// their version has a free slot.
+func TestBatchWorkPrefersItsVersion(t *testing.T) {
+	a := allocator.New(timekeeper.Timekeeper{}, func() {})
+	a.SetEndpoints(versionedEndpoints("v1", "v2", "v2", "v2"))
+	for _, want := range []string{"v1", "v1", "v2"} {
+		slot := a.AcquireBatch("s", "v1", 0)
+		if slot == nil || slot.Endpoint.Version != want {
+			t.Fatalf("got slot %+v, want one at an endpoint of %s", slot, want)
+		}
+	}
+}
--- a/internal/entry/allocator/wait.go
+++ b/internal/entry/allocator/wait.go
@@ -4,8 +4,6 @@
 	"context"
 	"slices"
 	"time"
-
-	"fescuebank"
 )
 
 // waiter is a waiting request.
@@ -15,9 +13,15 @@
 	assigned chan *Slot
 }
 
-// enqueue inserts w by priority, then by deadline, then by arrival.
+// enqueue inserts w by priority, then by deadline, then by arrival, resuming streams first.
 func (a *Allocator) enqueue(w *waiter) {
 	i, _ := slices.BinarySearchFunc(a.waiting, w, func(x, y *waiter) int {
+		if x.request.Resuming != y.request.Resuming {
+			if x.request.Resuming {
+				return -1
+			}
+			return 1
+		}
 		if x.request.Priority != y.request.Priority {
 			return x.request.Priority - y.request.Priority
 		}
@@ -29,6 +33,19 @@
 	a.waiting = slices.Insert(a.waiting, i, w)
 }
 
+// countAhead returns how many waiting requests go before a new one. The caller holds the
+// lock.
+func (a *Allocator) countAhead(request SlotRequest) int {
+	if !request.Resuming {
+		return len(a.waiting)
+	}
+	first := slices.IndexFunc(a.waiting, func(w *waiter) bool { return !w.request.Resuming })
+	if first < 0 {
+		return len(a.waiting)
+	}
+	return first
+}
+
 func (a *Allocator) wait(ctx context.Context, w *waiter) (*Slot, error) {
 	var reconsider <-chan time.Time
 	if !w.request.ReconsiderAt.IsZero() {
@@ -99,7 +116,7 @@
 // the slots are assumed to be released one after the other at equal intervals.
 func (a *Allocator) predictWait(request SlotRequest, now time.Time, ownAhead int) (time.Duration, bool) {
 	slots, taken, free := 0, 0, 0
-	for _, e := range a.usable(request.Service, now) {
+	for _, e := range a.usable(request.Service, request.Version, now) {
 		if slices.Contains(request.Tried, e.ID) {
 			continue
 		}
@@ -110,7 +127,10 @@
 	if slots == 0 {
 		return 0, false
 	}
-	missing := ownAhead + a.peersWaiting + 1 - free
+	missing := ownAhead + 1 - free
+	if !request.Resuming {
+		missing += a.peersWaiting
+	}
 	if missing <= 0 {
 		return 0, true
 	}
@@ -118,7 +138,7 @@
 		return preemptionTime, true
 	}
 	missing -= a.peerBatch
-	releases := a.expectedReleases(request.Service, now)
+	releases := a.expectedReleases(request, now)
 	online := max(1, taken-a.peerBatch)
 	if len(releases)*maxSlotsPerRelease < online {
 		return a.meanHold * time.Duration(missing) / time.Duration(online), true
@@ -133,12 +153,12 @@
 	return releases[index] + time.Duration(rounds)*a.meanHold, true
 }
 
-// expectedReleases returns the expected times until this instance's slots are released,
-// in ascending order.
-func (a *Allocator) expectedReleases(service fescuebank.ServiceName, now time.Time) []time.Duration {
+// expectedReleases returns the expected times until this instance's slots that suit the
+// request are released, in ascending order.
+func (a *Allocator) expectedReleases(request SlotRequest, now time.Time) []time.Duration {
 	list := make([]time.Duration, 0, len(a.heldSlots))
 	for slot := range a.heldSlots {
-		if slot.endpoint.Service == service && !slot.endpoint.removed {
+		if slot.endpoint.serves(request.Service, request.Version) && !slot.endpoint.removed {
 			list = append(list, max(0, a.meanHold-now.Sub(slot.acquiredAt)))
 		}
 	}
--- a/internal/entry/allocator/wave_test.go
+++ b/internal/entry/allocator/wave_test.go
@@ -276,7 +276,7 @@
 		if !o.pacer.MayStart("s", now, room) {
 			return
 		}
-		slot := o.allocator.AcquireBatch("s", pacer.StartReservedShare)
+		slot := o.allocator.AcquireBatch("s", "", pacer.StartReservedShare)
 		if slot == nil {
 			return
 		}
--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -61,6 +61,7 @@
 		n, readErr := resp.Read(buffer)
 		t.stalls.progress()
 		if complete := events.Feed(buffer[:n]); len(complete) > 0 {
+			t.begin()
 			t.sendHeader(resp)
 			if err := t.writer.Write(complete); err != nil {
 				resp.Abort()
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -27,6 +27,8 @@
 	// slot is expected in time: a caller that is refused this early can still retry
 	// within the objective.
 	reconsiderShare = 0.2
+	// maxResumeWait is how long a stream that has begun may wait for a slot.
+	maxResumeWait = time.Second
 	// defaultObjective applies to routes without an objective.
 	defaultObjective = time.Second
 	// maxAttempts bounds the number of endpoints tried, including those that did not run
@@ -56,6 +58,15 @@
 	Record(id fescuebank.EndpointID, good bool)
 }
 
+// BegunStreams knows at which software version of the endpoints streams began, also those
+// that other instances relayed.
+type BegunStreams interface {
+	// Record records the version of a stream by the id of the request that began it.
+	Record(id fescuebank.RequestID, version string)
+	// Find returns the version of a stream, or false if it can't be found out.
+	Find(ctx context.Context, id fescuebank.RequestID) (version string, ok bool)
+}
+
 // Relayer relays requests to endpoints.
 type Relayer struct {
 	allocator     *allocator.Allocator
@@ -66,6 +77,8 @@
 	versions      func() Versions
 	serviceLevels ServiceLevelRecorder
 	health        Health
+	begunStreams  BegunStreams
+	inTouch       func() bool
 	log           hclog.Logger
 }
 
@@ -87,14 +100,18 @@
 	Versions      func() Versions
 	ServiceLevels ServiceLevelRecorder
 	Health        Health
-	Log           hclog.Logger
+	BegunStreams  BegunStreams
+	// InTouch reports whether the list of endpoints is likely to be current.
+	InTouch func() bool
+	Log     hclog.Logger
 }
 
 // New returns a relayer.
 func New(c Config) *Relayer {
 	return &Relayer{
 		allocator: c.Allocator, exchanger: c.Exchanger, protocol: c.Protocol, clock: c.Clock, meter: c.Meter,
-		versions: c.Versions, serviceLevels: c.ServiceLevels, health: c.Health, log: c.Log,
+		versions: c.Versions, serviceLevels: c.ServiceLevels, health: c.Health,
+		begunStreams: c.BegunStreams, inTouch: c.InTouch, log: c.Log,
 	}
 }
 
@@ -120,6 +137,9 @@
 	// the response header was sent.
 	lastEvent  string
 	headerSent bool
+	// version is the software version at which the stream began, if resuming is set.
+	version  string
+	resuming bool
 	// The fields below describe the last attempt, for the log.
 	endpoint     fescuebank.ServedEndpoint
 	slotLoad     int
@@ -143,6 +163,9 @@
 
 func (t *transfer) run(ctx context.Context) error {
 	defer t.releaseNext()
+	if err := t.findVersion(ctx); err != nil {
+		return err
+	}
 	for {
 		slot, err := t.acquire(ctx)
 		if err != nil {
@@ -185,17 +208,23 @@
 func (t *transfer) slotRequest(now time.Time) allocator.SlotRequest {
 	r := t.request
 	objective := t.objective()
-	deadline := r.Arrived.Add(time.Duration(maxWaitShare * float64(objective)))
-	if t.attempts > 0 {
-		deadline = now.Add(time.Duration(maxWaitShare * float64(objective)))
+	request := allocator.SlotRequest{
+		Service: r.Service, Prefix: r.PrefixKey(), Tried: t.tried, Priority: r.Priority,
+		ReconsiderAt: r.Arrived.Add(time.Duration(reconsiderShare * float64(objective))),
 	}
-	if deadline.After(r.Deadline) {
-		deadline = r.Deadline
+	switch {
+	case t.resuming:
+		request.Version, request.Resuming, request.ReconsiderAt = t.version, true, time.Time{}
+		request.Deadline = now.Add(maxResumeWait)
+	case t.attempts > 0:
+		request.Deadline = now.Add(time.Duration(maxWaitShare * float64(objective)))
+	default:
+		request.Deadline = r.Arrived.Add(time.Duration(maxWaitShare * float64(objective)))
 	}
-	return allocator.SlotRequest{
-		Service: r.Service, Prefix: r.PrefixKey(), Tried: t.tried, Deadline: deadline, Priority: r.Priority,
-		ReconsiderAt: r.Arrived.Add(time.Duration(reconsiderShare * float64(objective))),
+	if request.Deadline.After(r.Deadline) {
+		request.Deadline = r.Deadline
 	}
+	return request
 }
 
 // acquire returns the slot for the next attempt.
@@ -300,6 +329,9 @@
 
 func (t *transfer) refusalNotRun(cause error) *fescuebank.Refusal {
 	switch {
+	case t.resuming && errors.Is(cause, allocator.ErrNoEndpoint):
+		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeCannotResume,
+			"no endpoint of the software version that began the stream is left").WithRetryAfter(t.allocator.RetryAfter())
 	case errors.Is(cause, allocator.ErrFull), errors.Is(cause, errNotRun):
 		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeOverloaded,
 			"all endpoints are busy").WithRetryAfter(t.allocator.RetryAfter())
--- a/internal/entry/relayer/stall.go
+++ b/internal/entry/relayer/stall.go
@@ -54,6 +54,14 @@
 	}
 }
 
+// bind restricts the endpoints at which the stream may continue, which has begun, to those of a
+// software version.
+func (w *stallWatch) bind(version string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.request.Version, w.request.Resuming = version, true
+}
+
 // move acquires a slot at another endpoint and ends the attempt, or restarts the timeout if no
 // slot is free.
 func (w *stallWatch) move() {
--- /dev/null
+++ b/internal/entry/relayer/version.go
@@ -0,0 +1,47 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+
+	"fescuebank"
+)
+
+// findVersion determines the software version of the endpoints at which a stream that the
+// caller takes up has begun. What two versions generate doesn't fit together, so the request
+// is refused if the version can't be found out.
+func (t *transfer) findVersion(ctx context.Context) error {
+	r := t.request
+	if r.ResumeAfter == "" {
+		return nil
+	}
+	sole, isSole := t.allocator.SoleVersion(r.Service)
+	if isSole && sole == "" {
+		return nil
+	}
+	version, isKnown := "", false
+	if r.Resumes != "" {
+		version, isKnown = t.begunStreams.Find(ctx, r.Resumes)
+	}
+	if !isKnown && isSole && t.inTouch() {
+		version, isKnown = sole, true
+	}
+	if !isKnown {
+		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeCannotResume,
+			"the software version that began the stream is not known").WithRetryAfter(t.allocator.RetryAfter())
+	}
+	t.version, t.resuming = version, true
+	return nil
+}
+
+// begin binds the stream to the version of its first endpoint, before its first event is sent.
+func (t *transfer) begin() {
+	if t.resuming {
+		return
+	}
+	t.version, t.resuming = t.endpoint.Version, true
+	t.stalls.bind(t.version)
+	if t.request.Route.Resumable && t.version != "" {
+		t.begunStreams.Record(t.request.ID, t.version)
+	}
+}
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -50,6 +50,22 @@
 	s.runner.Wake()
 }
 
+// inTouch reports whether this instance is likely to know all endpoints: gossip arrives from at
+// least half of the other instances, or it is the only one and reaches the store.
+func (s *Server) inTouch() bool {
+	peers := s.gossiper.Peers()
+	if len(peers) == 0 {
+		return !s.storeUnreachable()
+	}
+	alive := 0
+	for _, p := range peers {
+		if p.Alive {
+			alive++
+		}
+	}
+	return 2*alive >= len(peers)
+}
+
 // versions returns the versions of the state that decisions are based on.
 func (s *Server) versions() relayer.Versions {
 	v := relayer.Versions{Epoch: s.elector.Epoch(), Endpoints: s.endpoints.ChangedAt()}
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -208,7 +208,8 @@
 		Table: s.table.Load,
 		Relayer: relayer.New(relayer.Config{
 			Allocator: s.allocator, Exchanger: s.exchanger, Protocol: s.platform.Protocol, Clock: s.clock,
-			Meter: s.meter, Versions: s.versions, ServiceLevels: s.serviceLevels, Health: s.ejector, Log: s.logFor("entry"),
+			Meter: s.meter, Versions: s.versions, ServiceLevels: s.serviceLevels, Health: s.ejector,
+			BegunStreams: s.resumer, InTouch: s.inTouch, Log: s.logFor("entry"),
 		}),
 		Admitter: s.acquirer, Batch: batchClient, Addresses: s.addresses, Ready: s.ready, Leaving: s.leaving.Load,
 		Clock: s.clock, Meter: s.meter, ServiceLevels: s.serviceLevels, Log: s.logFor("entry"),
--- a/refusal.go
+++ b/refusal.go
@@ -48,6 +48,8 @@
 	CodeInternal      RefusalCode = "internal"
 	CodeConfigStale   RefusalCode = "configStale"
 	CodeEndpointError RefusalCode = "endpointError"
+	// CodeCannotResume means that the stream can't continue where it began.
+	CodeCannotResume RefusalCode = "cannotResume"
 )
 
 // Refusal is an error response to a caller.
