Take up streams of callers that don't name the attempt that began them

Change: a stream is recorded twice, under the id of the attempt and under a fingerprint of what the caller asks (team, host, method, target, body), which is the same in each of its attempts. If streams of one id began at different versions, none is known and the request is refused. TestSecondVersionDoesNotReplaceTheFirst demanded that the first version stays; with ids that may be shared that would be wrong, so TestConflictingVersionsAreNotUsed replaces it: no version is used.

--- a/exchange.go
+++ b/exchange.go
@@ -1,6 +1,7 @@
 package fescuebank
 
 import (
+	"crypto/sha256"
 	"net/http"
 	"time"
 )
@@ -43,6 +44,20 @@
 	Priority int
 }
 
+// Fingerprint identifies what the caller requests. Each attempt of the caller at the same request has
+// the same one.
+func (r *Request) Fingerprint() Fingerprint {
+	h := sha256.New()
+	for _, field := range []string{string(r.Team), r.Host, r.Method, r.Target} {
+		h.Write([]byte(field))
+		h.Write([]byte{0})
+	}
+	h.Write(r.Body)
+	var f Fingerprint
+	copy(f[:], h.Sum(nil))
+	return f
+}
+
 // PrefixKey identifies the longest prefix of the prompt that other requests may share.
 func (r *Request) PrefixKey() string {
 	if len(r.Prompt) < 2 {
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -329,7 +329,7 @@
 
 func (t *transfer) refusalNotRun(cause error) *fescuebank.Refusal {
 	switch {
-	case t.resuming && errors.Is(cause, allocator.ErrNoEndpoint):
+	case t.resuming && len(t.tried) == 0 && errors.Is(cause, allocator.ErrNoEndpoint):
 		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeCannotResume,
 			"no endpoint of the software version that began the stream is left").WithRetryAfter(t.allocator.RetryAfter())
 	case errors.Is(cause, allocator.ErrFull), errors.Is(cause, errNotRun):
--- a/internal/entry/relayer/version.go
+++ b/internal/entry/relayer/version.go
@@ -19,10 +19,11 @@
 	if isSole && sole == "" {
 		return nil
 	}
-	version, isKnown := "", false
-	if r.Resumes != "" {
-		version, isKnown = t.begunStreams.Find(ctx, r.Resumes)
+	id := r.Resumes
+	if id == "" {
+		id = fingerprintID(r)
 	}
+	version, isKnown := t.begunStreams.Find(ctx, id)
 	if !isKnown && isSole && t.inTouch() {
 		version, isKnown = sole, true
 	}
@@ -43,5 +44,12 @@
 	t.stalls.bind(t.version)
 	if t.request.Route.Resumable && t.version != "" {
 		t.begunStreams.Record(t.request.ID, t.version)
+		t.begunStreams.Record(fingerprintID(t.request), t.version)
 	}
 }
+
+// fingerprintID returns the id by which a stream is recorded for callers that don't name the
+// attempt that began it.
+func fingerprintID(r *fescuebank.Request) fescuebank.RequestID {
+	return fescuebank.RequestID("fingerprint/" + r.Fingerprint().String())
+}
--- a/internal/entry/resumer/find.go
+++ b/internal/entry/resumer/find.go
@@ -19,12 +19,15 @@
 // Find returns the version at which the stream of a request began. It asks other instances
 // if none is stored here. It returns false if no record is found in time.
 func (r *Resumer) Find(ctx context.Context, id fescuebank.RequestID) (version string, ok bool) {
-	if version, ok := r.known(id); ok || !isValid(fescuebank.StreamRecord{ID: id}) {
-		return version, ok
+	if !isValid(fescuebank.StreamRecord{ID: id}) {
+		return "", false
+	}
+	if recorded, ok := r.known(id); ok {
+		return recorded.version, !recorded.conflicting
 	}
 	order := rank(candidates(r.Members.Peers(), toAsk, askCandidates), string(id))
 	reply := r.askInOrder(ctx, order, id)
-	if !reply.Found {
+	if !reply.Found || reply.Conflicting {
 		r.Log.Info("Version of a stream not found.", "request", string(id), "members", len(order))
 		return "", false
 	}
--- a/internal/entry/resumer/records.go
+++ b/internal/entry/resumer/records.go
@@ -10,11 +10,18 @@
 type records struct {
 	limit    int
 	ttl      time.Duration
-	versions map[fescuebank.RequestID]string
+	versions map[fescuebank.RequestID]recordedVersion
 	// ages lists the same records, the oldest first.
 	ages []recordAge
 }
 
+// recordedVersion is the version in the records of one id.
+type recordedVersion struct {
+	version string
+	// conflicting is set if the records name different versions, so that none is known.
+	conflicting bool
+}
+
 // recordAge states when a record was stored.
 type recordAge struct {
 	id       fescuebank.RequestID
@@ -22,29 +29,32 @@
 }
 
 func newRecords(limit int, ttl time.Duration) *records {
-	return &records{limit: limit, ttl: ttl, versions: make(map[fescuebank.RequestID]string)}
+	return &records{limit: limit, ttl: ttl, versions: make(map[fescuebank.RequestID]recordedVersion)}
 }
 
-// add stores a record and reports whether there was none of the stream. A stream begins
-// once, so an existing record stays as it is.
+// add stores a record and reports whether that changes what is known of its id.
 func (r *records) add(now time.Time, record fescuebank.StreamRecord) bool {
 	r.expire(now)
-	if _, ok := r.versions[record.ID]; ok {
-		return false
+	if known, ok := r.versions[record.ID]; ok {
+		if known.conflicting || known.version == record.Version {
+			return false
+		}
+		r.versions[record.ID] = recordedVersion{conflicting: true}
+		return true
 	}
 	if len(r.ages) >= r.limit {
 		r.dropOldest()
 	}
-	r.versions[record.ID] = record.Version
+	r.versions[record.ID] = recordedVersion{version: record.Version}
 	r.ages = append(r.ages, recordAge{id: record.ID, storedAt: now})
 	return true
 }
 
-// find returns the version in the record of a stream.
-func (r *records) find(now time.Time, id fescuebank.RequestID) (version string, ok bool) {
+// find returns what the records of an id say, or false if there are none.
+func (r *records) find(now time.Time, id fescuebank.RequestID) (recorded recordedVersion, ok bool) {
 	r.expire(now)
-	version, ok = r.versions[id]
-	return version, ok
+	recorded, ok = r.versions[id]
+	return recorded, ok
 }
 
 // expire drops the records that are older than the TTL.
--- a/internal/entry/resumer/records_test.go
+++ b/internal/entry/resumer/records_test.go
@@ -32,7 +32,7 @@
 		}
 		var got []fescuebank.RequestID
 		for _, id := range []fescuebank.RequestID{"a", "b", "c", "d"} {
-			if version, ok := r.find(start.Add(tt.at), id); ok && version == "v1" {
+			if recorded, ok := r.find(start.Add(tt.at), id); ok && recorded.version == "v1" {
 				got = append(got, id)
 			}
 		}
@@ -48,14 +48,25 @@
 	}
 }
 
-func TestSecondVersionDoesNotReplaceTheFirst(t *testing.T) {
+// TestConflictingVersionsAreNotUsed guards against a stream that continues at the version of another
+// one with the same id.
+func TestConflictingVersionsAreNotUsed(t *testing.T) {
 	r := newRecords(3, time.Minute)
 	now := time.Unix(1000, 0)
-	r.add(now, fescuebank.StreamRecord{ID: "a", Version: "v1"})
-	if r.add(now, fescuebank.StreamRecord{ID: "a", Version: "v2"}) {
-		t.Error("second record of a stream: got added, want ignored")
-	}
-	if got, _ := r.find(now, "a"); got != "v1" {
-		t.Errorf("got version %q, want v1", got)
+	for _, tt := range []struct {
+		version string
+		changed bool
+		want    recordedVersion
+	}{
+		{"v1", true, recordedVersion{version: "v1"}},
+		{"v1", false, recordedVersion{version: "v1"}},
+		{"v2", true, recordedVersion{conflicting: true}},
+		{"v1", false, recordedVersion{conflicting: true}},
+	} {
+		changed := r.add(now, fescuebank.StreamRecord{ID: "a", Version: tt.version})
+		got, _ := r.find(now, "a")
+		if changed != tt.changed || got != tt.want {
+			t.Errorf("after %s: got %+v, changed %v, want %+v, %v", tt.version, got, changed, tt.want, tt.changed)
+		}
 	}
 }
--- a/internal/entry/resumer/resumer.go
+++ b/internal/entry/resumer/resumer.go
@@ -69,6 +69,7 @@
 
 // Record stores that the first event of the response to request id was relayed, from an
 // endpoint of a version. It doesn't wait; Run sends copies of the record to other instances.
+// If different versions are recorded under one id, Find finds none.
 func (r *Resumer) Record(id fescuebank.RequestID, version string) {
 	record := fescuebank.StreamRecord{ID: id, Version: version}
 	if !isValid(record) {
@@ -88,8 +89,8 @@
 	return s.ID != "" && len(s.ID) <= maxIDBytes && len(s.Version) <= maxVersionBytes
 }
 
-// known returns the version in the record that this instance has of a stream.
-func (r *Resumer) known(id fescuebank.RequestID) (version string, ok bool) {
+// known returns what the records of this instance say about an id.
+func (r *Resumer) known(id fescuebank.RequestID) (recorded recordedVersion, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.records.find(r.Clock.Now(), id)
@@ -122,6 +123,6 @@
 	if err := decode(&request); err != nil {
 		return nil, err
 	}
-	version, ok := r.known(request.ID)
-	return &fescuebank.FindStreamReply{Found: ok, Version: version}, nil
+	recorded, ok := r.known(request.ID)
+	return &fescuebank.FindStreamReply{Found: ok, Version: recorded.version, Conflicting: recorded.conflicting}, nil
 }
--- a/peer.go
+++ b/peer.go
@@ -243,4 +243,6 @@
 	// Found is set if the instance has a record of the stream; otherwise Version is empty.
 	Found   bool   `cbor:"1,keyasint,omitempty"`
 	Version string `cbor:"2,keyasint,omitempty"`
+	// Conflicting is set if several versions are recorded; Version is empty then.
+	Conflicting bool `cbor:"3,keyasint,omitempty"`
 }
