Send nothing more to an endpoint that states that it leaves

What callers saw: an endpoint that leaves states so in all its responses, by the header Server-Leaving, and may do so before its entry in the store changes. The header was relayed to callers but not read. Online requests and batch items went on to reach the endpoint as long as its entry said ready, in an outage of the store until the endpoint had exited, so that they were refused or cut off.

Cause: whether an endpoint leaves was decided by its entry alone.

Fix: the response's statement is decoded, and the allocator keeps it for the incarnation of the endpoint. It is kept apart from the list of endpoints, so that it survives an entry that still says ready, is read out of date, or is removed and comes back; an hour after the removal it is forgotten. It covers all incarnations that started before the request was sent, since one of them sent the response even if only an older entry had been read. A later one starts without it. A response by another endpoint at the address (status 421, or another id) doesn't count. Every response to the request itself counts: also a refusal, a failure, or one that is cut off later. The first statement of an incarnation is logged.

--- a/exchange.go
+++ b/exchange.go
@@ -68,6 +68,19 @@
 	Signed bool
 	// Load is nil if the endpoint reports none.
 	Load *EndpointLoad
+	// Endpoint is the endpoint that responded, or empty if the response names none.
+	Endpoint EndpointID
+	// Leaving is set when the endpoint that responded states that it leaves.
+	Leaving bool
+}
+
+// StatesLeaving reports whether the response states that the endpoint leaves to which the
+// request was sent. A response by another endpoint that now has the address doesn't.
+func (i ResponseInfo) StatesLeaving(sentTo EndpointID) bool {
+	if i.Endpoint != "" {
+		return i.Leaving && i.Endpoint == sentTo
+	}
+	return i.Leaving && !i.Misdirected
 }
 
 // EndpointProtocol encodes the headers of requests to endpoints and decodes those
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -262,6 +262,9 @@
 	if response.Info.Load != nil {
 		a.slot.Observe(*response.Info.Load)
 	}
+	if response.Info.StatesLeaving(endpoint.ID) && a.slot.MarkLeaving() {
+		r.Log.Info("Endpoint states that it leaves.", "request", string(request.ID), "endpoint", string(endpoint.ID), "started", endpoint.StartedUnixMilli)
+	}
 	if response.Info.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response, readBufferBytes))
 		if response.Info.Misdirected {
--- a/internal/batch/runner/runner_test.go
+++ b/internal/batch/runner/runner_test.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -83,3 +85,56 @@
 		})
 	}
 }
+
+// statingProtocol is an endpoint protocol whose endpoints state in each response that they
+// leave.
+type statingProtocol struct{ plainProtocol }
+
+func (statingProtocol) Decode(status int, h http.Header) fescuebank.ResponseInfo {
+	return fescuebank.ResponseInfo{
+		Request: fescuebank.RequestID(h.Get("Request")), NotRun: status == http.StatusServiceUnavailable, Signed: true,
+		Endpoint: fescuebank.EndpointID(h.Get("Endpoint")), Leaving: true,
+	}
+}
+
+// TestEndpointThatStatesItLeavesGetsNoFurtherItem guards against items sent to an endpoint whose
+// entry still says ready after it stated in a response that it leaves.
+func TestEndpointThatStatesItLeavesGetsNoFurtherItem(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		response string
+		// leaves is whether the endpoint is taken for leaving.
+		leaves bool
+	}{
+		{"completed", "HTTP/1.1 200 OK\r\nRequest: q\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n", true},
+		{"not run", "HTTP/1.1 503 Service Unavailable\r\nRequest: q\r\nContent-Length: 0\r\n\r\n", true},
+		{"failed", "HTTP/1.1 500 Internal Server Error\r\nRequest: q\r\nContent-Length: 0\r\n\r\n", true},
+		{"response by another endpoint", "HTTP/1.1 503 Service Unavailable\r\nRequest: q\r\nEndpoint: i-2\r\nContent-Length: 0\r\n\r\n", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := timekeeper.Timekeeper{}
+			list := []fescuebank.ServedEndpoint{{ID: "i-1", Service: "s", Slots: 8, Addr: listen(t, func(c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, tt.response)
+				}
+			})}}
+			a := allocator.New(clock, func() {})
+			a.SetEndpoints(list)
+			r := New(Config{
+				Allocator: a, Exchanger: exchanger.New(statingProtocol{}, clock), Protocol: statingProtocol{}, Clock: clock, Log: hclog.NewNullLogger(),
+			})
+			slot := a.AcquireBatch("s", 0)
+			if slot == nil {
+				t.Fatal("got no slot, want one")
+			}
+			request := &fescuebank.Request{ID: "q", Service: "s", Method: http.MethodPost, Target: "/", Host: "h", Deadline: clock.Now().Add(time.Minute)}
+			var progress fescuebank.Progress
+			_, _ = r.attempt(t.Context(), &attempt{task: &manager.Task{Request: request}, slot: slot}, &progress)
+			slot.Release()
+			a.SetEndpoints(list)
+			if got := a.AcquireBatch("s", 0) == nil; got != tt.leaves {
+				t.Errorf("got no slot for a further item: %v, want %v", got, tt.leaves)
+			}
+		})
+	}
+}
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -75,8 +75,10 @@
 	// onChange is called without the lock held when this instance's counts change.
 	onChange func()
 
-	mu           sync.Mutex
-	endpoints    map[fescuebank.EndpointID]*endpoint
+	mu        sync.Mutex
+	endpoints map[fescuebank.EndpointID]*endpoint
+	// leaving holds the endpoints that stated in a response that they leave.
+	leaving      map[fescuebank.EndpointID]leavingStatement
 	waiting      []*waiter
 	nextSequence uint64
 	// meanHold is the moving average of how long a slot is held.
@@ -103,6 +105,7 @@
 	return &Allocator{
 		clock: clock, onChange: onChange, meanHold: initialHoldTime,
 		endpoints: make(map[fescuebank.EndpointID]*endpoint), heldSlots: make(map[*Slot]bool),
+		leaving: make(map[fescuebank.EndpointID]leavingStatement),
 	}
 }
 
--- a/internal/entry/allocator/endpoint.go
+++ b/internal/entry/allocator/endpoint.go
@@ -56,12 +56,14 @@
 }
 
 // SetEndpoints replaces the list of endpoints. Counts are kept for endpoints of the same
-// incarnation and address.
+// incarnation and address. An endpoint that stated that it leaves remains leaving, whatever
+// its entry says.
 func (a *Allocator) SetEndpoints(list []fescuebank.ServedEndpoint) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	next := make(map[fescuebank.EndpointID]*endpoint, len(list))
 	for _, spec := range list {
+		spec.Leaving = spec.Leaving || a.statedLeaving(spec)
 		old := a.endpoints[spec.ID]
 		if old != nil && old.StartedUnixMilli == spec.StartedUnixMilli && old.Addr == spec.Addr {
 			old.ServedEndpoint = spec
@@ -76,6 +78,7 @@
 		}
 	}
 	a.endpoints = next
+	a.forgetLeaving(a.clock.Now())
 	a.assignWaiting()
 }
 
--- /dev/null
+++ b/internal/entry/allocator/leaving_test.go
@@ -0,0 +1,157 @@
+package allocator_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fescuebank"
+	"fescuebank/internal/entry/allocator"
+	"fescuebank/internal/timing/timekeeper"
+)
+
+// entriesAt returns the entries of two endpoints, the first of which started at the given
+// time.
+func entriesAt(started time.Time) []fescuebank.ServedEndpoint {
+	list := endpoints(2, 4)
+	list[0].StartedUnixMilli = started.UnixMilli()
+	return list
+}
+
+// TestStatementThatAnEndpointLeavesHolds guards against requests to an endpoint that stated
+// that it leaves, when its entry says ready, is read out of date or vanishes for a while.
+func TestStatementThatAnEndpointLeavesHolds(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// before, if set, is what happens between the request and the statement.
+		before func(a *allocator.Allocator, started time.Time)
+		// change is what happens after the statement. The endpoint started at the time started
+		// and got its request at the time requested.
+		change func(a *allocator.Allocator, started, requested time.Time)
+		// leaves is whether the endpoint is still taken for leaving.
+		leaves bool
+	}{
+		{"no change", nil, func(*allocator.Allocator, time.Time, time.Time) {}, true},
+		{"entry still ready", nil, func(a *allocator.Allocator, started, _ time.Time) {
+			a.SetEndpoints(entriesAt(started))
+		}, true},
+		{"another address", nil, func(a *allocator.Allocator, started, _ time.Time) {
+			list := entriesAt(started)
+			list[0].Addr = "10.0.1.1:80"
+			a.SetEndpoints(list)
+		}, true},
+		{"entry vanishes and comes back", nil, func(a *allocator.Allocator, started, _ time.Time) {
+			a.SetEndpoints(entriesAt(started)[1:])
+			time.Sleep(10 * time.Minute)
+			a.SetEndpoints(entriesAt(started)[1:])
+			a.SetEndpoints(entriesAt(started))
+		}, true},
+		{"listed for a long time, then read out of date", nil, func(a *allocator.Allocator, started, _ time.Time) {
+			time.Sleep(24 * time.Hour)
+			a.SetEndpoints(entriesAt(started)[1:])
+			a.SetEndpoints(entriesAt(started))
+		}, true},
+		{"all endpoints vanish and come back", nil, func(a *allocator.Allocator, started, _ time.Time) {
+			a.SetEndpoints(nil)
+			a.SetEndpoints(entriesAt(started))
+		}, true},
+		{"entry of an earlier incarnation", nil, func(a *allocator.Allocator, started, _ time.Time) {
+			a.SetEndpoints(entriesAt(started.Add(-time.Minute)))
+		}, true},
+		{"entry of the incarnation that responded comes late", nil, func(a *allocator.Allocator, _, requested time.Time) {
+			a.SetEndpoints(entriesAt(requested.Add(-time.Second)))
+		}, true},
+		{"entry vanishes before the statement", func(a *allocator.Allocator, started time.Time) {
+			a.SetEndpoints(entriesAt(started)[1:])
+		}, func(a *allocator.Allocator, started, _ time.Time) {
+			a.SetEndpoints(entriesAt(started))
+		}, true},
+		{"restarted before the statement", func(a *allocator.Allocator, _ time.Time) {
+			time.Sleep(time.Minute)
+			a.SetEndpoints(entriesAt(time.Now()))
+		}, func(*allocator.Allocator, time.Time, time.Time) {}, false},
+		{"restarted", nil, func(a *allocator.Allocator, _, requested time.Time) {
+			a.SetEndpoints(entriesAt(requested.Add(time.Second)))
+		}, false},
+		{"gone for a long time", nil, func(a *allocator.Allocator, started, _ time.Time) {
+			a.SetEndpoints(entriesAt(started)[1:])
+			time.Sleep(2 * time.Hour)
+			a.SetEndpoints(entriesAt(started)[1:])
+			a.SetEndpoints(entriesAt(started))
+		}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				started := time.Now()
+				a := allocator.New(timekeeper.Timekeeper{}, func() {})
+				a.SetEndpoints(entriesAt(started)[:1])
+				time.Sleep(time.Minute)
+				requested := time.Now()
+				slot := mustAcquire(t, a)
+				a.SetEndpoints(entriesAt(started))
+				if tt.before != nil {
+					tt.before(a, started)
+				}
+				if !slot.MarkLeaving() {
+					t.Error("got no first statement, want one")
+				}
+				if slot.MarkLeaving() {
+					t.Error("got the same statement as another first one, want it known")
+				}
+				tt.change(a, started, requested)
+				slot.Release()
+				if got := !getsRequests(a, slot.Endpoint.ID); got != tt.leaves {
+					t.Errorf("got leaving %v, want %v", got, tt.leaves)
+				}
+			})
+		})
+	}
+}
+
+// getsRequests reports whether the endpoint gets online requests or batch work until all slots
+// are taken.
+func getsRequests(a *allocator.Allocator, id fescuebank.EndpointID) bool {
+	found := false
+	for {
+		slot := a.AcquireBatch("s", 0)
+		if slot == nil {
+			slot, _ = a.Acquire(context.Background(), slotRequest(0))
+		}
+		if slot == nil {
+			return found
+		}
+		found = found || slot.Endpoint.ID == id
+	}
+}
+
+// TestExcludedEndpointsAreUsedBeforeLeavingOnes guards against requests to a leaving endpoint
+// while all others are excluded.
+func TestExcludedEndpointsAreUsedBeforeLeavingOnes(t *testing.T) {
+	a := newAllocator(2, 4)
+	leaving := mustAcquire(t, a)
+	leaving.MarkLeaving()
+	for _, e := range endpoints(2, 4) {
+		a.Exclude(e.ID, allocator.ExclusionTime)
+	}
+	for range 4 {
+		if got := mustAcquire(t, a).Endpoint.ID; got == leaving.Endpoint.ID {
+			t.Errorf("got the leaving endpoint %s, want the other", got)
+		}
+	}
+}
+
+// TestNoEndpointLeftIsRefusedAtOnce guards against requests that wait until their deadline
+// although all endpoints leave.
+func TestNoEndpointLeftIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAllocator(1, 1)
+		mustAcquire(t, a).MarkLeaving()
+		began := time.Now()
+		_, err := a.Acquire(context.Background(), slotRequest(time.Second))
+		if waited := time.Since(began); !errors.Is(err, allocator.ErrNoEndpoint) || waited != 0 {
+			t.Errorf("got %v after %v, want %v at once", err, waited, allocator.ErrNoEndpoint)
+		}
+	})
+}
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -219,6 +219,9 @@
 		t.reportedLoad = *resp.Info.Load
 		slot.Observe(t.reportedLoad)
 	}
+	if resp.Info.StatesLeaving(e.ID) && slot.MarkLeaving() {
+		t.log.Info("Endpoint states that it leaves.", "request", string(t.request.ID), "endpoint", string(e.ID), "started", e.StartedUnixMilli)
+	}
 	if resp.Info.NotRun {
 		return false, t.handleRefusal(e, resp)
 	}
