Refuse waiting requests when their last endpoint leaves

What callers saw: a request that waited for a slot when the last endpoint of its service left was refused only at the end of its wait, three quarters of its objective after its arrival. A new request at that moment was refused at once.

Cause: the allocator checks whether an endpoint is left to wait for when a request starts to wait, and not again when endpoints leave or are removed.

Fix: whenever the endpoints change or one states that it leaves, waits without an endpoint left that accepts requests and was not tried end with ErrNoEndpoint. The caller gets a 503, as the request has not run. Excluded endpoints don't end a wait: their exclusion ends by itself.

Evidence, the test before the fix:

--- FAIL: TestWaitEndsWhenNoEndpointIsLeft both_state_that_they_leave: got all slots taken after 5s, want no endpoint after 0s one_states_that_it_leaves,_the_other_is_removed: the same entries_say_that_both_leave: the same one_leaves,_the_other_was_tried: the same

--- a/internal/entry/allocator/endpoint.go
+++ b/internal/entry/allocator/endpoint.go
@@ -79,6 +79,7 @@
 	}
 	a.endpoints = next
 	a.forgetLeaving(a.clock.Now())
+	a.endHopelessWaits()
 	a.assignWaiting()
 }
 
--- a/internal/entry/allocator/leaving.go
+++ b/internal/entry/allocator/leaving.go
@@ -35,6 +35,7 @@
 	a.leaving[s.Endpoint.ID] = statement
 	if e := a.endpoints[s.Endpoint.ID]; e != nil && a.statedLeaving(e.ServedEndpoint) {
 		e.Leaving = true
+		a.endHopelessWaits()
 	}
 	return first
 }
--- a/internal/entry/allocator/leaving_test.go
+++ b/internal/entry/allocator/leaving_test.go
@@ -155,3 +155,79 @@
 		}
 	})
 }
+
+// TestWaitEndsWhenNoEndpointIsLeft guards against requests that wait until their deadline
+// although the last endpoint that could serve them left meanwhile.
+func TestWaitEndsWhenNoEndpointIsLeft(t *testing.T) {
+	list := endpoints(2, 1)
+	for _, tt := range []struct {
+		name string
+		// tried are the endpoints that the waiting request already tried.
+		tried []fescuebank.EndpointID
+		// leave makes endpoints leave while the request waits.
+		leave func(a *allocator.Allocator, first, second *allocator.Slot)
+		// ends is whether the wait ends at once.
+		ends bool
+	}{
+		{"both state that they leave", nil, func(_ *allocator.Allocator, first, second *allocator.Slot) {
+			first.MarkLeaving()
+			second.MarkLeaving()
+		}, true},
+		{"one states that it leaves, the other is removed", nil, func(a *allocator.Allocator, first, _ *allocator.Slot) {
+			first.MarkLeaving()
+			a.SetEndpoints([]fescuebank.ServedEndpoint{first.Endpoint})
+		}, true},
+		{"entries say that both leave", nil, func(a *allocator.Allocator, _, _ *allocator.Slot) {
+			leaving := endpoints(2, 1)
+			leaving[0].Leaving, leaving[1].Leaving = true, true
+			a.SetEndpoints(leaving)
+		}, true},
+		{"one leaves, the other was tried", []fescuebank.EndpointID{list[1].ID}, func(_ *allocator.Allocator, first, second *allocator.Slot) {
+			slotAt(list[0].ID, first, second).MarkLeaving()
+		}, true},
+		{"one leaves", nil, func(_ *allocator.Allocator, first, _ *allocator.Slot) {
+			first.MarkLeaving()
+		}, false},
+		{"both are excluded for a while", nil, func(a *allocator.Allocator, first, second *allocator.Slot) {
+			a.Exclude(first.Endpoint.ID, allocator.ExclusionTime)
+			a.Exclude(second.Endpoint.ID, allocator.ExclusionTime)
+		}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const maxWait = 5 * time.Second
+				a := newAllocator(2, 1)
+				first, second := mustAcquire(t, a), mustAcquire(t, a)
+				began := time.Now()
+				done := make(chan error)
+				go func() {
+					request := slotRequest(maxWait)
+					request.Tried = tt.tried
+					_, err := a.Acquire(context.Background(), request)
+					done <- err
+				}()
+				synctest.Wait()
+				tt.leave(a, first, second)
+				err := <-done
+				want, wantWait := allocator.ErrFull, maxWait
+				if tt.ends {
+					want, wantWait = allocator.ErrNoEndpoint, 0
+				}
+				if waited := time.Since(began); !errors.Is(err, want) || waited != wantWait {
+					t.Errorf("got %v after %v, want %v after %v", err, waited, want, wantWait)
+				}
+				if _, waiting := a.Counts(); waiting != 0 {
+					t.Errorf("got %d waiting requests, want none", waiting)
+				}
+			})
+		})
+	}
+}
+
+// slotAt returns the one of the slots that is at the endpoint.
+func slotAt(id fescuebank.EndpointID, first, second *allocator.Slot) *allocator.Slot {
+	if first.Endpoint.ID == id {
+		return first
+	}
+	return second
+}
--- a/internal/entry/allocator/wait.go
+++ b/internal/entry/allocator/wait.go
@@ -12,6 +12,8 @@
 type waiter struct {
 	request  SlotRequest
 	sequence uint64
+	// assigned receives the slot. It is closed if no endpoint is left that could serve the
+	// request.
 	assigned chan *Slot
 }
 
@@ -38,8 +40,11 @@
 	for {
 		var cause error
 		select {
-		case slot := <-w.assigned:
+		case slot, ok := <-w.assigned:
 			a.onChange()
+			if !ok {
+				return nil, ErrNoEndpoint
+			}
 			return slot, nil
 		case <-reconsider:
 			reconsider = nil
@@ -74,17 +79,42 @@
 	a.waiting = slices.DeleteFunc(a.waiting, func(x *waiter) bool { return x == w })
 	a.mu.Unlock()
 	select {
-	case slot := <-w.assigned:
-		if ctx.Err() == nil {
+	case slot, ok := <-w.assigned:
+		if ok && ctx.Err() == nil {
 			return slot, nil
 		}
-		slot.Release()
+		if ok {
+			slot.Release()
+		}
 	default:
 	}
 	a.onChange()
 	return nil, cause
 }
 
+// endHopelessWaits ends the waits of requests that no endpoint is left to serve. The caller
+// holds the lock.
+func (a *Allocator) endHopelessWaits() {
+	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
+		if a.hasEndpointFor(w.request) {
+			return false
+		}
+		close(w.assigned)
+		return true
+	})
+}
+
+// hasEndpointFor reports whether an endpoint that the request has not tried accepts requests.
+// The caller holds the lock.
+func (a *Allocator) hasEndpointFor(request SlotRequest) bool {
+	for _, e := range a.endpoints {
+		if e.Service == request.Service && e.acceptsRequests() && !slices.Contains(request.Tried, e.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 const (
 	// preemptionTime is how long it takes until a slot of preempted batch work is free.
 	preemptionTime = 60 * time.Millisecond
