Predict no slot from releases at leaving endpoints

What callers saw: beside an endpoint that leaves, a request waited for a slot that was soon to be released there, and was refused after its wait in place of at once.

Cause: the predicted wait takes the times until this instance's slots are released as a sample, and included those at leaving endpoints. Only those at removed endpoints were left out.

Fix: slots at endpoints that accept no requests don't belong to the sample.

Evidence, the test before the fix:

--- FAIL: TestSlotsAtLeavingEndpointsServeNoWait got all slots taken after 300ms, want all slots taken at once

--- a/internal/entry/allocator/leaving_test.go
+++ b/internal/entry/allocator/leaving_test.go
@@ -231,3 +231,20 @@
 	}
 	return second
 }
+
+// TestSlotsAtLeavingEndpointsServeNoWait guards against requests that wait for a slot that is
+// released at an endpoint that leaves.
+func TestSlotsAtLeavingEndpointsServeNoWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAllocator(2, 1)
+		leaving := mustAcquire(t, a)
+		time.Sleep(600 * time.Millisecond) // The assumed hold time is 700 ms.
+		mustAcquire(t, a)
+		leaving.MarkLeaving()
+		began := time.Now()
+		_, err := a.Acquire(context.Background(), slotRequest(300*time.Millisecond))
+		if waited := time.Since(began); !errors.Is(err, allocator.ErrFull) || waited != 0 {
+			t.Errorf("got %v after %v, want %v at once", err, waited, allocator.ErrFull)
+		}
+	})
+}
--- a/internal/entry/allocator/wait.go
+++ b/internal/entry/allocator/wait.go
@@ -163,12 +163,12 @@
 	return releases[index] + time.Duration(rounds)*a.meanHold, true
 }
 
-// expectedReleases returns the expected times until this instance's slots are released,
-// in ascending order.
+// expectedReleases returns the expected times until this instance's slots are released, in
+// ascending order. Slots at endpoints that accept no requests are left out.
 func (a *Allocator) expectedReleases(service fescuebank.ServiceName, now time.Time) []time.Duration {
 	list := make([]time.Duration, 0, len(a.heldSlots))
 	for slot := range a.heldSlots {
-		if slot.endpoint.Service == service && !slot.endpoint.removed {
+		if slot.endpoint.Service == service && slot.endpoint.acceptsRequests() {
 			list = append(list, max(0, a.meanHold-now.Sub(slot.acquiredAt)))
 		}
 	}
