Close idle connections to an endpoint that states that it leaves

What callers saw: nothing. Endpoints that leave without Connection: close in their responses kept the instance's idle connections, which count against their limit of connections.

Cause: connections were returned to the pool after such a response, and idle ones stayed there, though no further request uses them.

Fix: a response that states that the endpoint leaves closes the idle connections to its address, and its own connection at its end.

Evidence, the test before the fix:

--- FAIL: TestIdleConnectionsToALeavingEndpointAreClosed got 3 open connections to the leaving endpoint, want none

--- a/internal/endpoint/exchanger/exchanger.go
+++ b/internal/endpoint/exchanger/exchanger.go
@@ -101,7 +101,7 @@
 
 // Send sends a request to the endpoint at addr and returns the response after its head
 // was read. It fails with ErrUnreachable, ErrBroken or ErrMismatched. When ctx ends, the
-// connection is closed.
+// connection is closed. If the endpoint leaves, the idle connections to it are closed.
 func (x *Exchanger) Send(ctx context.Context, addr string, r *fescuebank.Request, h http.Header) (*Response, error) {
 	c, err := x.connect(ctx, addr)
 	if err != nil {
@@ -121,6 +121,9 @@
 		resp.Abort()
 		return nil, err
 	}
+	if resp.Info.Leaving {
+		x.CloseIdle(addr)
+	}
 	return resp, nil
 }
 
@@ -178,9 +181,10 @@
 }
 
 // Finish returns the connection to the pool if the request was written, the response was
-// read completely and no further bytes are buffered. Otherwise it closes the connection.
+// read completely, no further bytes are buffered and the endpoint doesn't leave. Otherwise it
+// closes the connection.
 func (r *Response) Finish() {
-	if !r.stopCancel() || !r.complete || r.Close || r.conn.reader.Buffered() > 0 {
+	if !r.stopCancel() || !r.complete || r.Close || r.Info.Leaving || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
