Close expired connections to endpoints that get no further requests

What callers saw: nothing. An instance kept open one connection for each that it had used at the same time to an endpoint that left or was removed, until the address was used again.

Cause: expired idle connections were closed only when another connection to the same address became idle or was needed. A request that ended after its endpoint had stated that it leaves also left its connection so.

Fix: at most once a second, a connection that becomes idle closes the expired ones to all addresses. It needs no timer.

Evidence, the test before the fix:

--- FAIL: TestExpiredConnectionsToUnusedEndpointsAreClosed got 1 connections to the unused endpoint after 4 s, want none

--- a/internal/endpoint/exchanger/exchanger.go
+++ b/internal/endpoint/exchanger/exchanger.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +32,8 @@
 	// keepAliveMargin is how much earlier than the endpoint this side stops using an
 	// idle connection.
 	keepAliveMargin = 500 * time.Millisecond
+	// sweepInterval is the minimum time between two searches for expired idle connections.
+	sweepInterval = time.Second
 	// readerBytes is the size of a connection's read buffer.
 	readerBytes = 4 << 10
 	// asyncWriteBytes is the size from which a request is written concurrently with
@@ -62,6 +65,8 @@
 	mu sync.Mutex
 	// idle holds the idle connections of each address, most recently used last.
 	idle map[string][]*conn
+	// sweptAt is when expired idle connections were last closed.
+	sweptAt time.Time
 }
 
 // conn is a connection with its read buffer.
@@ -218,21 +223,36 @@
 	return defaultKeepAlive
 }
 
-// putIdle adds a connection to the pool and closes expired ones of the same address.
+// putIdle adds a connection to the pool. From time to time it closes the expired ones, as
+// endpoints that left get no further request that would.
 func (x *Exchanger) putIdle(addr string, c *conn) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.idle[addr] = append(x.idle[addr], c)
 	now := x.clock.Now()
-	list := x.idle[addr]
-	live := list[:0]
-	for _, old := range list {
-		if old.expires.After(now) {
-			live = append(live, old)
+	if now.Sub(x.sweptAt) >= sweepInterval {
+		x.sweptAt = now
+		x.closeExpired(now)
+	}
+}
+
+// closeExpired closes the expired idle connections to all addresses. The caller holds the
+// lock.
+func (x *Exchanger) closeExpired(now time.Time) {
+	for addr, list := range x.idle {
+		live := slices.DeleteFunc(list, func(c *conn) bool {
+			expired := !c.expires.After(now)
+			if expired {
+				_ = c.Close()
+			}
+			return expired
+		})
+		if len(live) == 0 {
+			delete(x.idle, addr)
 			continue
 		}
-		_ = old.Close()
+		x.idle[addr] = live
 	}
-	x.idle[addr] = append(live, c)
 }
 
 // connect returns a reusable idle connection or dials a new one.
