--- a/internal/entry/allocator/leaving_test.go
+++ b/internal/entry/allocator/leaving_test.go
@@ -248,3 +248,31 @@
 		}
 	})
 }
+
+// TestWaitingRequestGetsNoSlotAtALeavingEndpoint guards against requests assigned to an endpoint
+// that stated that it leaves while they waited.
+func TestWaitingRequestGetsNoSlotAtALeavingEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAllocator(2, 1)
+		leaving, other := mustAcquire(t, a), mustAcquire(t, a)
+		assigned := make(chan *allocator.Slot, 1)
+		go func() {
+			slot, err := a.Acquire(context.Background(), slotRequest(5*time.Second))
+			if err != nil {
+				t.Errorf("got %v, want a slot", err)
+			}
+			assigned <- slot
+		}()
+		synctest.Wait()
+		leaving.MarkLeaving()
+		leaving.Release()
+		synctest.Wait()
+		if len(assigned) != 0 {
+			t.Fatal("got a slot at the leaving endpoint, want none")
+		}
+		other.Release()
+		if slot := <-assigned; slot.Endpoint.ID != other.Endpoint.ID {
+			t.Errorf("got a slot at %s, want one at %s", slot.Endpoint.ID, other.Endpoint.ID)
+		}
+	})
+}
