--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -79,9 +79,11 @@
 	// onChange is called without the lock held when this instance's counts change.
 	onChange func()
 
-	mu           sync.Mutex
-	endpoints    map[fescuebank.EndpointID]*endpoint
-	versions     versionHistory
+	mu        sync.Mutex
+	endpoints map[fescuebank.EndpointID]*endpoint
+	versions  versionHistory
+	// leaving holds the endpoints that stated in a response that they leave.
+	leaving      map[fescuebank.EndpointID]leavingStatement
 	waiting      []*waiter
 	nextSequence uint64
 	// meanHold is the moving average of how long a slot is held.
@@ -108,6 +110,7 @@
 	return &Allocator{
 		clock: clock, onChange: onChange, meanHold: initialHoldTime,
 		endpoints: make(map[fescuebank.EndpointID]*endpoint), heldSlots: make(map[*Slot]bool),
+		leaving: make(map[fescuebank.EndpointID]leavingStatement),
 	}
 }
 
--- a/internal/entry/allocator/wait.go
+++ b/internal/entry/allocator/wait.go
@@ -10,6 +10,8 @@
 type waiter struct {
 	request  SlotRequest
 	sequence uint64
+	// assigned receives the slot. It is closed if no endpoint is left that could serve the
+	// request.
 	assigned chan *Slot
 }
 
@@ -55,8 +57,11 @@
 	for {
 		var cause error
 		select {
-		case slot := <-w.assigned:
+		case slot, ok := <-w.assigned:
 			a.onChange()
+			if !ok {
+				return nil, ErrNoEndpoint
+			}
 			return slot, nil
 		case <-reconsider:
 			reconsider = nil
@@ -91,17 +96,42 @@
 	a.waiting = slices.DeleteFunc(a.waiting, func(x *waiter) bool { return x == w })
 	a.mu.Unlock()
 	select {
-	case slot := <-w.assigned:
-		if ctx.Err() == nil {
+	case slot, ok := <-w.assigned:
+		if ok && ctx.Err() == nil {
 			return slot, nil
 		}
-		slot.Release()
+		if ok {
+			slot.Release()
+		}
 	default:
 	}
 	a.onChange()
 	return nil, cause
 }
 
+// endHopelessWaits ends the waits of requests that no endpoint is left to serve. The caller
+// holds the lock.
+func (a *Allocator) endHopelessWaits() {
+	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
+		if a.hasEndpointFor(w.request) {
+			return false
+		}
+		close(w.assigned)
+		return true
+	})
+}
+
+// hasEndpointFor reports whether an endpoint that the request has not tried accepts requests.
+// The caller holds the lock.
+func (a *Allocator) hasEndpointFor(request SlotRequest) bool {
+	for _, e := range a.endpoints {
+		if e.serves(request.Service, request.Version) && e.acceptsRequests() && !slices.Contains(request.Tried, e.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 const (
 	// preemptionTime is how long it takes until a slot of preempted batch work is free.
 	preemptionTime = 60 * time.Millisecond
@@ -154,11 +184,12 @@
 }
 
 // expectedReleases returns the expected times until this instance's slots that suit the
-// request are released, in ascending order.
+// request are released, in ascending order. Slots at endpoints that accept no requests are
+// left out.
 func (a *Allocator) expectedReleases(request SlotRequest, now time.Time) []time.Duration {
 	list := make([]time.Duration, 0, len(a.heldSlots))
 	for slot := range a.heldSlots {
-		if slot.endpoint.serves(request.Service, request.Version) && !slot.endpoint.removed {
+		if slot.endpoint.serves(request.Service, request.Version) && slot.endpoint.acceptsRequests() {
 			list = append(list, max(0, a.meanHold-now.Sub(slot.acquiredAt)))
 		}
 	}
