Don't take a slow caller for a stalled endpoint

Cause: the progress timeout of a completion also ran while the invoker handed a token to its receiver, which writes to the caller. If the caller read nothing for [timing] silence, the sound endpoint's response was cancelled as broken and its failure recorded, and the request was run again elsewhere.

Change: the timeout is paused while a token is handed over.

--- a/internal/endpoint/invoker/invoker_test.go
+++ b/internal/endpoint/invoker/invoker_test.go
@@ -177,6 +177,24 @@
 	}
 }
 
+// TestSlowCallerIsNoStall guards against a response that is cancelled because its receiver, not the
+// endpoint, takes longer than the progress timeout.
+func TestSlowCallerIsNoStall(t *testing.T) {
+	inv, _, _ := serveEngine(t, emulator.Config{StepBase: time.Millisecond})
+	req := &fescuebank.CompletionRequest{Request: "r", Model: "m", Prompt: "tides", MaxTokens: 20}
+	got := 0
+	err := inv.Complete(context.Background(), req, func(d fescuebank.Delta) error {
+		if d.Index == 2 {
+			time.Sleep(700 * time.Millisecond)
+		}
+		got++
+		return nil
+	})
+	if err != nil || got != 20 {
+		t.Errorf("got %d tokens, %v, want 20 and no error", got, err)
+	}
+}
+
 // FuzzStream feeds arbitrary response bodies to the stream parser.
 func FuzzStream(f *testing.F) {
 	f.Add(event("r", 0, "a", "stop") + "data: [DONE]\n\n")
--- a/internal/endpoint/invoker/stream.go
+++ b/internal/endpoint/invoker/stream.go
@@ -158,6 +158,8 @@
 	s.next++
 	delta := fescuebank.Delta{Index: e.TokenIndex, Text: e.Choices[0].Text, Finish: e.Choices[0].FinishReason}
 	s.finished = s.finished || delta.Finish != ""
+	s.stallTimer.pause()
+	defer s.stallTimer.resume()
 	if err := emit(delta); err != nil {
 		return &emitError{cause: err}
 	}
@@ -171,7 +173,9 @@
 	cancel  context.CancelCauseFunc
 	// lastRead is when a line was last read, in nanoseconds since start.
 	lastRead atomic.Int64
-	start    time.Time
+	// paused is set while the receiver holds up the stream.
+	paused atomic.Bool
+	start  time.Time
 }
 
 func newWatchdog(clock fescuebank.Clock, timeout time.Duration, cancel context.CancelCauseFunc) *watchdog {
@@ -183,10 +187,25 @@
 	w.lastRead.Store(int64(w.clock.Now().Sub(w.start)))
 }
 
+// pause stops the timeout until resume.
+func (w *watchdog) pause() {
+	w.paused.Store(true)
+}
+
+// resume restarts the timeout.
+func (w *watchdog) resume() {
+	w.touch()
+	w.paused.Store(false)
+}
+
 // run watches for progress until ctx ends or the stream is canceled.
 func (w *watchdog) run(ctx context.Context) {
 	wait := w.timeout
 	for fescuebank.Sleep(ctx, w.clock, wait) == nil {
+		if w.paused.Load() {
+			wait = w.timeout
+			continue
+		}
 		idle := w.clock.Now().Sub(w.start) - time.Duration(w.lastRead.Load())
 		if idle >= w.timeout {
 			w.cancel(errNoProgress)
