Accept no requests late in the grace period

Cause: a leaving instance shut down its listener only at a moment without requests in flight, or 0.9 s before the end of its grace period. Callers may use a list of addresses for seconds after SIGTERM. On a busy instance, requests that arrived late in the grace period were accepted, sent to endpoints and cut off at its end.

Change: the listeners close 2.8 s after SIGTERM, which is also when an idle instance closed them before. Callers then find the connection refused and use another address. Requests in flight have the rest of the grace period. The three servers shut down at the same time, so that none waits for another.

--- a/internal/operate/server/leave.go
+++ b/internal/operate/server/leave.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"fescuebank"
@@ -12,9 +13,9 @@
 )
 
 const (
-	// minLeaveTime is the minimum time that a leaving instance continues to serve,
-	// because callers may use an address response received before.
-	minLeaveTime = 2500 * time.Millisecond
+	// acceptTime is how long a leaving instance continues to accept requests, because callers
+	// may use an address response received before.
+	acceptTime = 2800 * time.Millisecond
 	// leaveMargin is the time reserved at the end of the grace period for shutting
 	// down the servers and removing the member entry.
 	leaveMargin = 900 * time.Millisecond
@@ -88,8 +89,7 @@
 }
 
 // leave shuts the instance down: it removes itself from the addresses, releases
-// ownership, waits for the requests in flight, and removes its member entry. An instance
-// that serves no callers needn't wait for minLeaveTime once it has handed over all it owned.
+// ownership, waits for the requests in flight, and removes its member entry.
 func (s *Server) leave(servers []*http.Server) {
 	start := s.clock.Now()
 	s.log.Info("Instance leaves.", "inFlight", s.inFlight.Load(), "items", s.runner.Running())
@@ -97,19 +97,10 @@
 	s.gossiper.Send()
 	ctx := context.Background()
 	s.releaseOwnership(ctx)
-	deadline := start.Add(s.settings.Timing.Grace - leaveMargin)
-	for s.clock.Now().Before(deadline) {
-		idle := s.inFlight.Load() == 0 && s.clock.Now().Sub(start) >= minLeaveTime
-		if idle || (len(servers) == 0 && s.hasHandedOver()) {
-			_ = fescuebank.Sleep(ctx, s.clock, 3*idlePollInterval)
-			break
-		}
-		_ = fescuebank.Sleep(ctx, s.clock, idlePollInterval)
-	}
-	shutdownCtx, cancel := context.WithDeadline(ctx, start.Add(s.settings.Timing.Grace-leaveMargin/2))
-	defer cancel()
-	for _, server := range servers {
-		_ = server.Shutdown(shutdownCtx) // Requests still in flight at the end of the grace period are cut off.
+	if len(servers) > 0 {
+		s.drain(ctx, servers, start)
+	} else {
+		s.awaitHandover(ctx, start.Add(s.settings.Timing.Grace-leaveMargin))
 	}
 	// The shutdown may have used up its time; the entry must be removed all the same.
 	leaveCtx, cancelLeave := context.WithDeadline(ctx, start.Add(s.settings.Timing.Grace))
@@ -117,6 +108,29 @@
 	s.gossiper.Leave(leaveCtx)
 }
 
+// drain accepts requests until acceptTime after start, however many are in flight: later ones
+// might not end within the grace period. It then waits for those in flight. Those that remain at
+// the end of the grace period are cut off.
+func (s *Server) drain(ctx context.Context, servers []*http.Server, start time.Time) {
+	grace := s.settings.Timing.Grace
+	_ = fescuebank.Sleep(ctx, s.clock, start.Add(min(acceptTime, grace-leaveMargin)).Sub(s.clock.Now()))
+	ctx, cancel := context.WithDeadline(ctx, start.Add(grace-leaveMargin/2))
+	defer cancel()
+	var group sync.WaitGroup
+	for _, server := range servers {
+		group.Go(func() { _ = server.Shutdown(ctx) })
+	}
+	group.Wait()
+}
+
+// awaitHandover waits until the instance has handed over all it owned, or until the deadline.
+func (s *Server) awaitHandover(ctx context.Context, deadline time.Time) {
+	for s.clock.Now().Before(deadline) && !s.hasHandedOver() {
+		_ = fescuebank.Sleep(ctx, s.clock, idlePollInterval)
+	}
+	_ = fescuebank.Sleep(ctx, s.clock, 3*idlePollInterval)
+}
+
 // hasHandedOver reports whether the list of owners no longer has this incarnation.
 func (s *Server) hasHandedOver() bool {
 	l := s.elector.List()
