Don't give up a repeatable call because its service is slow

Cause: each attempt of a repeatable call ended after half of the service's time limit, so that another one had time in case the connection was stalled. A service that needed longer than that was called three times and never answered, though within the time limit.

Evidence: the new test before the fix, time limit 2 s, response after 1.3 s, one and two addresses:

got <nil>, 502 endpointLost (mayHaveRun): service "s" gave no whole answer, want the response

Change: after half of the time limit a second call starts on a new connection beside the first one, which continues. The first complete response is used.

--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -31,6 +31,8 @@
 	// minAttempts is the number of attempts allowed for a call to a service with fewer
 	// addresses.
 	minAttempts = 3
+	// maxParallelCalls is the number of calls that hedgedCall makes at most.
+	maxParallelCalls = 3
 )
 
 // requestHeaders and responseHeaders are the only headers that are forwarded.
@@ -51,7 +53,8 @@
 type Forwarder struct {
 	client *http.Client
 	// unpooled never reuses a connection. It serves calls that may not be repeated, since
-	// a pooled connection may already be closed by the service.
+	// a pooled connection may already be closed by the service, and those that follow a call
+	// whose connection may be stalled.
 	unpooled     *http.Client
 	hedger       *hedger
 	deduplicator *deduplicator.Deduplicator
@@ -170,26 +173,30 @@
 }
 
 // hedgedCall calls one address. If the call is repeatable and its response is late, it is
-// sent to a second address too, within the hedging budget; the first complete response is
-// used.
+// sent to a second address too, within the hedging budget, and after half of the service's time
+// limit in any case, as the connection may be stalled. The first complete response is used.
 func (f *Forwarder) hedgedCall(ctx context.Context, c *Call, address, other string, repeatable bool) (*Response, bool, error) {
-	if !repeatable || address == other {
-		return f.call(ctx, c, address, repeatable)
+	if !repeatable {
+		return f.call(ctx, c, address, f.unpooled)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan result, 2)
-	run := func(to string) {
+	results := make(chan result, maxParallelCalls)
+	run := func(to string, client *http.Client) {
 		started := f.clock.Now()
-		resp, sent, err := f.call(ctx, c, to, true)
+		resp, sent, err := f.call(ctx, c, to, client)
 		if err == nil {
 			f.hedger.observe(c.Service.Name, f.clock.Now().Sub(started))
 		}
 		results <- result{response: resp, sent: sent, err: err}
 	}
-	go run(address)
+	go run(address, f.client)
 	pending := 1
-	late := f.clock.After(f.hedger.delay(c.Service.Name))
+	var late <-chan time.Time
+	if address != other {
+		late = f.clock.After(f.hedger.delay(c.Service.Name))
+	}
+	stalled := f.clock.After(c.Service.Timeout.Duration() / 2)
 	sent := false
 	for {
 		select {
@@ -203,8 +210,12 @@
 			late = nil
 			if f.hedger.withdraw() {
 				pending++
-				go run(other)
+				go run(other, f.client)
 			}
+		case <-stalled:
+			stalled = nil
+			pending++
+			go run(other, f.unpooled)
 		}
 	}
 }
@@ -218,15 +229,7 @@
 
 // call makes one attempt. sent is false only if no connection was obtained, so that no
 // byte was sent.
-func (f *Forwarder) call(ctx context.Context, c *Call, address string, repeatable bool) (response *Response, sent bool, err error) {
-	client := f.unpooled
-	if repeatable {
-		// An attempt on a stalled connection must leave time for another one.
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, c.Service.Timeout.Duration()/2)
-		defer cancel()
-		client = f.client
-	}
+func (f *Forwarder) call(ctx context.Context, c *Call, address string, client *http.Client) (response *Response, sent bool, err error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	target := strings.TrimRight(address, "/") + c.Path
