Keep a silent attempt until another endpoint has begun to respond

Besides, the timeout also ran while the relayer wrote to a slow caller, and didn't start again with the response head.

Cause: the attempt at the silent endpoint was cancelled before the other one had accepted the request.

Change: the other endpoint is asked to continue the stream while the attempt goes on. Only a successful response ends the attempt, at once; if the silent endpoint sends something first, the question is withdrawn, so that no event is relayed twice. A refusal costs nothing, and the timeout starts anew. It stands still while the caller is written to.

--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -22,7 +22,7 @@
 // forward relays an endpoint's response to the caller. ctx is the request's.
 func (t *transfer) forward(ctx context.Context, resp *exchanger.Response) (done bool, err error) {
 	success := resp.StatusCode/100 == 2
-	if success && (!resp.Info.Signed || resp.Header.Get("Content-Encoding") != "") {
+	if success && !isIntact(resp) {
 		t.recordFailure(ctx, t.endpoint, errCorrupted)
 		t.runs-- // Already counted in attempt.
 		return false, errCorrupted
@@ -42,6 +42,11 @@
 	return t.forwardBody(ctx, resp)
 }
 
+// isIntact reports whether a successful response is the endpoint's own.
+func isIntact(resp *exchanger.Response) bool {
+	return resp.Info.Signed && resp.Header.Get("Content-Encoding") == ""
+}
+
 // sendHeader sends the response header unless it was sent before.
 func (t *transfer) sendHeader(resp *exchanger.Response) {
 	if t.headerSent {
@@ -58,8 +63,13 @@
 	var events scanner.Scanner
 	buffer := make([]byte, readBufferBytes)
 	for {
+		t.stalls.wait(t.lastEvent)
 		n, readErr := resp.Read(buffer)
-		t.stalls.progress()
+		if !t.stalls.pause() {
+			resp.Abort()
+			t.attemptHealth.record(false)
+			return false, errMoved
+		}
 		if complete := events.Feed(buffer[:n]); len(complete) > 0 {
 			t.begin()
 			t.sendHeader(resp)
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -131,8 +131,6 @@
 	// attemptHealth reports the outcome of the current attempt, and stalls watches its progress.
 	attemptHealth *attemptHealth
 	stalls        *stallWatch
-	// next is the slot of the next attempt if it was acquired before the last one ended.
-	next *allocator.Slot
 	// lastEvent is the id of the last event sent to the caller, and headerSent whether
 	// the response header was sent.
 	lastEvent  string
@@ -162,7 +160,6 @@
 }
 
 func (t *transfer) run(ctx context.Context) error {
-	defer t.releaseNext()
 	if err := t.findVersion(ctx); err != nil {
 		return err
 	}
@@ -172,8 +169,9 @@
 			return t.finalError(ctx, err)
 		}
 		done, err := t.attempt(ctx, slot)
-		slot.Release()
-		t.next = t.stalls.stop()
+		for moved := t.endAttempt(slot); moved != nil; moved = t.endAttempt(moved.slot) {
+			done, err = t.continueAt(ctx, moved)
+		}
 		if done {
 			return err
 		}
@@ -183,12 +181,15 @@
 	}
 }
 
-// releaseNext releases the slot of an attempt that doesn't take place.
-func (t *transfer) releaseNext() {
-	if t.next != nil {
-		t.next.Release()
-		t.next = nil
-	}
+// endAttempt releases the slot of an attempt that has ended, and returns the attempt at which
+// the stream continues, or nil.
+func (t *transfer) endAttempt(slot *allocator.Slot) *movedAttempt {
+	moved, asked, runs := t.stalls.stop()
+	t.tried = append(t.tried, asked...)
+	t.attempts += len(asked)
+	t.runs += runs
+	slot.Release()
+	return moved
 }
 
 // mayRunAgain reports whether the request may be run once more.
@@ -230,51 +231,76 @@
 // acquire returns the slot for the next attempt.
 func (t *transfer) acquire(ctx context.Context) (*allocator.Slot, error) {
 	now := t.clock.Now()
-	slot := t.next
-	t.next = nil
-	if slot == nil {
-		var err error
-		if slot, err = t.allocator.Acquire(ctx, t.slotRequest(now)); err != nil {
-			return nil, err
-		}
+	slot, err := t.allocator.Acquire(ctx, t.slotRequest(now))
+	if err != nil {
+		return nil, err
 	}
 	t.slotWait = t.clock.Now().Sub(now)
-	t.endpoint, t.slotLoad = slot.Endpoint, slot.Load
+	t.enter(slot)
 	return slot, nil
 }
 
+// enter makes the slot's endpoint that of the current attempt.
+func (t *transfer) enter(slot *allocator.Slot) {
+	t.endpoint, t.slotLoad = slot.Endpoint, slot.Load
+	t.attemptHealth = &attemptHealth{health: t.health, id: slot.Endpoint.ID}
+}
+
 // attempt sends the request to one endpoint. It reports whether the request is finished,
 // and its error.
 func (t *transfer) attempt(ctx context.Context, slot *allocator.Slot) (done bool, err error) {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e := slot.Endpoint
-	t.attemptHealth = &attemptHealth{health: t.health, id: e.ID}
-	t.tried = append(t.tried, e.ID)
+	t.tried = append(t.tried, slot.Endpoint.ID)
 	t.attempts++
-	h := make(http.Header, len(t.request.Header)+4)
-	t.protocol.Encode(h, t.request, e, t.request.Deadline.Sub(t.clock.Now()))
-	if t.lastEvent != "" {
-		t.protocol.Resume(h, t.lastEvent)
-	}
-	t.stalls = t.watchStalls(cancel)
+	t.stalls = t.watchStalls(ctx, cancel)
 	stopHeaderWatch := t.watchHeaderWait(t.attemptHealth)
-	resp, err := t.exchanger.Send(attemptCtx, e.Addr, t.request, h)
+	resp, err := t.send(attemptCtx, slot, t.lastEvent)
 	stopHeaderWatch()
 	if err != nil {
-		t.recordFailure(ctx, e, err)
+		t.recordFailure(ctx, slot.Endpoint, err)
 		return false, err
 	}
+	return t.receive(ctx, slot, resp)
+}
+
+// continueAt relays the rest of a stream from the endpoint that it has moved to.
+func (t *transfer) continueAt(ctx context.Context, moved *movedAttempt) (done bool, err error) {
+	defer moved.cancel()
+	t.enter(moved.slot)
+	t.log.Info("Stream moved from a silent endpoint.", "request", string(t.request.ID), "endpoint", string(t.endpoint.ID), "lastEvent", t.lastEvent)
+	t.stalls = t.watchStalls(ctx, moved.cancel)
+	return t.receive(ctx, moved.slot, moved.response)
+}
+
+// send sends the request to the slot's endpoint, for the events after lastEvent. It changes
+// nothing in t.
+func (t *transfer) send(ctx context.Context, slot *allocator.Slot, lastEvent string) (*exchanger.Response, error) {
+	h := make(http.Header, len(t.request.Header)+4)
+	t.protocol.Encode(h, t.request, slot.Endpoint, t.request.Deadline.Sub(t.clock.Now()))
+	if lastEvent != "" {
+		t.protocol.Resume(h, lastEvent)
+	}
+	return t.exchanger.Send(ctx, slot.Endpoint.Addr, t.request, h)
+}
+
+// receive relays the response of the current attempt.
+func (t *transfer) receive(ctx context.Context, slot *allocator.Slot, resp *exchanger.Response) (done bool, err error) {
 	defer resp.Finish()
+	if !t.stalls.pause() {
+		resp.Abort()
+		t.runs++
+		return false, errMoved
+	}
 	if resp.Info.Load != nil {
 		t.reportedLoad = *resp.Info.Load
 		slot.Observe(t.reportedLoad)
 	}
-	if resp.Info.StatesLeaving(e.ID) && slot.MarkLeaving() {
-		t.log.Info("Endpoint states that it leaves.", "request", string(t.request.ID), "endpoint", string(e.ID), "started", e.StartedUnixMilli)
+	if resp.Info.StatesLeaving(slot.Endpoint.ID) && slot.MarkLeaving() {
+		t.log.Info("Endpoint states that it leaves.", "request", string(t.request.ID), "endpoint", string(slot.Endpoint.ID), "started", slot.Endpoint.StartedUnixMilli)
 	}
 	if resp.Info.NotRun {
-		return false, t.handleRefusal(e, resp)
+		return false, t.handleRefusal(slot.Endpoint, resp)
 	}
 	t.runs++
 	return t.forward(ctx, resp)
