Don't relay a second response after part of a long one

A complete response with status 200 whose body is part of one endpoint's body followed by the whole body of another's.

Cause: responses of repeatable requests are buffered up to 64 KiB, so that a truncated one can be retried. A longer one that broke off after that was retried all the same.

Change: once part of a body was sent, its failure ends the response.

--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -142,11 +142,20 @@
 			return true, nil
 		}
 		if readErr != nil {
-			return t.handleTruncation(ctx, resp, readErr)
+			return t.endBody(ctx, resp, readErr)
 		}
 	}
 }
 
+// endBody handles a body that breaks off. Once part of it was sent, no other response may follow.
+func (t *transfer) endBody(ctx context.Context, resp *exchanger.Response, cause error) (done bool, err error) {
+	done, err = t.handleTruncation(ctx, resp, cause)
+	if t.headerSent {
+		return true, ErrTruncated
+	}
+	return done, err
+}
+
 // hopByHopHeaders apply to a single connection and are not relayed.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
