Place batch items again soon after endpoints crashed under them

Callers saw an item of an accepted job without a result and not running, although the endpoints were sound and had room: after three attempts in a row that a crash had ended before the first event, each further attempt waited 15 s.

Cause: the manager took three consecutive interruptions without progress as a sign that the item crashes its endpoints, and held it back. In a burst of crashes an item loses its endpoint several times in a row by chance.

Why it works: the pause still doubles, to 0.8 s at most, and no number of interruptions leads to another state. Only a response that says that the item failed counts towards the route's attempts, as before. The limit of the doubling is a number of doublings, as a shift by the bare count overflows.

--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -14,20 +14,14 @@
 	failurePause = 200 * time.Millisecond
 	// interruptionPause is the pause after an attempt that no endpoint ran, or that an
 	// endpoint or connection failure ended with progress; it doubles with each
-	// consecutive interruption without progress.
+	// consecutive interruption without progress, up to maxDoublings times. Crashes of
+	// endpoints are no evidence against the item, so they never hold it back longer.
 	interruptionPause = 100 * time.Millisecond
-	// maxInterruptionPause bounds the doubled pause, which stays below it while
-	// suspectInterruptions is 3.
-	maxInterruptionPause = 5 * time.Second
-	// suspectInterruptions is the number of consecutive interruptions without
-	// progress after which the item itself may be crashing its endpoints;
-	// suspectPause is then the pause between its attempts.
-	suspectInterruptions = 3
+	maxDoublings      = 3
 	// commitTime is the time allowed for the commit of an outcome before its due time.
 	commitTime = 500 * time.Millisecond
 	// runTimeMargin is the factor by which an item may take longer than expected.
 	runTimeMargin = 1.3
-	suspectPause  = 15 * time.Second
 )
 
 // Task is an item that has been handed out to be run.
@@ -249,10 +243,7 @@
 
 // pauseAfter returns the pause after a number of consecutive interruptions.
 func pauseAfter(interruptions int) time.Duration {
-	if interruptions >= suspectInterruptions {
-		return suspectPause
-	}
-	return min(interruptionPause<<max(0, interruptions), maxInterruptionPause)
+	return interruptionPause << min(interruptions, maxDoublings)
 }
 
 // commit writes the pending outcomes of a job until none is left.
