End an item's attempt when a refusal stalls within its body

Callers saw an item of an accepted job that was never run again, while the endpoints were sound and had room, and its slot stayed taken.

Cause: the runner discards the body of a response that states that the item was not run, to reuse the connection, and this read had no deadline. If the endpoint is lost within the body, without a reset of the connection, the attempt never ends, and the item stays with it.

Evidence: the test below, red before the fix.

Why it works: the read has the deadline that reads of events have.

Before the fix:

--- FAIL: TestAttemptEndsWhileARefusalStalls (6.01s) stall_test.go:63: got an attempt that goes on after 6s, want its end FAIL

--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -263,6 +263,7 @@
 		a.slot.Observe(*response.Info.Load)
 	}
 	if response.Info.NotRun {
+		response.SetReadDeadline(r.Clock.Now().Add(idleTimeout))
 		_, _ = io.Copy(io.Discard, io.LimitReader(response, readBufferBytes))
 		if response.Info.Misdirected {
 			r.Allocator.Exclude(endpoint.ID, allocator.ExclusionTime)
--- /dev/null
+++ b/internal/batch/runner/stall_test.go
@@ -0,0 +1,68 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/batch/manager"
+	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/entry/allocator"
+	"fescuebank/internal/timing/timekeeper"
+)
+
+// statusProtocol takes each response for one to request "q", which 503 states not to have run.
+type statusProtocol struct{ plainProtocol }
+
+func (statusProtocol) Decode(status int, _ http.Header) fescuebank.ResponseInfo {
+	return fescuebank.ResponseInfo{Request: "q", Signed: true, NotRun: status == http.StatusServiceUnavailable}
+}
+
+// respondAndStall sends text as the response to a request and then nothing.
+func respondAndStall(text string) func(net.Conn) {
+	return func(c net.Conn) {
+		buffer := make([]byte, 1)
+		_, _ = c.Read(buffer)
+		_, _ = c.Write([]byte(text))
+	}
+}
+
+// attemptAt runs an item that has some progress at an endpoint that handles its connections
+// with handle.
+func attemptAt(ctx context.Context, t *testing.T, handle func(net.Conn), progress *fescuebank.Progress) (manager.Cause, error) {
+	t.Helper()
+	clock := timekeeper.Timekeeper{}
+	endpoint := fescuebank.ServedEndpoint{ID: "i-1", Service: "s", Addr: listen(t, handle), Slots: 8}
+	a := allocator.New(clock, func() {})
+	a.SetEndpoints([]fescuebank.ServedEndpoint{endpoint})
+	r := New(Config{
+		Allocator: a, Exchanger: exchanger.New(statusProtocol{}, clock), Protocol: statusProtocol{}, Clock: clock, Log: hclog.NewNullLogger(),
+	})
+	slot := a.AcquireBatch("s", 0)
+	if slot == nil {
+		t.Fatal("got no slot, want one")
+	}
+	request := &fescuebank.Request{ID: "q", Service: "s", Method: http.MethodPost, Target: "/", Host: "h", Deadline: clock.Now().Add(time.Minute)}
+	return r.attempt(ctx, &attempt{task: &manager.Task{Request: request}, slot: slot}, progress)
+}
+
+// TestAttemptEndsWhileARefusalStalls checks that an endpoint that is lost within the body of a
+// refusal doesn't keep the item, and its slot, for good.
+func TestAttemptEndsWhileARefusalStalls(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 4*idleTimeout)
+	defer cancel()
+	handle := respondAndStall("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 100\r\n\r\npart")
+	cause, err := attemptAt(ctx, t, handle, &fescuebank.Progress{})
+	if ctx.Err() != nil {
+		t.Fatalf("got an attempt that goes on after %v, want its end", 4*idleTimeout)
+	}
+	if cause != manager.CauseNotRun || !errors.Is(err, errNotRun) {
+		t.Errorf("got cause %v, error %v, want cause %v, error %v", cause, err, manager.CauseNotRun, errNotRun)
+	}
+}
