Don't count a silence within a response against a batch item

Callers saw nothing yet; a sound endpoint may fall silent for a second or so, and each such silence counted as a crash under the item, which lengthened the pause before its next attempt.

Cause: an attempt whose read timed out within the response ended with the same cause as one whose connection broke.

Evidence: the test below, red before the fix. The progress was kept before, too.

Why it works: a timeout of the read has a cause of its own, after which the item waits for the shortest pause and no count changes.

Before the fix:

--- FAIL: TestSilenceKeepsProgressAndIsNoInterruption (3.01s) --- FAIL: TestSilenceKeepsProgressAndIsNoInterruption/silent (1.50s) stall_test.go:91: got cause 2, error read tcp 127.0.0.1:36212->127.0.0.1:40823: i/o timeout, want cause 4 and an error --- FAIL: TestSilenceKeepsProgressAndIsNoInterruption/silent_within_an_event (1.50s) stall_test.go:91: got cause 2, error read tcp 127.0.0.1:40124->127.0.0.1:33409: i/o timeout, want cause 4 and an error FAIL FAIL fescuebank/internal/batch/runner 3.028s FAIL

--- a/internal/batch/manager/crash_test.go
+++ b/internal/batch/manager/crash_test.go
@@ -89,3 +89,21 @@
 	}
 	return nil
 }
+
+// TestSilenceDoesNotDelayAnItemMore checks that an item whose endpoints fell silent again and
+// again waits no longer than after the first time.
+func TestSilenceDoesNotDelayAnItemMore(t *testing.T) {
+	const pause = 150 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		p := newOwnerPair()
+		p.submit(1, "job", 1)
+		for n := range 12 {
+			time.Sleep(pause)
+			task := p.manager(1).NextTask(func() {})
+			if task == nil {
+				t.Fatalf("after %d silent endpoints: got no item after %v, want it", n, pause)
+			}
+			p.manager(1).Requeue(task, manager.CauseSilent, task.Progress)
+		}
+	})
+}
--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -205,6 +205,9 @@
 	CauseInterrupted
 	// CauseItemFailed means that the endpoint responded that the item failed.
 	CauseItemFailed
+	// CauseSilent means that the endpoint began to respond and then sent nothing for some
+	// time, as a sound one may do.
+	CauseSilent
 )
 
 // Requeue returns an item to the waiting ones together with its progress. An item
@@ -229,7 +232,7 @@
 			it.interruptions = 0
 		}
 		it.notBefore = now.Add(pauseAfter(it.interruptions))
-	case CauseNotRun:
+	case CauseNotRun, CauseSilent:
 		it.notBefore = now.Add(interruptionPause)
 	}
 	if cause == CauseItemFailed && it.failures >= t.Request.Route.Attempts {
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -280,7 +281,11 @@
 	}
 	if err := r.readEvents(response, progress); err != nil {
 		response.Abort()
-		return r.excludeEndpoint(ctx, endpoint, err), err
+		cause := r.excludeEndpoint(ctx, endpoint, err)
+		if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
+			cause = manager.CauseSilent
+		}
+		return cause, err
 	}
 	return 0, nil
 }
--- a/internal/batch/runner/stall_test.go
+++ b/internal/batch/runner/stall_test.go
@@ -66,3 +66,33 @@
 		t.Errorf("got cause %v, error %v, want cause %v, error %v", cause, err, manager.CauseNotRun, errNotRun)
 	}
 }
+
+// TestSilenceKeepsProgressAndIsNoInterruption checks what a silence within a response means for
+// the item: it keeps all events, and the silence doesn't count as a crash of the endpoint.
+func TestSilenceKeepsProgressAndIsNoInterruption(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const events = "id: 3\ndata: c\n\nid: 4\ndata: d\n\n"
+	for _, tt := range []struct {
+		name   string
+		handle func(net.Conn)
+		want   manager.Cause
+	}{
+		{"silent", respondAndStall(head + "1e\r\n" + events + "\r\n"), manager.CauseSilent},
+		{"silent within an event", respondAndStall(head + "20\r\n" + events + "id"), manager.CauseSilent},
+		{"connection closed", func(c net.Conn) {
+			respondAndStall(head + "1e\r\n" + events + "\r\n")(c)
+			_ = c.Close()
+		}, manager.CauseInterrupted},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			progress := fescuebank.Progress{Events: 2, Last: "2", Output: []byte("a\nb")}
+			got, err := attemptAt(t.Context(), t, tt.handle, &progress)
+			if got != tt.want || err == nil {
+				t.Errorf("got cause %v, error %v, want cause %v and an error", got, err, tt.want)
+			}
+			if progress.Events != 4 || progress.Last != "4" || string(progress.Output) != "a\nb\nc\nd" {
+				t.Errorf("got progress %+v with output %q, want 4 events", progress, progress.Output)
+			}
+		})
+	}
+}
