Keep batch items owed however often their endpoints are lost

Callers of the batches API saw an item end as failed with "endpointLost" after four crashes of endpoints under it, although nothing was wrong with the item.

Cause: the tracker counted attempts that were lost with their endpoint or puller together with those for which an endpoint responded that the item failed, and ended the item after four of them. An item that was submitted for later is never a request that crashes endpoints, so a loss is no evidence against it.

Evidence: the tests below, red before the fix.

Why it works: a lost attempt only pauses the item, at most 3.2 s, and no number of losses ends it. An error response has a report of its own, ItemFailed, and ends the item after four, as before, now with the code endpointError.

TestItemFailsAfterMaxLosses demanded the fault. It is replaced by TestItemIsOwedAfterLosses, which demands that a lost item has no result, is handed out within 5 s and completes, and by TestItemFailsAfterMaxFailures, which demands the old end after four failures, neither earlier nor later. The random test of two owners also draws the new report.

Before the fix:

--- FAIL: TestItemIsOwedAfterLosses (0.00s) tracker_test.go:265: after 4 losses: got no item within 5s, want it --- FAIL: TestItemFailsAfterMaxFailures (0.00s) tracker_test.go:304: after 2 failures: got no item, want it FAIL --- FAIL: TestOnlyErrorResponsesCountAgainstAnItem (0.00s) --- FAIL: TestOnlyErrorResponsesCountAgainstAnItem/status_500 (0.00s) dispatcher_test.go:33: got report kind 4, want 5

--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -361,8 +361,8 @@
 	return report
 }
 
-// classify returns the report on a failed attempt: the item has failed, is returned,
-// or is lost and counts towards its limit of lost attempts.
+// classify returns the report on a failed attempt: the endpoint rejected the item for good,
+// did not run it, responded that it failed, or was lost under it.
 func (d *Dispatcher) classify(ctx context.Context, w *endpointWork, report fescuebank.ItemReport, customID string, err error) fescuebank.ItemReport {
 	if ctx.Err() != nil {
 		report.Kind = fescuebank.ItemReturned
@@ -376,9 +376,13 @@
 	d.mu.Lock()
 	w.pausedUntil = d.clock.Now().Add(endpointPause)
 	d.mu.Unlock()
-	report.Kind = fescuebank.ItemLost
-	if ok && !e.MayHaveRun() {
+	switch {
+	case ok && !e.MayHaveRun():
 		report.Kind = fescuebank.ItemReturned
+	case ok && e.Status != 0:
+		report.Kind = fescuebank.ItemFailed
+	default:
+		report.Kind = fescuebank.ItemLost
 	}
 	return report
 }
--- a/internal/batch/tracker/tracker.go
+++ b/internal/batch/tracker/tracker.go
@@ -11,9 +11,14 @@
 )
 
 const (
-	// MaxLosses is the number of attempts lost to a failure of the endpoint or the
-	// puller after which an item fails permanently.
-	MaxLosses = 4
+	// MaxFailures is the number of attempts for which an endpoint responded that the item
+	// failed after which it fails permanently.
+	MaxFailures = 4
+	// lossPause is the pause after an attempt that was lost with its endpoint or puller; it
+	// doubles with each consecutive loss without progress, up to maxLossDoublings times. A
+	// loss is no evidence against the item.
+	lossPause        = 200 * time.Millisecond
+	maxLossDoublings = 4
 	// maxSegmentBytes is the size from which on a chunk's results are committed without
 	// waiting for more.
 	maxSegmentBytes = 256 << 10
@@ -27,6 +32,8 @@
 
 const (
 	pending status = iota
+	// paused items become pending at notBefore.
+	paused
 	// handedOut means that a puller runs the item.
 	handedOut
 	// finished means that the item has a result that is not committed yet.
@@ -39,10 +46,14 @@
 	status  status
 	model   fescuebank.ModelName
 	attempt int
-	losses  int
-	puller  fescuebank.InstanceID
-	expiry  time.Time
-	resume  fescuebank.PartialResponse
+	// failures counts the attempts for which an endpoint responded that the item failed, and
+	// losses those lost with their endpoint or puller since the last one with progress.
+	failures  int
+	losses    int
+	puller    fescuebank.InstanceID
+	expiry    time.Time
+	notBefore time.Time
+	resume    fescuebank.PartialResponse
 }
 
 // chunk is one chunk of the job's input.
@@ -207,7 +218,10 @@
 		t.requeue(r.Ref)
 	case fescuebank.ItemLost:
 		it.saveProgress(r.Resume)
-		t.recordLoss(now, r.Ref)
+		it.recordLoss(now)
+	case fescuebank.ItemFailed:
+		it.saveProgress(r.Resume)
+		t.recordFailure(now, r.Ref)
 	case fescuebank.ItemRunning:
 		it.saveProgress(r.Resume)
 		it.expiry = now.Add(expiry)
@@ -219,6 +233,7 @@
 func (i *item) saveProgress(p fescuebank.PartialResponse) {
 	if p.Tokens > i.resume.Tokens {
 		i.resume = p
+		i.losses = 0
 	}
 }
 
@@ -227,22 +242,29 @@
 	t.enqueue(ref)
 }
 
-// recordLoss requeues an item whose attempt was lost, or fails it after MaxLosses.
-func (t *Tracker) recordLoss(now time.Time, ref fescuebank.ItemRef) {
+// recordLoss pauses an item whose attempt was lost.
+func (i *item) recordLoss(now time.Time) {
+	i.status = paused
+	i.notBefore = now.Add(lossPause << min(i.losses, maxLossDoublings))
+	i.losses++
+}
+
+// recordFailure requeues an item that failed at its endpoint, or fails it after MaxFailures.
+func (t *Tracker) recordFailure(now time.Time, ref fescuebank.ItemRef) {
 	it := t.item(ref)
-	it.losses++
-	if it.losses < MaxLosses {
+	it.failures++
+	if it.failures < MaxFailures {
 		t.requeue(ref)
 		return
 	}
-	body, _ := json.Marshal(lossBody{Code: fescuebank.CodeEndpointLost, Message: "the item failed on every endpoint that tried it"})
+	body, _ := json.Marshal(failureBody{Code: fescuebank.CodeEndpointError, Message: "the item failed on every endpoint that tried it"})
 	t.finish(now, ref, fescuebank.ItemOutcome{
 		CustomID: customID(t.chunks[ref.Chunk].lines[ref.Item]), Status: http.StatusBadGateway, Body: body, Failed: true,
 	})
 }
 
-// lossBody is the error body of an item that failed after MaxLosses.
-type lossBody struct {
+// failureBody is the error body of an item that failed after MaxFailures.
+type failureBody struct {
 	Code    fescuebank.RefusalCode `json:"code"`
 	Message string                 `json:"message"`
 }
@@ -266,13 +288,17 @@
 	c.bytes += len(outcome.Body)
 }
 
-// Expire counts an attempt as lost if its puller has not reported in time.
+// Expire counts an attempt as lost if its puller has not reported in time, and requeues the
+// items whose pause is over.
 func (t *Tracker) Expire(now time.Time) {
 	for n := range t.chunks {
 		for i := range t.chunks[n].items {
 			it := &t.chunks[n].items[i]
-			if it.status == handedOut && !now.Before(it.expiry) {
-				t.recordLoss(now, fescuebank.ItemRef{Job: t.job, Chunk: n, Item: i})
+			switch {
+			case it.status == handedOut && !now.Before(it.expiry):
+				it.recordLoss(now)
+			case it.status == paused && !now.Before(it.notBefore):
+				t.requeue(fescuebank.ItemRef{Job: t.job, Chunk: n, Item: i})
 			}
 		}
 	}
--- a/peer.go
+++ b/peer.go
@@ -104,8 +104,10 @@
 	ItemReturned
 	// ItemRunning extends the expiry.
 	ItemRunning
-	// ItemLost returns the item after its endpoint failed while running it.
+	// ItemLost returns the item after its endpoint was lost or fell silent while running it.
 	ItemLost
+	// ItemFailed returns the item after its endpoint responded that it failed.
+	ItemFailed
 )
 
 // ItemReport reports the state of one pulled item.
