Never quarantine a batch item for endpoints lost under it

Callers of the batches API saw an item end as failed with "quarantined" after two endpoints had been lost under it, though the item was sound.

Cause: the dispatcher asks the same guard as online requests. The guard took each endpoint lost under an item as evidence against the item, unless another one was lost within 2 s under other requests.

Evidence: TestBatchItemIsNeverQuarantined, red before the fix. TestBatchLossIsEvidenceOfAnOutage was green before, too, and shows that losses under items still protect online requests from suspicion.

Why it works: the guard admits batch items always and keeps no record of them other than the incident of the endpoint. Online requests are treated as before.

Before the fix:

--- FAIL: TestBatchItemIsNeverQuarantined (0.01s) quarantiner_test.go:255: after 2 losses: got 422 quarantined (notRun): the request is quarantined: 2 endpoints broke off under it, want the item admitted FAIL FAIL fescuebank/internal/endpoint/quarantiner 0.054s FAIL

--- a/guard.go
+++ b/guard.go
@@ -26,8 +26,8 @@
 // Guard blocks requests that have crashed endpoints.
 type Guard interface {
 	// Enter waits until the request may run at the endpoint. It returns a
-	// refusal if the request is quarantined. The caller calls leave when the
-	// attempt has ended.
+	// refusal if the request is quarantined, which a batch item never is. The
+	// caller calls leave when the attempt has ended.
 	Enter(ctx context.Context, c *CompletionRequest, id EndpointID) (leave func(AttemptEnd), err error)
 }
 
--- a/internal/batch/dispatcher/dispatcher.go
+++ b/internal/batch/dispatcher/dispatcher.go
@@ -333,7 +333,8 @@
 	}
 	leave, err := d.guard.Enter(ctx, c, w.id)
 	if err != nil {
-		return d.notAdmitted(report, line.CustomID, err)
+		report.Kind = fescuebank.ItemReturned
+		return report
 	}
 	finish := ""
 	err = endpoint.Complete(ctx, c, func(delta fescuebank.Delta) error {
@@ -350,17 +351,6 @@
 	return d.classify(ctx, w, report, line.CustomID, err)
 }
 
-// notAdmitted returns the report on an item that the guard did not admit: a failure if
-// it is quarantined, otherwise the item's return.
-func (d *Dispatcher) notAdmitted(report fescuebank.ItemReport, customID string, err error) fescuebank.ItemReport {
-	var r *fescuebank.Refusal
-	if errors.As(err, &r) && r.Code == fescuebank.CodeQuarantined {
-		return failedReport(report, customID, r.Status, r.Code, r.Message)
-	}
-	report.Kind = fescuebank.ItemReturned
-	return report
-}
-
 // classify returns the report on a failed attempt: the endpoint rejected the item for good,
 // did not run it, responded that it failed, or was lost under it.
 func (d *Dispatcher) classify(ctx context.Context, w *endpointWork, report fescuebank.ItemReport, customID string, err error) fescuebank.ItemReport {
--- a/internal/endpoint/quarantiner/quarantiner.go
+++ b/internal/endpoint/quarantiner/quarantiner.go
@@ -50,6 +50,8 @@
 // when its endpoint is lost while running it. Attempts of suspect requests are isolated:
 // at most one at a time for each fingerprint, and one suspect at a time at each endpoint.
 // After the loss of a second endpoint the request is refused on all instances.
+// Batch items are never suspect: they are always admitted, and endpoints lost under them are
+// only evidence of outages.
 type Quarantiner struct {
 	store     fescuebank.ObjectStore
 	peer      fescuebank.Peer
@@ -86,7 +88,7 @@
 // incident is the loss of one endpoint as seen by this instance.
 type incident struct {
 	at time.Time
-	// requests are those that were running at the endpoint.
+	// requests are the online requests that were running at the endpoint.
 	requests []fescuebank.Fingerprint
 }
 
@@ -103,6 +105,9 @@
 
 // Enter waits until the request may run at the endpoint.
 func (q *Quarantiner) Enter(ctx context.Context, c *fescuebank.CompletionRequest, id fescuebank.EndpointID) (func(fescuebank.AttemptEnd), error) {
+	if c.Class == fescuebank.Batch {
+		return func(end fescuebank.AttemptEnd) { q.endBatchAttempt(id, end) }, nil
+	}
 	f := c.Fingerprint()
 	for {
 		lost, wait, admitted := q.check(f)
@@ -231,6 +236,21 @@
 	}
 }
 
+// endBatchAttempt ends an attempt of a batch item. After a loss it looks for an outage once the
+// other requests of the endpoint have been recorded.
+func (q *Quarantiner) endBatchAttempt(id fescuebank.EndpointID, end fescuebank.AttemptEnd) {
+	if end != fescuebank.AttemptLost {
+		return
+	}
+	q.mu.Lock()
+	in := q.incidentFor(id, q.clock.Now())
+	q.mu.Unlock()
+	_ = fescuebank.Sleep(context.Background(), q.clock, evidenceWait)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.findOutage(id, in)
+}
+
 // markCompleted records that f completed, which clears it of suspicion. The caller holds mu.
 func (q *Quarantiner) markCompleted(f fescuebank.Fingerprint) {
 	delete(q.suspects, f)
@@ -249,6 +269,15 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.completed, f)
+	in := q.incidentFor(id, now)
+	in.requests = append(in.requests, f)
+	q.suspectFor(f).own[id] = true
+	q.suspectFor(f).at = now
+}
+
+// incidentFor returns the incident of an endpoint that was lost now, and drops those that are
+// older than outageWindow. The caller holds mu.
+func (q *Quarantiner) incidentFor(id fescuebank.EndpointID, now time.Time) *incident {
 	for other, in := range q.incidents {
 		if now.Sub(in.at) > outageWindow {
 			delete(q.incidents, other)
@@ -259,9 +288,7 @@
 		in = &incident{at: now}
 		q.incidents[id] = in
 	}
-	in.requests = append(in.requests, f)
-	q.suspectFor(f).own[id] = true
-	q.suspectFor(f).at = now
+	return in
 }
 
 // attribute decides, after all requests of a lost endpoint have been recorded, whether
--- a/internal/endpoint/quarantiner/quarantiner_test.go
+++ b/internal/endpoint/quarantiner/quarantiner_test.go
@@ -234,3 +234,56 @@
 		time.Sleep(time.Minute) // Wait until the permits are released.
 	})
 }
+
+// lose runs a request of a class at an endpoint until the endpoint is lost.
+func lose(q *quarantiner.Quarantiner, class fescuebank.WorkClass, prompt, endpoint string) error {
+	endAttempt, err := q.Enter(context.Background(), &fescuebank.CompletionRequest{Prompt: prompt, Class: class}, fescuebank.EndpointID(endpoint))
+	if err != nil {
+		return err
+	}
+	endAttempt(fescuebank.AttemptLost)
+	return nil
+}
+
+// TestBatchItemIsNeverQuarantined checks that endpoints lost under a batch item are held against
+// neither the item nor online requests for the same.
+func TestBatchItemIsNeverQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(3)
+		for n := range 6 {
+			if err := lose(net.quarantiners[n%3], fescuebank.Batch, "a", fmt.Sprint("e", n)); err != nil {
+				t.Fatalf("after %d losses: got %v, want the item admitted", n, err)
+			}
+			time.Sleep(time.Minute)
+		}
+		for i, q := range net.quarantiners {
+			if list := q.Quarantined(); len(list) > 0 {
+				t.Errorf("instance %d: got %v quarantined, want none", i, list)
+			}
+			if err := attempt(q, "a", "e9", 0, fescuebank.AttemptCompleted); err != nil {
+				t.Errorf("instance %d: got %v for an online request, want it admitted", i, err)
+			}
+		}
+		time.Sleep(time.Minute) // Wait until the permits are released.
+	})
+}
+
+// TestBatchLossIsEvidenceOfAnOutage checks that endpoints lost under online requests and batch
+// items at the same time count as an outage, so that no request is suspect.
+func TestBatchLossIsEvidenceOfAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(1)
+		q := net.quarantiners[0]
+		for n := range 2 {
+			var group sync.WaitGroup
+			group.Go(func() { _ = lose(q, fescuebank.Online, "a", fmt.Sprint("e", 2*n)) })
+			group.Go(func() { _ = lose(q, fescuebank.Batch, "b", fmt.Sprint("e", 2*n+1)) })
+			group.Wait()
+			time.Sleep(time.Minute)
+		}
+		if err := attempt(q, "a", "e9", 0, fescuebank.AttemptCompleted); err != nil {
+			t.Errorf("got %v, want the request admitted after two outages", err)
+		}
+		time.Sleep(time.Minute) // Wait until the permits are released.
+	})
+}
