Start a batch item over at an endpoint of another software version

Callers got texts of batch items whose first events were from endpoints of one software version and the rest from those of another, while both served.

Cause: an item's progress didn't say which version had generated it, and the next attempt resumed it at any endpoint.

Evidence: TestTextNeverJoinsVersions, red before the fix.

Why it works: endpoints' entries and the progress of items carry the version. An attempt whose endpoint has another version than the progress, or whose progress is from an owner that sent no version, starts with empty progress and asks for no resumption. The progress of the attempt then replaces the earlier one, even if it is shorter: an item that kept the longer one would start over again and again once the earlier version is gone. An attempt that generated nothing leaves the earlier progress. Whether an interrupted attempt made progress, which resets the pause, is now judged by what the attempt started with.

Before the fix:

--- FAIL: TestTextNeverJoinsVersions (0.05s) --- FAIL: TestTextNeverJoinsVersions/newer_version (0.01s) version_test.go:128: got text "v1-1 v1-2 v2-3", want "v2-1 v2-2 v2-3" --- FAIL: TestTextNeverJoinsVersions/older_version (0.00s) version_test.go:128: got text "v2-1 v2-2 v1-3", want "v1-1 v1-2 v1-3" --- FAIL: TestTextNeverJoinsVersions/progress_of_an_unknown_version (0.00s) version_test.go:128: got text "-1 -2 v1-3", want "v1-1 v1-2 v1-3" --- FAIL: TestTextNeverJoinsVersions/endpoint_of_an_unknown_version (0.00s) version_test.go:128: got text "v1-1 v1-2 -3", want "-1 -2 -3"

--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -27,7 +27,7 @@
 // Task is an item that has been handed out to be run.
 type Task struct {
 	Request *fescuebank.Request
-	// Progress is the output of earlier attempts.
+	// Progress is the output of earlier attempts with which the attempt starts.
 	Progress fescuebank.Progress
 	// Due is when the job's results are due, by the route's completion objective.
 	Due  time.Time
@@ -210,8 +210,9 @@
 	CauseSilent
 )
 
-// Requeue returns an item to the waiting ones together with its progress. An item
-// that has failed in all of its route's attempts ends as failed instead.
+// Requeue returns an item to the waiting ones together with its progress. An attempt that
+// started over and generated nothing leaves the earlier progress. An item that has failed in
+// all of its route's attempts ends as failed instead.
 func (m *Manager) Requeue(t *Task, cause Cause, progress fescuebank.Progress) {
 	j, it := t.job, t.item
 	now := m.Clock.Now()
@@ -220,8 +221,11 @@
 	if it.phase != phaseRunning {
 		return
 	}
-	advanced := progress.Events > it.progress.Events
-	it.phase, it.stop, it.progress = phaseWaiting, nil, progress
+	advanced := progress.Events > t.Progress.Events
+	it.phase, it.stop = phaseWaiting, nil
+	if progress.Events > 0 {
+		it.progress = progress
+	}
 	switch cause {
 	case CauseItemFailed:
 		it.failures++
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -198,6 +198,7 @@
 
 func (r *Runner) run(ctx context.Context, a *attempt) {
 	started := r.Clock.Now()
+	a.task.Progress = a.task.Progress.ContinuedAt(a.slot.Endpoint.Version)
 	progress := a.task.Progress
 	progress.Output = slices.Clip(progress.Output)
 	cause, err := r.attempt(ctx, a, &progress)
@@ -233,7 +234,7 @@
 		r.Manager.Requeue(a.task, cause, progress)
 	}
 	r.Log.Info("Item attempted.", "request", string(a.task.Request.ID), "team", string(a.task.Request.Team),
-		"endpoint", string(a.slot.Endpoint.ID), "started", a.slot.Endpoint.StartedUnixMilli, "load", a.slot.Load,
+		"endpoint", string(a.slot.Endpoint.ID), "started", a.slot.Endpoint.StartedUnixMilli, "version", a.slot.Endpoint.Version, "load", a.slot.Load,
 		"events", progress.Events, "ms", took.Milliseconds(),
 		"slackMs", a.task.Due.Sub(r.Clock.Now()).Milliseconds(), "outcome", outcome)
 }
--- /dev/null
+++ b/internal/batch/runner/version_test.go
@@ -0,0 +1,132 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/batch/estimator"
+	"fescuebank/internal/batch/manager"
+	"fescuebank/internal/batch/persister"
+	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/entry/allocator"
+	"fescuebank/internal/standin/memorystorer"
+	"fescuebank/internal/timing/timekeeper"
+)
+
+const (
+	testTeam    = fescuebank.TeamID("team")
+	testService = fescuebank.ServiceName("s")
+	// resumeHeader and requestHeader are those of resumingProtocol.
+	resumeHeader  = "Resume"
+	requestHeader = "Request"
+)
+
+// resumingProtocol is an endpoint protocol with resumption.
+type resumingProtocol struct{}
+
+func (resumingProtocol) Encode(h http.Header, r *fescuebank.Request, _ fescuebank.ServedEndpoint, _ time.Duration) {
+	h.Set(requestHeader, string(r.ID))
+}
+func (resumingProtocol) Resume(h http.Header, last string) { h.Set(resumeHeader, last) }
+func (resumingProtocol) Decode(_ int, h http.Header) fescuebank.ResponseInfo {
+	return fescuebank.ResponseInfo{Request: fescuebank.RequestID(h.Get(requestHeader)), Signed: true}
+}
+
+// newManager returns a manager with one job of one item.
+func newManager(t *testing.T) *manager.Manager {
+	t.Helper()
+	clock := timekeeper.Timekeeper{}
+	table := &fescuebank.RouteTable{Version: 1}
+	table.SetRoutes([]fescuebank.Route{{
+		Name: "batch", Host: "h", Prefix: "/b/", Kind: fescuebank.RouteBatch, Attempts: 3, CompletionObjective: time.Minute,
+		Retention: time.Hour, Shares: []fescuebank.ServiceShare{{Service: testService, Weight: 1}},
+	}})
+	jobs, err := persister.New(&memorystorer.MemoryStorer{}, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := manager.New(manager.Config{
+		Owns:     func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, true },
+		TookOver: func(fescuebank.TeamID) bool { return false }, Persister: jobs,
+		Table: func() *fescuebank.RouteTable { return table }, Estimator: estimator.New(), Clock: clock, Log: hclog.NewNullLogger(),
+		OnItemEnd: func(fescuebank.TeamID, bool, bool) {}, OnItemsAvailable: func() {}, SendHandover: func(manager.ProgressHandover) {},
+	})
+	err = m.Submit(t.Context(), &fescuebank.RoutedJob{
+		ID: "job", Team: testTeam, Route: "batch", Host: "h", Path: "/b/x", Submitted: clock.Now(),
+		Items: []fescuebank.RoutedItem{{ID: "item", Target: "/b/x/1", Body: []byte("body"), Tokens: 1}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// generate serves three events of a version, or those after the one to resume after.
+func generate(version string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(requestHeader, r.Header.Get(requestHeader))
+		after := 0
+		_, _ = fmt.Sscan(r.Header.Get(resumeHeader), &after)
+		for n := after + 1; n <= 3; n++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, version, n)
+		}
+	})
+}
+
+// TestTextNeverJoinsVersions checks that an item continues only at an endpoint of the software
+// version that generated its progress, and starts over at any other.
+func TestTextNeverJoinsVersions(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// begun is the version that generated the progress, and version that of the endpoint.
+		begun, version string
+		want           string
+	}{
+		{"same version", "v1", "v1", "v1-1 v1-2 v1-3"},
+		{"newer version", "v1", "v2", "v2-1 v2-2 v2-3"},
+		{"older version", "v2", "v1", "v1-1 v1-2 v1-3"},
+		{"progress of an unknown version", "", "v1", "v1-1 v1-2 v1-3"},
+		{"endpoint of an unknown version", "v1", "", "-1 -2 -3"},
+		{"no versions", "", "", "-1 -2 -3"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(generate(tt.version))
+			defer server.Close()
+			clock := timekeeper.Timekeeper{}
+			endpoint := fescuebank.ServedEndpoint{
+				ID: "i-1", Service: testService, Addr: server.Listener.Addr().String(), Slots: 8, Version: tt.version,
+			}
+			a := allocator.New(clock, func() {})
+			a.SetEndpoints([]fescuebank.ServedEndpoint{endpoint})
+			m := newManager(t)
+			r := New(Config{
+				Manager: m, Allocator: a, Exchanger: exchanger.New(resumingProtocol{}, clock), Protocol: resumingProtocol{},
+				Clock: clock, Log: hclog.NewNullLogger(),
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			task := m.NextTask(cancel)
+			task.Progress = fescuebank.Progress{
+				Events: 2, Last: "2", Output: fmt.Appendf(nil, "%s-1\n%s-2", tt.begun, tt.begun), Version: tt.begun,
+			}
+			r.run(ctx, &attempt{task: task, slot: a.AcquireBatch(testService, 0), cancel: cancel})
+			page, err := m.Read(t.Context(), testTeam, "job", 0, 5*time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(page.Results) != 1 {
+				t.Fatalf("got %d results, want 1", len(page.Results))
+			}
+			if got := strings.ReplaceAll(string(page.Results[0].Output), "\n", " "); got != tt.want {
+				t.Errorf("got text %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
--- a/route.go
+++ b/route.go
@@ -174,4 +174,7 @@
 	// StartedUnixMilli is when this incarnation of the endpoint started, in Unix milliseconds.
 	// A later incarnation with the same id has no state of the earlier one.
 	StartedUnixMilli int64
+	// Version is that of the endpoint's software. A stream continues only at endpoints of the
+	// same version.
+	Version string
 }
