--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -14,26 +14,20 @@
 	failurePause = 200 * time.Millisecond
 	// interruptionPause is the pause after an attempt that no endpoint ran, or that an
 	// endpoint or connection failure ended with progress; it doubles with each
-	// consecutive interruption without progress.
+	// consecutive interruption without progress, up to maxDoublings times. Crashes of
+	// endpoints are no evidence against the item, so they never hold it back longer.
 	interruptionPause = 100 * time.Millisecond
-	// maxInterruptionPause bounds the doubled pause, which stays below it while
-	// suspectInterruptions is 3.
-	maxInterruptionPause = 5 * time.Second
-	// suspectInterruptions is the number of consecutive interruptions without
-	// progress after which the item itself may be crashing its endpoints;
-	// suspectPause is then the pause between its attempts.
-	suspectInterruptions = 3
+	maxDoublings      = 3
 	// commitTime is the time allowed for the commit of an outcome before its due time.
 	commitTime = 500 * time.Millisecond
 	// runTimeMargin is the factor by which an item may take longer than expected.
 	runTimeMargin = 1.3
-	suspectPause  = 15 * time.Second
 )
 
 // Task is an item that has been handed out to be run.
 type Task struct {
 	Request *fescuebank.Request
-	// Progress is the output of earlier attempts.
+	// Progress is the output of earlier attempts with which the attempt starts.
 	Progress fescuebank.Progress
 	// Due is when the job's results are due, by the route's completion objective.
 	Due  time.Time
@@ -211,10 +205,14 @@
 	CauseInterrupted
 	// CauseItemFailed means that the endpoint responded that the item failed.
 	CauseItemFailed
+	// CauseSilent means that the endpoint began to respond and then sent nothing for some
+	// time, as a sound one may do.
+	CauseSilent
 )
 
-// Requeue returns an item to the waiting ones together with its progress. An item
-// that has failed in all of its route's attempts ends as failed instead.
+// Requeue returns an item to the waiting ones together with its progress. An attempt that
+// started over and generated nothing leaves the earlier progress. An item that has failed in
+// all of its route's attempts ends as failed instead.
 func (m *Manager) Requeue(t *Task, cause Cause, progress fescuebank.Progress) {
 	j, it := t.job, t.item
 	now := m.Clock.Now()
@@ -223,8 +221,11 @@
 	if it.phase != phaseRunning {
 		return
 	}
-	advanced := progress.Events > it.progress.Events
-	it.phase, it.stop, it.progress = phaseWaiting, nil, progress
+	advanced := progress.Events > t.Progress.Events
+	it.phase, it.stop = phaseWaiting, nil
+	if progress.Events > 0 {
+		it.progress = progress
+	}
 	switch cause {
 	case CauseItemFailed:
 		it.failures++
@@ -235,7 +236,7 @@
 			it.interruptions = 0
 		}
 		it.notBefore = now.Add(pauseAfter(it.interruptions))
-	case CauseNotRun:
+	case CauseNotRun, CauseSilent:
 		it.notBefore = now.Add(interruptionPause)
 	}
 	if cause == CauseItemFailed && it.failures >= t.Request.Route.Attempts {
@@ -249,10 +250,7 @@
 
 // pauseAfter returns the pause after a number of consecutive interruptions.
 func pauseAfter(interruptions int) time.Duration {
-	if interruptions >= suspectInterruptions {
-		return suspectPause
-	}
-	return min(interruptionPause<<max(0, interruptions), maxInterruptionPause)
+	return interruptionPause << min(interruptions, maxDoublings)
 }
 
 // commit writes the pending outcomes of a job until none is left.
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -163,7 +164,7 @@
 		cancel()
 		return false
 	}
-	slot := r.acquire(task.Request.Service)
+	slot := r.acquire(task.Request.Service, task.Progress.Version)
 	if slot == nil {
 		r.Manager.Requeue(task, manager.CausePreempted, task.Progress)
 		cancel()
@@ -177,8 +178,9 @@
 	return true
 }
 
-// acquire returns a slot for an item, or nil if this instance may not take one now.
-func (r *Runner) acquire(service fescuebank.ServiceName) *allocator.Slot {
+// acquire returns a slot for an item whose progress is of a software version, preferably at an
+// endpoint of that version. It returns nil if this instance may not take one now.
+func (r *Runner) acquire(service fescuebank.ServiceName, version string) *allocator.Slot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
@@ -188,7 +190,7 @@
 	if !r.pacer.MayStart(service, now, room) {
 		return nil
 	}
-	slot := r.Allocator.AcquireBatch(service, "", pacer.StartReservedShare)
+	slot := r.Allocator.AcquireBatch(service, version, pacer.StartReservedShare)
 	if slot != nil {
 		r.pacer.RecordStart(service, now)
 	}
@@ -197,6 +199,7 @@
 
 func (r *Runner) run(ctx context.Context, a *attempt) {
 	started := r.Clock.Now()
+	a.task.Progress = a.task.Progress.ContinuedAt(a.slot.Endpoint.Version)
 	progress := a.task.Progress
 	progress.Output = slices.Clip(progress.Output)
 	cause, err := r.attempt(ctx, a, &progress)
@@ -232,7 +235,7 @@
 		r.Manager.Requeue(a.task, cause, progress)
 	}
 	r.Log.Info("Item attempted.", "request", string(a.task.Request.ID), "team", string(a.task.Request.Team),
-		"endpoint", string(a.slot.Endpoint.ID), "started", a.slot.Endpoint.StartedUnixMilli, "load", a.slot.Load,
+		"endpoint", string(a.slot.Endpoint.ID), "started", a.slot.Endpoint.StartedUnixMilli, "version", a.slot.Endpoint.Version, "load", a.slot.Load,
 		"events", progress.Events, "ms", took.Milliseconds(),
 		"slackMs", a.task.Due.Sub(r.Clock.Now()).Milliseconds(), "outcome", outcome)
 }
@@ -266,6 +269,7 @@
 		r.Log.Info("Endpoint states that it leaves.", "request", string(request.ID), "endpoint", string(endpoint.ID), "started", endpoint.StartedUnixMilli)
 	}
 	if response.Info.NotRun {
+		response.SetReadDeadline(r.Clock.Now().Add(idleTimeout))
 		_, _ = io.Copy(io.Discard, io.LimitReader(response, readBufferBytes))
 		if response.Info.Misdirected {
 			r.Allocator.Exclude(endpoint.ID, allocator.ExclusionTime)
@@ -282,7 +286,11 @@
 	}
 	if err := r.readEvents(response, progress); err != nil {
 		response.Abort()
-		return r.excludeEndpoint(ctx, endpoint, err), err
+		cause := r.excludeEndpoint(ctx, endpoint, err)
+		if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
+			cause = manager.CauseSilent
+		}
+		return cause, err
 	}
 	return 0, nil
 }
