Fail the items of a job whose route was removed

Cause: an item is run, and expires at the end of its retention, by its job's route. Once a configuration without that route was in force, the items of an accepted job got neither a result nor an end, for good.

Change: waiting items fail when their route has been missing for 10 s, so that a route which comes back loses nothing. Only a route that this instance has seen before counts as removed: one that it has not seen may be newer than its configuration. So items stay open, as before, if the team's owner changes after the removal.

--- a/internal/batch/manager/job.go
+++ b/internal/batch/manager/job.go
@@ -56,6 +56,10 @@
 	// expedited is set when outcomes are committed without waiting for others.
 	expedited bool
 	ended     bool
+	// routeSeen is set once the configuration had the job's route; routeRemovedAt is when it was
+	// first found to have been removed since, else zero.
+	routeSeen      bool
+	routeRemovedAt time.Time
 	// changed is closed when results are added, and then replaced.
 	changed chan struct{}
 }
--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -22,6 +22,9 @@
 	commitTime = 500 * time.Millisecond
 	// runTimeMargin is the factor by which an item may take longer than expected.
 	runTimeMargin = 1.3
+	// routeGoneTime is how long the route of a job may be missing from the configuration before
+	// the job's items fail.
+	routeGoneTime = 10 * time.Second
 )
 
 // Task is an item that has been handed out to be run.
@@ -348,18 +351,40 @@
 	}
 }
 
-// Expire fails the waiting items of jobs that are past their route's retention.
+// Expire fails the waiting items of jobs that are past their route's retention, or whose route
+// was removed routeGoneTime ago.
 func (m *Manager) Expire() {
 	now := m.Clock.Now()
 	for _, j := range m.openJobs() {
 		route := m.route(j.spec)
-		if route == nil || route.Retention <= 0 || now.Before(j.spec.Submitted.Add(route.Retention)) {
-			continue
+		if j.isRouteGone(route != nil, now) || isPastRetention(j, route, now) {
+			m.expire(j, now)
 		}
-		m.expire(j, now)
 	}
 }
 
+func isPastRetention(j *job, route *fescuebank.Route, now time.Time) bool {
+	return route != nil && route.Retention > 0 && !now.Before(j.spec.Submitted.Add(route.Retention))
+}
+
+// isRouteGone records whether the configuration has the job's route, and reports whether the route
+// was removed at least routeGoneTime ago. A route that this instance has not seen yet may be newer
+// than its configuration, and is not gone.
+func (j *job) isRouteGone(exists bool, now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	switch {
+	case exists:
+		j.routeSeen, j.routeRemovedAt = true, time.Time{}
+		return false
+	case !j.routeSeen:
+		return false
+	case j.routeRemovedAt.IsZero():
+		j.routeRemovedAt = now
+	}
+	return now.Sub(j.routeRemovedAt) >= routeGoneTime
+}
+
 func (m *Manager) expire(j *job, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
