Split the supervisor by building, subscribing and running

The declarations are moved unchanged; the build functions and a few others that had no comment have one.

go test -race ./internal/standin/deployer ./cmd/fescuebankd, which run the supervisor (it has no tests of its own): ok, 55.9 s and 60.4 s.

--- /dev/null
+++ b/internal/operate/supervisor/run.go
@@ -0,0 +1,124 @@
+package supervisor
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"fescuebank"
+)
+
+const (
+	// schedulerWakeInterval is how often the scheduler is woken for endpoints that
+	// become available by the passage of time, without an event.
+	schedulerWakeInterval = 50 * time.Millisecond
+	// announceInterval is how often the instance announces itself to the instance
+	// list.
+	announceInterval = 30 * time.Second
+	// releaseTimeout bounds the release of the lease at shutdown.
+	releaseTimeout = 5 * time.Second
+)
+
+// Run serves until ctx ends. It then shuts down after the requests in flight have
+// ended.
+func (v *Supervisor) Run(ctx context.Context) error {
+	// The components keep running until the requests in flight have ended.
+	componentCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group sync.WaitGroup
+	start := func(run func(context.Context)) { group.Go(func() { run(componentCtx) }) }
+	start(func(ctx context.Context) {
+		if err := v.messenger.Run(ctx); err != nil {
+			v.log.Error("Messenger failed; peers are no longer served.", "err", err)
+		}
+	})
+	start(v.announce)
+	start(v.prober.Run)
+	start(v.watcher.Run)
+	start(v.jobWatcher.Run)
+	start(v.applier.Run)
+	start(v.withdrawer.Run)
+	start(v.connector.Run)
+	start(v.wakeScheduler)
+	start(v.notifier.Run)
+	start(v.admitter.Run)
+	dispatchCtx, stopDispatch := context.WithCancel(componentCtx)
+	if v.settings.Roles.Owner {
+		start(v.leaser.Run)
+		start(v.registrar.Run)
+		start(v.coordinator.Run)
+		start(v.reconciler.Run)
+		group.Go(func() { v.dispatcher.Run(dispatchCtx) })
+	}
+	callers := &http.Server{Handler: v.gateway.Handler(), MaxHeaderBytes: int(v.settings.Limits.HeaderBytes), ReadHeaderTimeout: 10 * time.Second}
+	operators := &http.Server{Handler: v.operatorHandler, MaxHeaderBytes: int(v.settings.Limits.HeaderBytes), ReadHeaderTimeout: 10 * time.Second}
+	v.serve(&group, callers, v.callerListener, v.settings.Roles.Entry)
+	v.serve(&group, operators, v.operatorListener, v.settings.Roles.Console)
+	v.log.Info("Instance started.", "callers", v.self.CallerURL, "operators", v.operatorListener.Addr().String(), "peers", v.self.PeerAddr)
+	<-ctx.Done()
+	v.leave(callers, stopDispatch)
+	_ = operators.Close()
+	stop()
+	group.Wait()
+	return nil
+}
+
+// serve serves on l, or closes l if the instance doesn't have the role that needs it.
+func (v *Supervisor) serve(group *sync.WaitGroup, server *http.Server, l net.Listener, enabled bool) {
+	if !enabled {
+		_ = l.Close()
+		return
+	}
+	group.Go(func() { _ = server.Serve(l) })
+}
+
+// leave shuts the instance down: it removes itself from address responses, releases
+// ownership, waits for the requests in flight, and releases the lease.
+func (v *Supervisor) leave(callers *http.Server, stopDispatch func()) {
+	v.log.Info("Instance leaves.", "inFlight", v.drainer.InFlight())
+	v.drainer.Leave()
+	v.detector.SetLeaving()
+	v.leaser.SetLeaving()
+	ctx := context.Background()
+	v.announceOnce(ctx, true)
+	callers.SetKeepAlivesEnabled(false)
+	stopDispatch()
+	// Callers may still use an earlier address response.
+	_ = fescuebank.Sleep(ctx, v.clock, v.settings.Timing.AddressTTL)
+	_ = callers.Shutdown(ctx)
+	releaseCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if err := v.leaser.Release(releaseCtx); err != nil {
+		v.log.Warn("Lease not released.", "err", err)
+	}
+	v.log.Info("Instance stopped.")
+}
+
+// announce announces the instance every announceInterval, and sooner after a failure.
+func (v *Supervisor) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := announceInterval
+		if !v.announceOnce(ctx, v.drainer.Leaving()) {
+			wait = time.Second
+		}
+		_ = fescuebank.Sleep(ctx, v.clock, wait)
+	}
+}
+
+// announceOnce announces the instance and reports whether that succeeded.
+func (v *Supervisor) announceOnce(ctx context.Context, leaving bool) bool {
+	err := v.instanceList.Announce(ctx, fescuebank.ListedInstance{Instance: v.self, Leaving: leaving})
+	if err != nil {
+		v.log.Debug("Instance not announced.", "err", err)
+	}
+	return err == nil
+}
+
+// wakeScheduler wakes the scheduler every schedulerWakeInterval.
+func (v *Supervisor) wakeScheduler(ctx context.Context) {
+	for fescuebank.Sleep(ctx, v.clock, schedulerWakeInterval) == nil {
+		v.scheduler.Wake()
+	}
+}
