--- a/internal/batch/coordinator/pull.go
+++ b/internal/batch/coordinator/pull.go
@@ -8,6 +8,9 @@
 	"fescuebank"
 )
 
+// maxPullItems bounds the items of one pull.
+const maxPullItems = 64
+
 // Pull hands out items: those of the team that has been served the least relative to its
 // weight first, and among a team's jobs those of the job due first.
 func (co *Coordinator) Pull(r *fescuebank.PullRequest) fescuebank.PullReply {
@@ -41,7 +44,8 @@
 
 // candidate is an owned job with pending items.
 type candidate struct {
-	job    *ownedJob
+	job *ownedJob
+	// served is what the job's team has been served.
 	served float64
 }
 
@@ -56,6 +60,7 @@
 	return best.job
 }
 
+// before reports whether c comes before other: by team, and within a team by due time.
 func (c candidate) before(other candidate) bool {
 	if c.job.spec.Team != other.job.spec.Team {
 		return cmp.Or(cmp.Compare(c.served, other.served), cmp.Compare(c.job.spec.Team, other.job.spec.Team)) < 0
@@ -63,6 +68,7 @@
 	return cmp.Or(c.job.spec.Due.Compare(other.job.spec.Due), cmp.Compare(c.job.spec.ID, other.job.spec.ID)) < 0
 }
 
+// candidates returns the jobs with pending items for one of the models.
 func (co *Coordinator) candidates(models []fescuebank.ModelName) []candidate {
 	co.mu.Lock()
 	defer co.mu.Unlock()
@@ -75,11 +81,13 @@
 	return list
 }
 
+// mayHandOut reports whether this instance still owns the job as it was loaded.
 func (co *Coordinator) mayHandOut(j *ownedJob) bool {
 	shard, _ := j.spec.ID.Shard()
 	return co.mayActUnder(shard, j.fencing)
 }
 
+// hasPending reports whether the job has pending items for one of the models.
 func (j *ownedJob) hasPending(models []fescuebank.ModelName) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -156,6 +164,7 @@
 	return reply
 }
 
+// report applies the report on one item, and reports whether the item may go on.
 func (co *Coordinator) report(from fescuebank.InstanceID, r fescuebank.ItemReport) bool {
 	co.mu.Lock()
 	j, ok := co.jobs[r.Ref.Job]
