--- a/internal/fleet/gossiper/entry.go
+++ b/internal/fleet/gossiper/entry.go
@@ -51,6 +51,7 @@
 	return !g.isEntryLost()
 }
 
+// isEntryLost returns entryLost.
 func (g *Gossiper) isEntryLost() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/fleet/gossiper/relay.go
+++ b/internal/fleet/gossiper/relay.go
@@ -117,6 +117,7 @@
 	}
 }
 
+// addrs returns the addresses of the members among list. The caller holds the lock.
 func (g *Gossiper) addrs(list []fescuebank.InstanceID) []string {
 	addrs := make([]string, 0, len(list))
 	for _, id := range list {
