Let one function spread out intervals

Nine loops and retries wrote d/2+rand.N(d) themselves. fescuebank.Jitter does it now; the range and the number of random draws are the same. The server and the dispatcher still write it. The watcher and the router spread over another range and are left as they are.

--- a/clock.go
+++ b/clock.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -27,6 +28,12 @@
 	}
 }
 
+// Jitter returns a random duration from a half to one and a half times d, so that instances
+// with the same interval spread out. d is positive.
+func Jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
 // Latest returns the later of two times.
 func Latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -94,7 +93,7 @@
 		}
 		if err := a.apply(ctx, *m); err != nil {
 			a.log.Warn("Generation not applied.", "generation", uint64(m.Generation), "err", err)
-			_ = fescuebank.Sleep(ctx, a.clock, wait/2+rand.N(wait))
+			_ = fescuebank.Sleep(ctx, a.clock, fescuebank.Jitter(wait))
 			wait = min(2*wait, maxRetryWait)
 			continue
 		}
--- a/internal/endpoint/connector/connector.go
+++ b/internal/endpoint/connector/connector.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -94,7 +93,7 @@
 
 // Run polls load reports until ctx ends.
 func (c *Connector) Run(ctx context.Context) {
-	for fescuebank.Sleep(ctx, c.clock, reportInterval/2+rand.N(reportInterval)) == nil {
+	for fescuebank.Sleep(ctx, c.clock, fescuebank.Jitter(reportInterval)) == nil {
 		c.mu.Lock()
 		ids := make([]fescuebank.EndpointID, 0, len(c.invokers))
 		for id := range c.invokers {
--- a/internal/endpoint/reconciler/reconciler.go
+++ b/internal/endpoint/reconciler/reconciler.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -74,7 +73,7 @@
 
 // Run reconciles until ctx ends.
 func (r *Reconciler) Run(ctx context.Context) {
-	for fescuebank.Sleep(ctx, r.clock, interval/2+rand.N(interval)) == nil {
+	for fescuebank.Sleep(ctx, r.clock, fescuebank.Jitter(interval)) == nil {
 		r.Reconcile(ctx)
 	}
 }
@@ -140,6 +139,6 @@
 		return
 	}
 	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
-	s.retryAt = now.Add(s.backoff/2 + rand.N(s.backoff))
+	s.retryAt = now.Add(fescuebank.Jitter(s.backoff))
 	r.log.Warn("Command failed.", "endpoint", string(id), "kind", string(command.Kind), "model", string(command.Model), "err", err)
 }
--- a/internal/fleet/prober/prober.go
+++ b/internal/fleet/prober/prober.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -72,7 +71,7 @@
 		for _, target := range p.detector.Targets() {
 			go p.probe(ctx, target)
 		}
-		_ = fescuebank.Sleep(ctx, p.clock, p.interval/2+rand.N(p.interval))
+		_ = fescuebank.Sleep(ctx, p.clock, fescuebank.Jitter(p.interval))
 	}
 }
 
@@ -85,7 +84,7 @@
 		} else {
 			p.SetListed(list)
 		}
-		_ = fescuebank.Sleep(ctx, p.clock, listInterval/2+rand.N(listInterval))
+		_ = fescuebank.Sleep(ctx, p.clock, fescuebank.Jitter(listInterval))
 	}
 }
 
--- a/internal/fleet/registrar/confirm.go
+++ b/internal/fleet/registrar/confirm.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -66,7 +65,7 @@
 		for _, former := range r.unconfirmed() {
 			r.confirmStopped(ctx, former)
 		}
-		_ = fescuebank.Sleep(ctx, r.clock, confirmInterval/2+rand.N(confirmInterval))
+		_ = fescuebank.Sleep(ctx, r.clock, fescuebank.Jitter(confirmInterval))
 	}
 }
 
--- a/internal/fleet/registrar/reconcile.go
+++ b/internal/fleet/registrar/reconcile.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -43,7 +42,7 @@
 		}
 		// The pause is random, so that candidates rarely check at the same time.
 		wait := r.timing.LeaseRenew / 3
-		_ = fescuebank.Sleep(ctx, r.clock, wait/2+rand.N(wait))
+		_ = fescuebank.Sleep(ctx, r.clock, fescuebank.Jitter(wait))
 	}
 }
 
--- a/internal/fleet/replicator/replicator.go
+++ b/internal/fleet/replicator/replicator.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -186,7 +185,7 @@
 			return
 		}
 		r.recordFailure(err)
-		_ = fescuebank.Sleep(ctx, r.clock, backoff/2+rand.N(backoff))
+		_ = fescuebank.Sleep(ctx, r.clock, fescuebank.Jitter(backoff))
 		backoff = min(2*backoff, maxRetry)
 	}
 }
