--- a/internal/batch/coordinator/pull.go
+++ b/internal/batch/coordinator/pull.go
@@ -101,10 +101,7 @@
 // continues from the lowest value of the other teams, so that it has no claim to the
 // work that it did not request during its pause.
 func (co *Coordinator) charge(team fescuebank.TeamID, cost float64) {
-	weight := 1.0
-	if t, ok := co.config.Current().Teams[team]; ok {
-		weight = t.Weight
-	}
+	weight := co.config.Current().TeamWeight(team)
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	co.served[team] = max(co.served[team], co.minServed(team)) + cost/weight
--- a/internal/operate/supervisor/build.go
+++ b/internal/operate/supervisor/build.go
@@ -122,7 +122,8 @@
 	s := v.settings
 	v.balancer = balancer.New(s.Instance.Zone, policy, v.clock)
 	v.connector = connector.New(v.balancer, v.clock, s.Timing.Silence)
-	v.arbiter = arbiter.New(v.teamWeight, s.Limits.BatchHeadroom)
+	teamWeight := func(team fescuebank.TeamID) float64 { return v.applier.Current().TeamWeight(team) }
+	v.arbiter = arbiter.New(teamWeight, s.Limits.BatchHeadroom)
 	v.scheduler = scheduler.New(v.balancer, s.Limits.QueueLength, v.clock, func() { v.notifier.Notify() })
 	v.notifier = notifier.New(notifier.Config{
 		Directory: v.registrar, Peer: v.messenger, Balancer: v.balancer, Arbiter: v.arbiter,
@@ -145,14 +146,6 @@
 	v.quarantiner = quarantiner.New(v.store, v.messenger, v.registrar, permits, v.clock, v.logFor("quarantine"))
 }
 
-// teamWeight returns the configured weight of a team, or 1 for an unknown one.
-func (v *Supervisor) teamWeight(team fescuebank.TeamID) float64 {
-	if t, ok := v.applier.Current().Teams[team]; ok {
-		return t.Weight
-	}
-	return 1
-}
-
 // buildLimits builds the enforcement of the teams' limits.
 func (v *Supervisor) buildLimits() {
 	v.admitter = admitter.New(admitter.Config{
--- a/snapshot.go
+++ b/snapshot.go
@@ -40,6 +40,14 @@
 	return s
 }
 
+// TeamWeight returns the weight of a team, or the default for an unknown one.
+func (s *Snapshot) TeamWeight(id TeamID) float64 {
+	if t, ok := s.Teams[id]; ok {
+		return t.Weight
+	}
+	return defaultWeight
+}
+
 // MayUse reports whether the team may use model m.
 func (t *Team) MayUse(m ModelName) bool {
 	if len(t.Models) == 0 {
