--- a/snapshot.go
+++ b/snapshot.go
@@ -1,5 +1,7 @@
 package fescuebank
 
+import "slices"
+
 // Snapshot is one complete generation of the desired state with its indexes. It is
 // immutable.
 type Snapshot struct {
@@ -53,22 +55,12 @@
 	if len(t.Models) == 0 {
 		return true
 	}
-	for _, allowed := range t.Models {
-		if allowed == m {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(t.Models, m)
 }
 
 // Serves reports whether the endpoint may be commanded to serve model m.
 func (e *EndpointSpec) Serves(m ModelName) bool {
-	for _, model := range e.Models {
-		if model == m {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(e.Models, m)
 }
 
 // ConfigSource returns the generation in force on this instance.
