Remove the unread store version of an owned job

The coordinator set ownedJob.specVersion and never read it: endJob reads the job again for the version of its conditional write.

--- a/internal/batch/coordinator/job.go
+++ b/internal/batch/coordinator/job.go
@@ -9,9 +9,8 @@
 
 // ownedJob is one job that this instance owns.
 type ownedJob struct {
-	mu          sync.Mutex
-	spec        fescuebank.Job
-	specVersion fescuebank.StoreVersion
+	mu   sync.Mutex
+	spec fescuebank.Job
 	// fencing is the fencing number under which the job was loaded.
 	fencing fescuebank.FencingNumber
 	tracker *tracker.Tracker
--- a/internal/batch/coordinator/load.go
+++ b/internal/batch/coordinator/load.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return eris.Wrap(err, "Coordinator.loadJob")
 	}
-	j := &ownedJob{specVersion: o.Version, fencing: fencing}
+	j := &ownedJob{fencing: fencing}
 	if err := json.Unmarshal(o.Value, &j.spec); err != nil {
 		return eris.Wrap(err, "Coordinator.loadJob")
 	}
