Build both servers of the supervisor in one function

The servers for callers and operators were written out twice, with a timeout of 10 s without a name. newServer builds both; the values are the same.

--- a/internal/operate/supervisor/run.go
+++ b/internal/operate/supervisor/run.go
@@ -17,6 +17,9 @@
 	// announceInterval is how often the instance announces itself to the instance
 	// list.
 	announceInterval = 30 * time.Second
+	// readHeaderTimeout bounds the time in which a client must send the headers of a
+	// request.
+	readHeaderTimeout = 10 * time.Second
 	// releaseTimeout bounds the release of the lease at shutdown.
 	releaseTimeout = 5 * time.Second
 )
@@ -52,8 +55,8 @@
 		start(v.reconciler.Run)
 		group.Go(func() { v.dispatcher.Run(dispatchCtx) })
 	}
-	callers := &http.Server{Handler: v.gateway.Handler(), MaxHeaderBytes: int(v.settings.Limits.HeaderBytes), ReadHeaderTimeout: 10 * time.Second}
-	operators := &http.Server{Handler: v.operatorHandler, MaxHeaderBytes: int(v.settings.Limits.HeaderBytes), ReadHeaderTimeout: 10 * time.Second}
+	callers := v.newServer(v.gateway.Handler())
+	operators := v.newServer(v.operatorHandler)
 	v.serve(&group, callers, v.callerListener, v.settings.Roles.Entry)
 	v.serve(&group, operators, v.operatorListener, v.settings.Roles.Console)
 	v.log.Info("Instance started.", "callers", v.self.CallerURL, "operators", v.operatorListener.Addr().String(), "peers", v.self.PeerAddr)
@@ -65,6 +68,11 @@
 	return nil
 }
 
+// newServer returns a server for one of the instance's addresses.
+func (v *Supervisor) newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, MaxHeaderBytes: int(v.settings.Limits.HeaderBytes), ReadHeaderTimeout: readHeaderTimeout}
+}
+
 // serve serves on l, or closes l if the instance doesn't have the role that needs it.
 func (v *Supervisor) serve(group *sync.WaitGroup, server *http.Server, l net.Listener, enabled bool) {
 	if !enabled {
