Search the least loaded endpoint in one function

leastExpected and reserveLeastLoaded had the same loop, one over up to 24 endpoints from a random start and the other over all from the first. leastLoaded takes start and count.

--- a/internal/endpoint/balancer/select.go
+++ b/internal/endpoint/balancer/select.go
@@ -62,10 +62,15 @@
 // leastExpected returns the available endpoint with the lowest expected load among up
 // to maxCandidates, from a random start. It needs counts as fresh as the owners' credits.
 func (b *Balancer) leastExpected(pool []*Target, now int64, avoid []fescuebank.EndpointID) *Target {
+	return b.leastLoaded(pool, now, b.random(len(pool)), min(len(pool), maxCandidates), avoid)
+}
+
+// leastLoaded returns the available endpoint with the lowest expected load among count ones
+// from index start on, or nil if none is available.
+func (b *Balancer) leastLoaded(pool []*Target, now int64, start, count int, avoid []fescuebank.EndpointID) *Target {
 	var best *Target
 	var bestLoad float64
-	start := b.random(len(pool))
-	for i := range min(len(pool), maxCandidates) {
+	for i := range count {
 		t := pool[(start+i)%len(pool)]
 		if !t.canAccept(now, avoid) {
 			continue
@@ -138,16 +143,7 @@
 
 // reserveLeastLoaded reserves a slot at the least loaded available endpoint.
 func (b *Balancer) reserveLeastLoaded(pool []*Target, now int64, avoid []fescuebank.EndpointID) *Target {
-	var best *Target
-	var bestLoad float64
-	for _, t := range pool {
-		if !t.canAccept(now, avoid) {
-			continue
-		}
-		if load := b.load(t, now); best == nil || load < bestLoad {
-			best, bestLoad = t, load
-		}
-	}
+	best := b.leastLoaded(pool, now, 0, len(pool), avoid)
 	if best == nil || !best.reserve() {
 		return nil
 	}
