Split the check of peers at each heartbeat

checkPeers decided for each peer in 20 lines whether to drop its connection, to count it as silent and to remove its entry. mustReconnect, markSilent and isRemovable decide that now, in the same order and by the same conditions.

--- a/internal/fleet/gossiper/check.go
+++ b/internal/fleet/gossiper/check.go
@@ -28,20 +28,14 @@
 		if m.isAlive(now, intervals) {
 			g.liveCount++
 		}
-		since := fescuebank.Latest(m.receivedAt, m.addedAt)
-		isTarget := !m.targetSince.IsZero()
-		unresponsive := now.Sub(since) >= intervals.suspectTimeout() || now.Sub(fescuebank.Latest(m.ackedAt, m.targetSince)) >= intervals.ackTimeout()
-		if isTarget && unresponsive && now.Sub(m.reconnectedAt) >= intervals.ackTimeout() {
+		if m.mustReconnect(now, intervals) {
 			m.reconnectedAt = now
 			reconnect = append(reconnect, m.entry.PeerAddr)
 		}
-		if now.Sub(since) >= intervals.suspectTimeout() && !m.silent {
-			m.silent = true
+		if g.markSilent(m, now, intervals) {
 			silent++
-			g.subtract(m)
-			g.Log.Warn("Instance is silent.", "peer", string(m.entry.ID), "heardMsAgo", now.Sub(since).Milliseconds())
 		}
-		if now.Sub(fescuebank.Latest(since, fescuebank.Latest(m.reportedAt, m.entryChangedAt))) >= removeAfter {
+		if m.isRemovable(now) {
 			remove = append(remove, m)
 		}
 	}
@@ -62,6 +56,37 @@
 	}
 }
 
+// mustReconnect reports whether gossip is sent to the peer, the peer is unresponsive, and its
+// connection has not been dropped lately.
+func (m *member) mustReconnect(now time.Time, intervals intervals) bool {
+	if m.targetSince.IsZero() || now.Sub(m.reconnectedAt) < intervals.ackTimeout() {
+		return false
+	}
+	sentNothing := now.Sub(m.heardAt()) >= intervals.suspectTimeout()
+	ackedNothing := now.Sub(fescuebank.Latest(m.ackedAt, m.targetSince)) >= intervals.ackTimeout()
+	return sentNothing || ackedNothing
+}
+
+// markSilent marks a peer as silent if it has sent nothing within the suspect timeout, and
+// reports whether it was not marked before. The caller holds the lock.
+func (g *Gossiper) markSilent(m *member, now time.Time, intervals intervals) bool {
+	since := now.Sub(m.heardAt())
+	if m.silent || since < intervals.suspectTimeout() {
+		return false
+	}
+	m.silent = true
+	g.subtract(m)
+	g.Log.Warn("Instance is silent.", "peer", string(m.entry.ID), "heardMsAgo", since.Milliseconds())
+	return true
+}
+
+// isRemovable reports whether no instance has heard from the peer, and its entry has not
+// changed, for removeAfter.
+func (m *member) isRemovable(now time.Time) bool {
+	elsewhere := fescuebank.Latest(m.reportedAt, m.entryChangedAt)
+	return now.Sub(fescuebank.Latest(m.heardAt(), elsewhere)) >= removeAfter
+}
+
 // isFirst reports whether no live peer has a lower id. The caller holds the lock.
 func (g *Gossiper) isFirst(now time.Time) bool {
 	for id, m := range g.members {
--- a/internal/fleet/gossiper/member.go
+++ b/internal/fleet/gossiper/member.go
@@ -128,6 +128,12 @@
 	return fescuebank.Latest(m.receivedAt, m.reportedAt)
 }
 
+// heardAt returns when gossip from the peer last arrived here, or when its entry was first
+// seen if that was later.
+func (m *member) heardAt() time.Time {
+	return fescuebank.Latest(m.receivedAt, m.addedAt)
+}
+
 // isAlive reports whether gossip from the peer arrived here within the suspect timeout.
 func (m *member) isAlive(now time.Time, intervals intervals) bool {
 	return now.Sub(m.receivedAt) < intervals.suspectTimeout()
