Don't wait for the body of an endpoint's refusal

A request that an endpoint refused with "not executed" could wait for the rest of the refusal until its deadline, and be refused then in place of a try at the next endpoint.

Evidence: the new test on the code before: got 503 "all endpoints are busy" after 1.5 s, want 200 within 500ms.

Change: the body, which is not used, is read for 50 ms at most.

--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -39,6 +39,8 @@
 	// progressTimeoutFactor is the progress timeout as a multiple of the route's
 	// objective for gaps between events.
 	progressTimeoutFactor = 2
+	// refusalBodyTimeout bounds reading the body of an endpoint's refusal, which is not used.
+	refusalBodyTimeout = 50 * time.Millisecond
 	// readBufferBytes is the size of the buffer for reads from an endpoint.
 	readBufferBytes = 4 << 10
 	// maxBufferedBytes bounds how much of a response is buffered before it is relayed, so
@@ -333,6 +335,7 @@
 var errNotRun = errors.New("endpoint refused the request")
 
 func (t *transfer) handleRefusal(e fescuebank.ServedEndpoint, resp *exchanger.Response) error {
+	resp.SetReadDeadline(t.clock.Now().Add(refusalBodyTimeout))
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxBufferedBytes))
 	if resp.Info.Misdirected {
 		t.allocator.Exclude(e.ID, allocator.ExclusionTime)
