Measure elapsed time on both clocks in one function

The elector and the leaser each took the longer of the monotonic and the wall clock's time, because the monotonic clock stops while the machine is suspended. The acquirer compared on both clocks. fescuebank.Elapsed serves all three: an instant is before another on both clocks just when the longer of the two times is negative.

--- a/clock.go
+++ b/clock.go
@@ -28,6 +28,12 @@
 	}
 }
 
+// Elapsed returns the time from t to now by the monotonic or the wall clock, whichever shows
+// more: the monotonic clock stops while the machine is suspended.
+func Elapsed(t, now time.Time) time.Duration {
+	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+}
+
 // Jitter returns a random duration from a half to one and a half times d, so that instances
 // with the same interval spread out. d is positive.
 func Jitter(d time.Duration) time.Duration {
--- a/internal/fleet/elector/authority.go
+++ b/internal/fleet/elector/authority.go
@@ -19,11 +19,9 @@
 	return ok && before != e.holder
 }
 
-// elapsed returns the time since t, by the monotonic or the wall clock, whichever shows
-// more: the monotonic clock stops while the machine is suspended.
+// elapsed returns the time since t.
 func (e *Elector) elapsed(t time.Time) time.Duration {
-	now := e.Clock.Now()
-	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+	return fescuebank.Elapsed(t, e.Clock.Now())
 }
 
 // MayAct reports whether this incarnation may start to act as the owner of a team, and
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -80,12 +80,7 @@
 	if !l.held {
 		return 0
 	}
-	now := l.clock.Now()
-	elapsed := now.Sub(l.renewalSentAt)
-	// The monotonic clock stops while the machine is suspended.
-	if wall := now.Round(0).Sub(l.renewalSentAt.Round(0)); wall > elapsed {
-		elapsed = wall
-	}
+	elapsed := fescuebank.Elapsed(l.renewalSentAt, l.clock.Now())
 	return max(0, l.timing.LeaseTTL-l.timing.LeaseMargin-elapsed)
 }
 
--- a/internal/limit/acquirer/acquirer.go
+++ b/internal/limit/acquirer/acquirer.go
@@ -186,9 +186,8 @@
 }
 
 // isBefore reports whether now is before t on both the monotonic and the wall clock.
-// The monotonic clock stops while the machine is suspended.
 func (a *Acquirer) isBefore(now, t time.Time) bool {
-	return now.Before(t) && now.Round(0).Before(t.Round(0))
+	return fescuebank.Elapsed(t, now) < 0
 }
 
 // acquire requests a token from the owner. It tries again after a short wait if the next
