--- a/internal/fleet/registrar/reconcile.go
+++ b/internal/fleet/registrar/reconcile.go
@@ -140,31 +140,48 @@
 	if _, changed := r.assigner.Rewrite(r.Current(), state); !changed {
 		return nil
 	}
-	o, err := r.store.Get(ctx, fescuebank.AssignmentKey(r.region))
-	if err != nil && !errors.Is(err, fescuebank.ErrAbsent) {
+	current, version, err := r.readStored(ctx)
+	if err != nil {
 		return eris.Wrap(err, "Registrar.rewrite")
 	}
-	current := &fescuebank.Assignment{}
-	if err == nil {
-		if current, err = r.encoder.Decode(o.Value); err != nil {
-			return eris.Wrap(err, "Registrar.rewrite")
-		}
-		r.ApplyObject(o)
-	}
 	next, changed := r.assigner.Rewrite(current, state)
 	if !changed {
 		return nil
 	}
+	return eris.Wrap(r.write(ctx, next, version), "Registrar.rewrite")
+}
+
+// readStored reads the assignment from the store and applies it. It returns the assignment
+// and its store version, or an empty one and Absent before the first is written.
+func (r *Registrar) readStored(ctx context.Context) (*fescuebank.Assignment, fescuebank.StoreVersion, error) {
+	o, err := r.store.Get(ctx, fescuebank.AssignmentKey(r.region))
+	if errors.Is(err, fescuebank.ErrAbsent) {
+		return &fescuebank.Assignment{}, fescuebank.Absent, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	stored, err := r.encoder.Decode(o.Value)
+	if err != nil {
+		return nil, 0, err
+	}
+	r.ApplyObject(o)
+	return stored, o.Version, nil
+}
+
+// write replaces the assignment with the store version expected by next and applies next. It
+// does nothing if another instance has written a newer one.
+func (r *Registrar) write(ctx context.Context, next *fescuebank.Assignment, expected fescuebank.StoreVersion) error {
 	value, err := r.encoder.Encode(next)
 	if err != nil {
-		return eris.Wrap(err, "Registrar.rewrite")
+		return err
 	}
-	version, err := r.store.Put(ctx, fescuebank.AssignmentKey(r.region), value, o.Version)
+	version, err := r.store.Put(ctx, fescuebank.AssignmentKey(r.region), value, expected)
 	if errors.Is(err, fescuebank.ErrVersion) {
-		return nil // Another instance has written a newer assignment.
+		return nil
 	}
 	if err != nil {
-		return eris.Wrap(err, "Registrar.rewrite")
+		return err
 	}
 	r.ApplyObject(fescuebank.Object{Key: fescuebank.AssignmentKey(r.region), Value: value, Version: version})
 	return nil
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -121,19 +121,9 @@
 		r.log.Error("Assignment not decoded.", "err", err)
 		return
 	}
-	r.mu.Lock()
-	if next.Version <= r.current.Load().Version {
-		r.mu.Unlock()
+	if !r.replace(next, o.Version) {
 		return
 	}
-	r.storedVersion = o.Version
-	r.current.Store(next)
-	for former := range r.confirmedStopped {
-		if former.since+maxConfirmedAge < next.Version {
-			delete(r.confirmedStopped, former)
-		}
-	}
-	r.mu.Unlock()
 	r.log.Info("Assignment applied.", "version", uint64(next.Version), "members", len(next.Members))
 	// The functions called here stop everything that acts by the old assignment, before
 	// the new one is acknowledged.
@@ -142,3 +132,21 @@
 	}
 	r.leaser.Acknowledge(next.Version, r.isFormer(next))
 }
+
+// replace makes next the current assignment and returns true, unless next is not newer than
+// the current one. It forgets confirmations for much older assignments.
+func (r *Registrar) replace(next *fescuebank.Assignment, version fescuebank.StoreVersion) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if next.Version <= r.current.Load().Version {
+		return false
+	}
+	r.storedVersion = version
+	r.current.Store(next)
+	for former := range r.confirmedStopped {
+		if former.since+maxConfirmedAge < next.Version {
+			delete(r.confirmedStopped, former)
+		}
+	}
+	return true
+}
