Split the update of ownership and the end of a job

updateOwnership selected the jobs and loaded them; dropJobs selects now. endJob decided on the final status and wrote it; writeEnd writes it now. A job that can't be encoded would be logged where it was passed over in silence.

--- a/internal/batch/coordinator/end.go
+++ b/internal/batch/coordinator/end.go
@@ -64,20 +64,29 @@
 		job.Counts.Completed, job.Counts.Failed = j.tracker.Counts()
 		j.mu.Unlock()
 		job.Status = status
-		job.Finished = co.clock.Now().UTC()
-		value, err := json.Marshal(job)
-		if err != nil {
-			return
-		}
-		if _, err := co.store.Put(ctx, o.Key, value, o.Version); err != nil {
+		if err := co.writeEnd(ctx, job, o.Version); err != nil {
 			co.log.Warn("Job not ended.", "job", string(job.ID), "err", err)
 			return // The next tick retries.
 		}
-		co.log.Info("Job ended.", "job", string(job.ID), "status", string(status), "completed", job.Counts.Completed, "failed", job.Counts.Failed)
 	}
 	co.removeMarker(ctx, j.spec.ID)
 }
 
+// writeEnd writes a job with its final status and counts, if it still has the store version
+// expected.
+func (co *Coordinator) writeEnd(ctx context.Context, job fescuebank.Job, expected fescuebank.StoreVersion) error {
+	job.Finished = co.clock.Now().UTC()
+	value, err := json.Marshal(job)
+	if err != nil {
+		return err
+	}
+	if _, err := co.store.Put(ctx, fescuebank.JobKey(job.ID), value, expected); err != nil {
+		return err
+	}
+	co.log.Info("Job ended.", "job", string(job.ID), "status", string(job.Status), "completed", job.Counts.Completed, "failed", job.Counts.Failed)
+	return nil
+}
+
 // removeMarker removes the marker of a job that has ended, and the job itself from here.
 func (co *Coordinator) removeMarker(ctx context.Context, id fescuebank.JobID) {
 	o, err := co.store.Get(ctx, fescuebank.ActiveKey(id))
--- a/internal/batch/coordinator/load.go
+++ b/internal/batch/coordinator/load.go
@@ -19,8 +19,22 @@
 // longer owns or that are stale.
 func (co *Coordinator) updateOwnership(ctx context.Context) {
 	now := co.clock.Now()
-	var load []fescuebank.JobID
+	for _, id := range co.dropJobs(now) {
+		if err := co.loadJob(ctx, id); err != nil {
+			co.log.Warn("Job not loaded.", "job", string(id), "err", err)
+			co.mu.Lock()
+			co.loadFailedAt[id] = now
+			co.mu.Unlock()
+		}
+	}
+}
+
+// dropJobs drops the jobs that this instance no longer owns or that are stale, and returns
+// those to load.
+func (co *Coordinator) dropJobs(now time.Time) []fescuebank.JobID {
 	co.mu.Lock()
+	defer co.mu.Unlock()
+	var load []fescuebank.JobID
 	for id := range co.active {
 		shard, ok := id.Shard()
 		if !ok {
@@ -41,15 +55,7 @@
 			delete(co.jobs, id)
 		}
 	}
-	co.mu.Unlock()
-	for _, id := range load {
-		if err := co.loadJob(ctx, id); err != nil {
-			co.log.Warn("Job not loaded.", "job", string(id), "err", err)
-			co.mu.Lock()
-			co.loadFailedAt[id] = now
-			co.mu.Unlock()
-		}
-	}
+	return load
 }
 
 // loadJob reads a job and its records from the store.
