--- a/internal/operate/supervisor/run.go
+++ b/internal/operate/supervisor/run.go
@@ -30,31 +30,9 @@
 	// The components keep running until the requests in flight have ended.
 	componentCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	var group sync.WaitGroup
-	start := func(run func(context.Context)) { group.Go(func() { run(componentCtx) }) }
-	start(func(ctx context.Context) {
-		if err := v.messenger.Run(ctx); err != nil {
-			v.log.Error("Messenger failed; peers are no longer served.", "err", err)
-		}
-	})
-	start(v.announce)
-	start(v.prober.Run)
-	start(v.watcher.Run)
-	start(v.jobWatcher.Run)
-	start(v.applier.Run)
-	start(v.withdrawer.Run)
-	start(v.connector.Run)
-	start(v.wakeScheduler)
-	start(v.notifier.Run)
-	start(v.admitter.Run)
 	dispatchCtx, stopDispatch := context.WithCancel(componentCtx)
-	if v.settings.Roles.Owner {
-		start(v.leaser.Run)
-		start(v.registrar.Run)
-		start(v.coordinator.Run)
-		start(v.reconciler.Run)
-		group.Go(func() { v.dispatcher.Run(dispatchCtx) })
-	}
+	var group sync.WaitGroup
+	v.startComponents(componentCtx, dispatchCtx, &group)
 	callers := v.newServer(v.gateway.Handler())
 	operators := v.newServer(v.operatorHandler)
 	v.serve(&group, callers, v.callerListener, v.settings.Roles.Entry)
@@ -68,6 +46,38 @@
 	return nil
 }
 
+// startComponents starts what runs until ctx ends, and in the role of an owner also the
+// dispatcher, which runs until dispatchCtx ends.
+func (v *Supervisor) startComponents(ctx, dispatchCtx context.Context, group *sync.WaitGroup) {
+	start := func(run func(context.Context)) { group.Go(func() { run(ctx) }) }
+	start(v.runMessenger)
+	start(v.announce)
+	start(v.prober.Run)
+	start(v.watcher.Run)
+	start(v.jobWatcher.Run)
+	start(v.applier.Run)
+	start(v.withdrawer.Run)
+	start(v.connector.Run)
+	start(v.wakeScheduler)
+	start(v.notifier.Run)
+	start(v.admitter.Run)
+	if !v.settings.Roles.Owner {
+		return
+	}
+	start(v.leaser.Run)
+	start(v.registrar.Run)
+	start(v.coordinator.Run)
+	start(v.reconciler.Run)
+	group.Go(func() { v.dispatcher.Run(dispatchCtx) })
+}
+
+// runMessenger runs the messenger and logs its failure.
+func (v *Supervisor) runMessenger(ctx context.Context) {
+	if err := v.messenger.Run(ctx); err != nil {
+		v.log.Error("Messenger failed; peers are no longer served.", "err", err)
+	}
+}
+
 // newServer returns a server for one of the instance's addresses.
 func (v *Supervisor) newServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, MaxHeaderBytes: int(v.settings.Limits.HeaderBytes), ReadHeaderTimeout: readHeaderTimeout}
