Assign free slots that no waiting request can use

What callers saw: while a resuming stream waited for its software version, whose slots were all taken, a new request got no slot although endpoints of other versions had free ones. It waited until the allocator's counts next changed: up to a gossip message of another instance, or, if none came, until it was refused at the end of its wait. The same held for any request behind one that waited for another service, or for an endpoint that it had not tried.

Cause: Acquire assigned a slot at once only if nobody waited, and enqueue assigns none.

Why this works: the free slots are first assigned to the waiting requests in their order. What is still free then suits none of them, so the new request takes it. The search runs only if a slot that suits the new request is free.

Before: version_test.go: got <nil>, all slots taken after 300ms, want a slot of v2 at once

--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -153,12 +153,10 @@
 func (a *Allocator) Acquire(ctx context.Context, request SlotRequest) (*Slot, error) {
 	a.mu.Lock()
 	now := a.clock.Now()
-	if len(a.waiting) == 0 || request.Resuming {
-		if slot := a.assign(request, now); slot != nil {
-			a.mu.Unlock()
-			a.onChange()
-			return slot, nil
-		}
+	if slot := a.assignInTurn(request, now); slot != nil {
+		a.mu.Unlock()
+		a.onChange()
+		return slot, nil
 	}
 	wait, ok := a.predictWait(request, now, a.countAhead(request))
 	if !ok || now.Add(wait).After(request.Deadline) {
@@ -221,6 +219,19 @@
 	return slot
 }
 
+// assignInTurn takes a free slot that no waiting request can use, or returns nil. A resuming stream
+// goes before the waiting requests. The caller holds the lock.
+func (a *Allocator) assignInTurn(request SlotRequest, now time.Time) *Slot {
+	if request.Resuming || len(a.waiting) == 0 {
+		return a.assign(request, now)
+	}
+	if a.pick(request, now) == nil {
+		return nil
+	}
+	a.assignWaiting()
+	return a.assign(request, now)
+}
+
 // Observe applies a load report of the endpoint. Reported requests beyond the known
 // counts are those of instances whose gossip does not arrive here.
 func (s *Slot) Observe(report fescuebank.EndpointLoad) {
--- a/internal/entry/allocator/version_test.go
+++ b/internal/entry/allocator/version_test.go
@@ -119,3 +119,40 @@
 		}
 	}
 }
+
+// TestRequestDoesNotWaitBehindAFullVersion guards against requests that wait although a slot is
+// free, because a stream waits for a version whose slots are all taken.
+func TestRequestDoesNotWaitBehindAFullVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := allocator.New(timekeeper.Timekeeper{}, func() {})
+		a.SetEndpoints(versionedEndpoints("v1", "v2"))
+		held := holdVersion(t, a, "v1", 2)
+		go func() {
+			request := allocator.SlotRequest{Service: "s", Version: "v1", Resuming: true, Deadline: time.Now().Add(time.Second)}
+			if slot, err := a.Acquire(context.Background(), request); err == nil {
+				slot.Release()
+			}
+		}()
+		synctest.Wait()
+		started := time.Now()
+		slot, err := a.Acquire(context.Background(), slotRequest(300*time.Millisecond))
+		if err != nil || slot.Endpoint.Version != "v2" || time.Since(started) > 0 {
+			t.Errorf("got %+v, %v after %v, want a slot of v2 at once", slot, err, time.Since(started))
+		}
+		held[0].Release()
+	})
+}
+
+// holdVersion takes count slots of a version.
+func holdVersion(t *testing.T, a *allocator.Allocator, version string, count int) []*allocator.Slot {
+	t.Helper()
+	var held []*allocator.Slot
+	for range count {
+		slot := a.TryAcquire(allocator.SlotRequest{Service: "s", Version: version})
+		if slot == nil {
+			t.Fatalf("got no slot of %s, want one", version)
+		}
+		held = append(held, slot)
+	}
+	return held
+}
