Predict waits only from requests for the same slots

What callers saw: a caller that took up a stream was refused as if all endpoints were busy, although a slot of its software version was expected in time, because other streams waited at the same instance for slots of another version. Likewise a request was refused while requests for another service waited.

Cause: the prediction counted all waiting requests as ahead, whatever slots they wait for.

Why this works: a waiting request counts only if an endpoint may suit both, that is for the same service and for the same version or any.

--- a/internal/entry/allocator/version_test.go
+++ b/internal/entry/allocator/version_test.go
@@ -143,16 +143,57 @@
 	})
 }
 
+// TestRequestsForOtherSlotsAreNotAhead guards against requests that are refused because others wait
+// for slots of another version or service.
+func TestRequestsForOtherSlotsAreNotAhead(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		ahead, later allocator.SlotRequest
+	}{
+		{"another version", allocator.SlotRequest{Service: "s", Version: "v1", Resuming: true}, allocator.SlotRequest{Service: "s", Version: "v2", Resuming: true}},
+		{"another service", allocator.SlotRequest{Service: "s"}, allocator.SlotRequest{Service: "t"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := allocator.New(timekeeper.Timekeeper{}, func() {})
+				list := versionedEndpoints("v1", "v2", "v3")
+				list[2].Service = "t"
+				a.SetEndpoints(list)
+				held := append(holdVersion(t, a, "v1", 2), holdVersion(t, a, "v2", 2)...)
+				held = append(held, mustTryAcquire(t, a, allocator.SlotRequest{Service: "t"}), mustTryAcquire(t, a, allocator.SlotRequest{Service: "t"}))
+				for _, request := range []allocator.SlotRequest{tt.ahead, tt.ahead, tt.later} {
+					request.Deadline = time.Now().Add(time.Second)
+					go func() {
+						if _, err := a.Acquire(t.Context(), request); err != nil {
+							t.Errorf("%s of %s: got %v, want a slot", request.Version, request.Service, err)
+						}
+					}()
+					synctest.Wait()
+				}
+				for _, slot := range held {
+					slot.Release()
+				}
+			})
+		})
+	}
+}
+
 // holdVersion takes count slots of a version.
 func holdVersion(t *testing.T, a *allocator.Allocator, version string, count int) []*allocator.Slot {
 	t.Helper()
 	var held []*allocator.Slot
 	for range count {
-		slot := a.TryAcquire(allocator.SlotRequest{Service: "s", Version: version})
-		if slot == nil {
-			t.Fatalf("got no slot of %s, want one", version)
-		}
-		held = append(held, slot)
+		held = append(held, mustTryAcquire(t, a, allocator.SlotRequest{Service: "s", Version: version}))
 	}
 	return held
 }
+
+// mustTryAcquire fails the test unless a slot is free.
+func mustTryAcquire(t *testing.T, a *allocator.Allocator, request allocator.SlotRequest) *allocator.Slot {
+	t.Helper()
+	slot := a.TryAcquire(request)
+	if slot == nil {
+		t.Fatalf("got no slot for %+v, want one", request)
+	}
+	return slot
+}
--- a/internal/entry/allocator/wait.go
+++ b/internal/entry/allocator/wait.go
@@ -35,17 +35,32 @@
 	a.waiting = slices.Insert(a.waiting, i, w)
 }
 
-// countAhead returns how many waiting requests go before a new one. The caller holds the
-// lock.
+// countAhead returns how many waiting requests go before a new one and could use its slots. The
+// caller holds the lock.
 func (a *Allocator) countAhead(request SlotRequest) int {
-	if !request.Resuming {
-		return len(a.waiting)
+	ahead := a.waiting
+	if request.Resuming {
+		if i := slices.IndexFunc(ahead, func(w *waiter) bool { return !w.request.Resuming }); i >= 0 {
+			ahead = ahead[:i]
+		}
 	}
-	first := slices.IndexFunc(a.waiting, func(w *waiter) bool { return !w.request.Resuming })
-	if first < 0 {
-		return len(a.waiting)
+	return countCompeting(ahead, request)
+}
+
+// countCompeting returns how many of the waiting requests could use the slots of a request.
+func countCompeting(waiting []*waiter, request SlotRequest) int {
+	count := 0
+	for _, w := range waiting {
+		if w.request.competesWith(request) {
+			count++
+		}
 	}
-	return first
+	return count
+}
+
+// competesWith reports whether an endpoint may suit both requests.
+func (r SlotRequest) competesWith(other SlotRequest) bool {
+	return r.Service == other.Service && (r.Version == other.Version || r.Version == "" || other.Version == "")
 }
 
 func (a *Allocator) wait(ctx context.Context, w *waiter) (*Slot, error) {
@@ -84,7 +99,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
-	ahead := max(0, slices.Index(a.waiting, w))
+	ahead := countCompeting(a.waiting[:max(0, slices.Index(a.waiting, w))], w.request)
 	wait, ok := a.predictWait(w.request, now, ahead)
 	return ok && !now.Add(wait).After(w.request.Deadline)
 }
