Cancel batch items for streams that wait for their version

What callers saw: a stream that a caller took up waited for a second and was refused as if all endpoints were busy, while batch items held all slots of its software version and other versions had free ones.

Cause: how many slots batch items must release was derived from the free slots of the whole service, so that free ones of other versions hid that requests waited. The prediction for the stream counted on the preemption that never came.

Why this works: if the service as a whole needs no slots released, requests wait at other instances, and a version has no free slot, as many items of such versions are cancelled as requests wait. The pacer divides them among the owners as before. Unbound requests don't wait while slots are free.

--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -119,9 +119,9 @@
 	return len(r.running)
 }
 
-// preempt cancels items of services that run more batch items than their reserve
-// allows, those due last first. Each instance cancels its share of the excess, in
-// proportion to the items that it runs.
+// preempt cancels items of services that run more batch items than their reserve allows, or
+// whose slots of one software version are all taken while requests wait, those due last first.
+// Each instance cancels its share of the excess, in proportion to the items that it runs.
 func (r *Runner) preempt() {
 	peerItems := r.PeerBatchItems()
 	r.mu.Lock()
@@ -131,9 +131,10 @@
 		own[a.task.Request.Service] = append(own[a.task.Request.Service], a)
 	}
 	for service, list := range own {
+		excess, list := r.excess(service, list)
 		running := slices.DeleteFunc(slices.Clone(list), func(a *attempt) bool { return a.preempted })
 		count := r.pacer.Cancel(service, r.Clock.Now(), pacer.Load{
-			Excess: r.Allocator.BatchExcess(service, pacer.MinReservedShare), Running: len(running),
+			Excess: excess, Running: len(running),
 			Cancelled: len(list) - len(running), Others: peerItems, Lag: r.Lag() + releaseTime,
 		})
 		slices.SortFunc(running, func(a, b *attempt) int { return b.task.Due.Compare(a.task.Due) })
@@ -144,6 +145,19 @@
 	}
 }
 
+// excess returns how many slots of a service batch items must release, and which of this
+// instance's items hold such slots.
+func (r *Runner) excess(service fescuebank.ServiceName, list []*attempt) (int, []*attempt) {
+	if excess := r.Allocator.BatchExcess(service, pacer.MinReservedShare); excess > 0 {
+		return excess, list
+	}
+	full, waiting := r.Allocator.FullVersions(service)
+	if len(full) == 0 || waiting == 0 {
+		return 0, list
+	}
+	return waiting, slices.DeleteFunc(list, func(a *attempt) bool { return !slices.Contains(full, a.slot.Endpoint.Version) })
+}
+
 // startItems starts items while items wait and pacer.StartReservedShare of their service's slots
 // stays free.
 func (r *Runner) startItems() {
--- a/internal/entry/allocator/batch.go
+++ b/internal/entry/allocator/batch.go
@@ -58,6 +58,28 @@
 	return max(0, a.peersWaiting+int(reservedShare*float64(slots)+a.estimateUnreported(now))-free)
 }
 
+// FullVersions returns the software versions of a service whose slots are all taken while another
+// version has free ones. Requests that wait at other instances although slots are free may be
+// streams of these versions; waiting is the number of such requests.
+func (a *Allocator) FullVersions(service fescuebank.ServiceName) (versions []string, waiting int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	free := make(map[string]int)
+	for _, e := range a.usable(service, "", now) {
+		free[e.Version] += max(0, e.Slots-e.load(now))
+	}
+	for version, count := range free {
+		if count == 0 {
+			versions = append(versions, version)
+		}
+	}
+	if len(versions) == len(free) {
+		return nil, 0
+	}
+	return versions, a.peersWaiting
+}
+
 // batchCapacity returns the slots of a service's usable endpoints and how many of them
 // are free, without deprioritized endpoints. The caller holds the lock.
 func (a *Allocator) batchCapacity(service fescuebank.ServiceName, now time.Time) (slots, free int) {
