Don't continue a stream from one of several records under its fingerprint

What callers saw: a caller that took up a stream without naming the attempt that began it could get the rest at another software version, if the same request had also been begun at that version.

Cause: such streams are recorded under the request's fingerprint, and records that differ are to make the version unknown. But an instance that relayed one of the streams has its own record only and never asked, and of the other instances the first that had any record was believed.

The backups of both streams are the same as long as the instances agree on the fleet, so one that is left shows the conflict. Attempts that the caller names have one record each and are looked up as before.

--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -65,6 +65,9 @@
 	Record(id fescuebank.RequestID, version string)
 	// Find returns the version of a stream, or false if it can't be found out.
 	Find(ctx context.Context, id fescuebank.RequestID) (version string, ok bool)
+	// FindSole is Find for an id under which several streams may be recorded. It returns false
+	// if they began at different versions.
+	FindSole(ctx context.Context, id fescuebank.RequestID) (version string, ok bool)
 }
 
 // Relayer relays requests to endpoints.
--- a/internal/entry/relayer/version.go
+++ b/internal/entry/relayer/version.go
@@ -19,11 +19,7 @@
 	if isSole && sole == "" {
 		return nil
 	}
-	id := r.Resumes
-	if id == "" {
-		id = fingerprintID(r)
-	}
-	version, isKnown := t.begunStreams.Find(ctx, id)
+	version, isKnown := t.findRecord(ctx)
 	if !isKnown && isSole && t.inTouch() {
 		version, isKnown = sole, true
 	}
@@ -35,6 +31,14 @@
 	return nil
 }
 
+// findRecord returns the version in the record of the stream that the caller takes up.
+func (t *transfer) findRecord(ctx context.Context) (version string, ok bool) {
+	if t.request.Resumes == "" {
+		return t.begunStreams.FindSole(ctx, fingerprintID(t.request))
+	}
+	return t.begunStreams.Find(ctx, t.request.Resumes)
+}
+
 // begin binds the stream to the version of its first endpoint, before its first event is sent.
 func (t *transfer) begin() {
 	if t.resuming {
--- a/internal/entry/resumer/find.go
+++ b/internal/entry/resumer/find.go
@@ -37,6 +37,37 @@
 	return reply.Version, true
 }
 
+// FindSole is Find for an id under which several streams may be recorded. As a record here may
+// not be the only one, it asks the other instances in any case. It returns false if they know
+// different versions.
+func (r *Resumer) FindSole(ctx context.Context, id fescuebank.RequestID) (version string, ok bool) {
+	if !isValid(fescuebank.StreamRecord{ID: id}) {
+		return "", false
+	}
+	members := candidates(r.Members.Peers(), toAsk, askCandidates)
+	replies := make(chan fescuebank.FindStreamReply, len(members))
+	for _, m := range members {
+		go func() { replies <- r.ask(ctx, m.addr, id) }()
+	}
+	recorded, isRecorded := r.known(id)
+	found := fescuebank.FindStreamReply{Found: isRecorded, Version: recorded.version, Conflicting: recorded.conflicting}
+	for range members {
+		found = merge(found, <-replies)
+	}
+	return found.Version, found.Found && !found.Conflicting
+}
+
+// merge combines what two instances know of an id.
+func merge(x, y fescuebank.FindStreamReply) fescuebank.FindStreamReply {
+	switch {
+	case !x.Found:
+		return y
+	case y.Found && (y.Conflicting || y.Version != x.Version):
+		return fescuebank.FindStreamReply{Found: true, Conflicting: true}
+	}
+	return x
+}
+
 // askInOrder asks members for a record, askedAtOnce of them at a time, until one has it. Each
 // one that doesn't is followed by the next.
 func (r *Resumer) askInOrder(ctx context.Context, order []member, id fescuebank.RequestID) fescuebank.FindStreamReply {
--- a/internal/entry/resumer/fleet_test.go
+++ b/internal/entry/resumer/fleet_test.go
@@ -287,3 +287,29 @@
 		}
 	}
 }
+
+// TestStreamsOfOneIDAtDifferentVersionsAreNotContinued guards against a stream that continues at
+// the version of another one, because the instance asked knows only the record of that one.
+func TestStreamsOfOneIDAtDifferentVersionsAreNotContinued(t *testing.T) {
+	const ids = 20
+	inFleet(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet(ctx, 4, 4, 4)
+		for i, version := range []string{"v1", "v2"} {
+			for id := range ids {
+				f.at(i).Record(requestID(id), version)
+				f.at(i).Record(requestID(ids+id), "v1")
+			}
+			time.Sleep(time.Second)
+		}
+		for i := range f.peers {
+			for id := range ids {
+				if version, ok := f.at(i).FindSole(ctx, requestID(id)); ok {
+					t.Errorf("instance %d, stream %d: got version %q, want none", i, id, version)
+				}
+				if version, ok := f.at(i).FindSole(ctx, requestID(ids+id)); !ok || version != "v1" {
+					t.Errorf("instance %d, stream %d: got version %q, %v, want v1", i, ids+id, version, ok)
+				}
+			}
+		}
+	})
+}
