Continue streams at the service that began them

What callers saw: on a route that is split among services, a caller that took up a stream was refused although endpoints of the stream's version served, or, if versions of two services have the same name, got the rest of the stream from another service than the one that began it.

Cause: each attempt picked a service at random, and the record of a stream names a version only.

Why this works: for resumable routes the service is picked by a hash of the id of the attempt that began the stream. New attempts still spread by the shares, and later ones come to the same service as long as the shares don't change. Not covered: callers that don't name that attempt.

Before, 10 streams each: different versions: got status 503 and 0 requests at the endpoint that began the stream, want 200 and 1 (5 times) versions of the same name: got status 200 and 0 requests at the endpoint that began the stream, want 200 and 1 (5 times)

--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -163,6 +163,7 @@
 }
 
 func (t *transfer) run(ctx context.Context) error {
+	t.keepService()
 	if err := t.findVersion(ctx); err != nil {
 		return err
 	}
--- a/internal/entry/relayer/version.go
+++ b/internal/entry/relayer/version.go
@@ -4,9 +4,30 @@
 	"context"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fescuebank"
 )
 
+// keepService picks the service of a resumable stream by the id of the attempt that began it, so
+// that a caller's later attempts go to the same service.
+func (t *transfer) keepService() {
+	r := t.request
+	began := r.ID
+	if r.ResumeAfter != "" {
+		began = r.Resumes
+	}
+	if r.Route.Resumable && began != "" {
+		r.Service = r.Route.PickService(fraction(string(began)))
+	}
+}
+
+// fraction maps a text to a uniformly distributed number in [0,1).
+func fraction(text string) float64 {
+	const mantissaBits = 53
+	return float64(xxhash.Sum64String(text)>>(64-mantissaBits)) / (1 << mantissaBits)
+}
+
 // findVersion determines the software version of the endpoints at which a stream that the
 // caller takes up has begun. What two versions generate doesn't fit together, so the request
 // is refused if the version can't be found out.
