Note what an endpoint states when it refuses a silent stream

What callers saw: nothing by itself. An endpoint that stated that it leaves, in its refusal to continue a silent stream, got further requests from the same instance.

Cause: the response of an endpoint that is asked to continue a stream was only checked for whether it continues it; its statements of load and of leaving were dropped.

Why this works: both ways apply the statements through one method, which changes nothing in the transfer and so may run in the goroutine that asks.

--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -298,11 +298,8 @@
 	}
 	if resp.Info.Load != nil {
 		t.reportedLoad = *resp.Info.Load
-		slot.Observe(t.reportedLoad)
-	}
-	if resp.Info.StatesLeaving(slot.Endpoint.ID) && slot.MarkLeaving() {
-		t.log.Info("Endpoint states that it leaves.", "request", string(t.request.ID), "endpoint", string(slot.Endpoint.ID), "started", slot.Endpoint.StartedUnixMilli)
 	}
+	t.observe(slot, resp)
 	if resp.Info.NotRun {
 		return false, t.handleRefusal(slot.Endpoint, resp)
 	}
@@ -310,6 +307,16 @@
 	return t.forward(ctx, resp)
 }
 
+// observe applies what an endpoint states of itself in its response. It changes nothing in t.
+func (t *transfer) observe(slot *allocator.Slot, resp *exchanger.Response) {
+	if resp.Info.Load != nil {
+		slot.Observe(*resp.Info.Load)
+	}
+	if resp.Info.StatesLeaving(slot.Endpoint.ID) && slot.MarkLeaving() {
+		t.log.Info("Endpoint states that it leaves.", "request", string(t.request.ID), "endpoint", string(slot.Endpoint.ID), "started", slot.Endpoint.StartedUnixMilli)
+	}
+}
+
 // progressTimeout returns how long a resumable stream may receive no data before it moves
 // to another endpoint if it can.
 func (t *transfer) progressTimeout() time.Duration {
--- a/internal/entry/relayer/stall.go
+++ b/internal/entry/relayer/stall.go
@@ -150,6 +150,7 @@
 	}
 	response, err := w.transfer.send(ctx, slot, lastEvent)
 	if err == nil && !continuesStream(response) {
+		w.transfer.observe(slot, response)
 		response.Abort()
 		err = errCorrupted
 		if response.Info.NotRun {
