--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -67,6 +67,9 @@
 	Record(id fescuebank.RequestID, version string)
 	// Find returns the version of a stream, or false if it can't be found out.
 	Find(ctx context.Context, id fescuebank.RequestID) (version string, ok bool)
+	// FindSole is Find for an id under which several streams may be recorded. It returns false
+	// if they began at different versions.
+	FindSole(ctx context.Context, id fescuebank.RequestID) (version string, ok bool)
 }
 
 // Relayer relays requests to endpoints.
@@ -162,6 +165,7 @@
 }
 
 func (t *transfer) run(ctx context.Context) error {
+	t.keepService()
 	if err := t.findVersion(ctx); err != nil {
 		return err
 	}
@@ -296,11 +300,8 @@
 	}
 	if resp.Info.Load != nil {
 		t.reportedLoad = *resp.Info.Load
-		slot.Observe(t.reportedLoad)
-	}
-	if resp.Info.StatesLeaving(slot.Endpoint.ID) && slot.MarkLeaving() {
-		t.log.Info("Endpoint states that it leaves.", "request", string(t.request.ID), "endpoint", string(slot.Endpoint.ID), "started", slot.Endpoint.StartedUnixMilli)
 	}
+	t.observe(slot, resp)
 	if resp.Info.NotRun {
 		return false, t.handleRefusal(slot.Endpoint, resp)
 	}
@@ -308,6 +309,16 @@
 	return t.forward(ctx, resp)
 }
 
+// observe applies what an endpoint states of itself in its response. It changes nothing in t.
+func (t *transfer) observe(slot *allocator.Slot, resp *exchanger.Response) {
+	if resp.Info.Load != nil {
+		slot.Observe(*resp.Info.Load)
+	}
+	if resp.Info.StatesLeaving(slot.Endpoint.ID) && slot.MarkLeaving() {
+		t.log.Info("Endpoint states that it leaves.", "request", string(t.request.ID), "endpoint", string(slot.Endpoint.ID), "started", slot.Endpoint.StartedUnixMilli)
+	}
+}
+
 // progressTimeout returns how long a resumable stream may receive no data before it moves
 // to another endpoint if it can.
 func (t *transfer) progressTimeout() time.Duration {
