--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -50,20 +50,18 @@
 	s.runner.Wake()
 }
 
-// inTouch reports whether this instance is likely to know all endpoints: gossip arrives from at
-// least half of the other instances, or it is the only one and reaches the store.
+// inTouch reports whether this instance is likely to know all endpoints: gossip arrives from most of
+// the other instances, and this instance or one of those reaches the store.
 func (s *Server) inTouch() bool {
 	peers := s.gossiper.Peers()
-	if len(peers) == 0 {
-		return !s.storeUnreachable()
-	}
-	alive := 0
+	alive, storeReached := 0, !s.storeUnreachable()
 	for _, p := range peers {
 		if p.Alive {
 			alive++
+			storeReached = storeReached || !p.Gossip.StoreUnreachable
 		}
 	}
-	return 2*alive >= len(peers)
+	return storeReached && 2*alive >= len(peers)
 }
 
 // versions returns the versions of the state that decisions are based on.
