--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -3,12 +3,10 @@
 package relayer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -140,9 +138,10 @@
 	// the response header was sent.
 	lastEvent  string
 	headerSent bool
-	// version is the software version at which the stream began, if resuming is set.
-	version  string
-	resuming bool
+	// begun is set once the stream has begun, here or in an earlier attempt of the caller. It
+	// continues only at endpoints of version.
+	begun   bool
+	version string
 	// The fields below describe the last attempt, for the log.
 	endpoint     fescuebank.ServedEndpoint
 	slotLoad     int
@@ -220,7 +219,7 @@
 		ReconsiderAt: r.Arrived.Add(time.Duration(reconsiderShare * float64(objective))),
 	}
 	switch {
-	case t.resuming:
+	case t.begun:
 		request.Version, request.Resuming, request.ReconsiderAt = t.version, true, time.Time{}
 		request.Deadline = now.Add(maxResumeWait)
 	case t.attempts > 0:
@@ -354,89 +353,3 @@
 	t.log.Debug("Endpoint refused the request.", "request", string(t.request.ID), "endpoint", string(e.ID), "status", resp.StatusCode)
 	return errNotRun
 }
-
-// finalError converts the cause of the last failure into the error returned to the
-// caller.
-func (t *transfer) finalError(ctx context.Context, cause error) error {
-	if t.headerSent {
-		return ErrTruncated
-	}
-	if t.runs > 0 {
-		return t.errorMayHaveRun(ctx)
-	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return ctx.Err()
-	}
-	return t.refusalNotRun(cause).WithDetails(t.allocator.LogFields(t.request.Service)...)
-}
-
-func (t *transfer) refusalNotRun(cause error) *fescuebank.Refusal {
-	switch {
-	case t.resuming && len(t.tried) == 0 && errors.Is(cause, allocator.ErrNoEndpoint):
-		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeCannotResume,
-			"no endpoint of the software version that began the stream is left").WithRetryAfter(t.allocator.RetryAfter())
-	case errors.Is(cause, allocator.ErrFull), errors.Is(cause, errNotRun):
-		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeOverloaded,
-			"all endpoints are busy").WithRetryAfter(t.allocator.RetryAfter())
-	case errors.Is(cause, context.DeadlineExceeded):
-		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeDeadline, "the deadline passed before a place was free")
-	}
-	return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeEndpointLost,
-		"no endpoint was reached").WithRetryAfter(t.allocator.RetryAfter())
-}
-
-func (t *transfer) errorMayHaveRun(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return ctx.Err()
-	}
-	if ctx.Err() != nil {
-		return fescuebank.Refuse(http.StatusGatewayTimeout, fescuebank.CodeDeadline,
-			"the answer did not come in time").WithState(fescuebank.MayHaveRun)
-	}
-	return fescuebank.Refuse(http.StatusBadGateway, fescuebank.CodeEndpointLost,
-		"the endpoint was lost").WithState(fescuebank.MayHaveRun)
-}
-
-// Outcomes of a request in the log.
-const (
-	outcomeAnswered   = "answered"
-	outcomeCallerLeft = "caller left"
-)
-
-// IsOrdinary reports whether a log line records a request that was answered normally and
-// resumed no stream. Such lines are dropped first when the log rate is exceeded.
-func IsOrdinary(line []byte) bool {
-	return bytes.Contains(line, []byte(`"outcome":"answered"`)) && bytes.Contains(line, []byte(`"resumeAfter":""`))
-}
-
-// logEnd logs the end of the request and updates the metrics.
-func (t *transfer) logEnd(err error) {
-	outcome := outcomeAnswered
-	var refusal *fescuebank.Refusal
-	switch {
-	case errors.As(err, &refusal):
-		outcome = string(refusal.Code)
-	case errors.Is(err, context.Canceled):
-		outcome = outcomeCallerLeft
-	case err != nil:
-		outcome = err.Error()
-	}
-	r := t.request
-	t.meter.Count("requests", r.Route.Name, string(r.Team), outcome)
-	t.meter.Time("placeWait", t.slotWait)
-	if t.headerSent {
-		t.meter.Time("firstByte", t.firstByte)
-		t.serviceLevels.FirstTokenWithin(r.Team, t.firstByte, t.objective())
-	}
-	t.meter.Time("total", t.clock.Now().Sub(r.Arrived))
-	t.meter.Count("offers", strconv.Itoa(t.attempts))
-	v := t.versions()
-	t.log.Info("Request ended.", "request", string(r.ID), "team", string(r.Team), "route", r.Route.Name, "priority", r.Priority,
-		"configVersion", uint64(v.Config), "ownerEpoch", uint64(v.Epoch), "endpointsRevision", uint64(v.Endpoints),
-		"endpoint", string(t.endpoint.ID), "started", t.endpoint.StartedUnixMilli, "endpointVersion", t.endpoint.Version,
-		"resumes", string(r.Resumes), "resumeAfter", r.ResumeAfter, "load", t.slotLoad,
-		"reportedRunning", t.reportedLoad.Running, "reportedWaiting", t.reportedLoad.Waiting, "offers", t.attempts, "runs", t.runs,
-		"lastEvent", t.lastEvent, "waitMs", t.slotWait.Milliseconds(), "firstMs", t.firstByte.Milliseconds(),
-		"totalMs", t.clock.Now().Sub(r.Arrived).Milliseconds(), "leftMs", r.Deadline.Sub(t.clock.Now()).Milliseconds(),
-		"status", t.status, "outcome", outcome)
-}
--- a/internal/entry/relayer/stall.go
+++ b/internal/entry/relayer/stall.go
@@ -175,9 +175,8 @@
 	if w.state != stallWaiting {
 		return nil, nil, ""
 	}
-	places := w.transfer.allocator
-	places.Exclude(w.endpoint, allocator.ExclusionTime)
-	slot := places.TryAcquire(w.request)
+	w.transfer.allocator.Exclude(w.endpoint, allocator.ExclusionTime)
+	slot := w.transfer.allocator.TryAcquire(w.request)
 	if slot == nil {
 		w.startTimer()
 		return nil, nil, ""
--- a/internal/entry/relayer/version.go
+++ b/internal/entry/relayer/version.go
@@ -48,7 +48,7 @@
 		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeCannotResume,
 			"the software version that began the stream is not known").WithRetryAfter(t.allocator.RetryAfter())
 	}
-	t.version, t.resuming = version, true
+	t.version, t.begun = version, true
 	return nil
 }
 
@@ -62,10 +62,10 @@
 
 // begin binds the stream to the version of its first endpoint, before its first event is sent.
 func (t *transfer) begin() {
-	if t.resuming {
+	if t.begun {
 		return
 	}
-	t.version, t.resuming = t.endpoint.Version, true
+	t.version, t.begun = t.endpoint.Version, true
 	t.stalls.bind(t.version)
 	if t.request.Route.Resumable && t.version != "" {
 		t.begunStreams.Record(t.request.ID, t.version)
