--- a/cmd/fescuesoak/main.go
+++ b/cmd/fescuesoak/main.go
@@ -26,7 +26,7 @@
 	Length    time.Duration `arg:"--length" default:"15s" help:"for how long faults strike"`
 	Entries   int           `arg:"--entries" default:"3" help:"instances that take requests"`
 	Owners    int           `arg:"--owners" default:"3" help:"instances that own teams"`
-	Endpoints int           `arg:"--endpoints" default:"4" help:"endpoints that requests go to"`
+	Endpoints int           `arg:"--endpoints" default:"6" help:"endpoints that requests go to"`
 	Callers   int           `arg:"--callers" default:"12" help:"callers at once"`
 }
 
@@ -67,8 +67,8 @@
 		if err != nil {
 			return failed, err
 		}
-		fmt.Fprintf(out, "seed %d: %d requests ran, %d jobs, %d promises broken\n",
-			seed, result.ExecutedRequests, result.Jobs, len(result.Violations))
+		fmt.Fprintf(out, "seed %d: %d requests ran, %d jobs, %d of %d streams continued, %d promises broken\n",
+			seed, result.ExecutedRequests, result.Jobs, result.ContinuedStreams, result.ResumedStreams, len(result.Violations))
 		for _, violation := range result.Violations {
 			fmt.Fprintln(out, "  "+violation)
 		}
