End the processes of a soak when it is interrupted

A SIGTERM to fescuesoak ended it at once: 11 instances of two interrupted runs were left running, some of them paused. SIGTERM and SIGINT now end the context of the run, which ends the faults and kills the processes that it started.

--- a/cmd/fescuesoak/main.go
+++ b/cmd/fescuesoak/main.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -37,7 +39,9 @@
 func main() {
 	var a arguments
 	arg.MustParse(&a)
-	failed, err := run(context.Background(), a, os.Stdout)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	failed, err := run(ctx, a, os.Stdout)
+	stop()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "fescuesoak:", err)
 		os.Exit(2)
