--- a/cmd/fescuesoak/main_test.go
+++ b/cmd/fescuesoak/main_test.go
@@ -18,7 +18,7 @@
 	{143, "a SIGHUP ended an instance that was leaving"},
 }
 
-// TestSoak runs each seed against the real program for 5 s.
+// TestSoak runs each seed against the real program for 10 s.
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
 	daemon := filepath.Join(dir, "fescuebankd")
@@ -29,8 +29,8 @@
 	for _, tt := range seeds {
 		var out bytes.Buffer
 		failed, err := run(t.Context(), arguments{
-			Daemon: daemon, Dir: dir, Seed: tt.seed, Seeds: 1, Length: 5 * time.Second,
-			Entries: 2, Owners: 2, Endpoints: 3, Callers: 8,
+			Daemon: daemon, Dir: dir, Seed: tt.seed, Seeds: 1, Length: 10 * time.Second,
+			Entries: 2, Owners: 2, Endpoints: 5, Callers: 12,
 		}, &out)
 		if err != nil {
 			t.Fatal(err)
