--- a/cmd/fescuesoak/main.go
+++ b/cmd/fescuesoak/main.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -26,7 +28,7 @@
 	Length    time.Duration `arg:"--length" default:"15s" help:"for how long faults strike"`
 	Entries   int           `arg:"--entries" default:"3" help:"instances that take requests"`
 	Owners    int           `arg:"--owners" default:"3" help:"instances that own teams"`
-	Endpoints int           `arg:"--endpoints" default:"4" help:"endpoints that requests go to"`
+	Endpoints int           `arg:"--endpoints" default:"6" help:"endpoints that requests go to"`
 	Callers   int           `arg:"--callers" default:"12" help:"callers at once"`
 }
 
@@ -37,7 +39,9 @@
 func main() {
 	var a arguments
 	arg.MustParse(&a)
-	failed, err := run(context.Background(), a, os.Stdout)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	failed, err := run(ctx, a, os.Stdout)
+	stop()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "fescuesoak:", err)
 		os.Exit(2)
@@ -67,8 +71,8 @@
 		if err != nil {
 			return failed, err
 		}
-		fmt.Fprintf(out, "seed %d: %d requests ran, %d jobs, %d promises broken\n",
-			seed, result.ExecutedRequests, result.Jobs, len(result.Violations))
+		fmt.Fprintf(out, "seed %d: %d requests ran, %d jobs, %d of %d streams continued, %d promises broken\n",
+			seed, result.ExecutedRequests, result.Jobs, result.ContinuedStreams, result.ResumedStreams, len(result.Violations))
 		for _, violation := range result.Violations {
 			fmt.Fprintln(out, "  "+violation)
 		}
