Allow the soak's processes to be terminated before they can handle signals

Two series of faults overlapped: one started the process, the other sent SIGTERM at the same moment. The process left no log line at all. Before its handler is installed SIGTERM terminates any program, and there is nothing to shut down.

The check now allows exactly this: SIGTERM within a second of the start, and a process that it terminated. Later ones are an error as before; the test shows both. The daemon installs its handler before it reads its arguments.

--- a/cmd/fescuebankd/main.go
+++ b/cmd/fescuebankd/main.go
@@ -59,14 +59,15 @@
 }
 
 func main() {
+	// A signal before this would end the process without a shutdown.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	var args arguments
 	parser := arg.MustParse(&args)
 	c := args.command()
 	if c == nil {
 		parser.Fail("missing subcommand")
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	if err := c.run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCode(err))
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -2,6 +2,7 @@
 package launcher
 
 import (
+	"errors"
 	"io"
 	"os"
 	"os/exec"
@@ -26,9 +27,11 @@
 // process is one execution of the program.
 type process struct {
 	cmd *exec.Cmd
-	// stopRequested is set after SIGTERM or SIGKILL was sent, killed after SIGKILL.
+	// stopRequested is set after SIGTERM or SIGKILL was sent, killed after SIGKILL, and
+	// stoppedEarly after SIGTERM within signalSetupTime.
 	stopRequested bool
 	killed        bool
+	stoppedEarly  bool
 	started       time.Time
 	// done is closed when the process has exited; err is then its exit error.
 	done chan struct{}
@@ -71,7 +74,7 @@
 }
 
 // signalSetupTime is how long a program may take to install its signal handlers. An
-// earlier SIGHUP would terminate the process.
+// earlier SIGHUP or SIGTERM terminates the process.
 const signalSetupTime = time.Second
 
 // Signal sends a signal to the process if it is running. It doesn't send SIGHUP within
@@ -89,12 +92,14 @@
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		p.stopRequested = true
 		p.killed = p.killed || s == syscall.SIGKILL
+		p.stoppedEarly = p.stoppedEarly || s == syscall.SIGTERM && time.Since(p.started) < signalSetupTime
 	}
 	_ = p.cmd.Process.Signal(s) // Fails only if the process has just exited.
 }
 
 // Wait waits until the process has exited or the timeout has passed, and reports
-// whether it has exited. It returns the exit error unless SIGKILL was sent.
+// whether it has exited. It returns the exit error, unless SIGKILL was sent or SIGTERM
+// terminated the process before it had to handle signals.
 func (l *Launcher) Wait(timeout time.Duration) (exited bool, err error) {
 	l.mu.Lock()
 	p := l.process
@@ -106,7 +111,7 @@
 	case <-p.done:
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if p.killed {
+		if p.killed || (p.stoppedEarly && wasTerminated(p.err)) {
 			return true, nil
 		}
 		return true, p.err
@@ -115,6 +120,16 @@
 	}
 }
 
+// wasTerminated reports whether a process was terminated by SIGTERM, which it didn't handle.
+func wasTerminated(err error) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM
+}
+
 // ExitedUnexpectedly reports whether the process exited although neither SIGTERM nor
 // SIGKILL was sent.
 func (l *Launcher) ExitedUnexpectedly() bool {
--- a/internal/soak/launcher/launcher_test.go
+++ b/internal/soak/launcher/launcher_test.go
@@ -64,3 +64,26 @@
 		t.Errorf("got %v at the next start, want no error", err)
 	}
 }
+
+// TestUnhandledTerminationIsAnError guards against a program that loses its handler of SIGTERM. Only
+// right after its start it needn't have one yet.
+func TestUnhandledTerminationIsAnError(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		after time.Duration
+		fails bool
+	}{
+		{"right after the start", 0, false},
+		{"later", 1100 * time.Millisecond, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			l := start(t, sleeper)
+			time.Sleep(tt.after)
+			l.Signal(syscall.SIGTERM)
+			if exited, err := l.Wait(10 * time.Second); !exited || (err != nil) != tt.fails {
+				t.Errorf("got exited %v, %v, want an exit, with an error %v", exited, err, tt.fails)
+			}
+		})
+	}
+}
