--- a/internal/fleet/replicator/replicator_test.go
+++ b/internal/fleet/replicator/replicator_test.go
@@ -336,3 +336,24 @@
 		})
 	}
 }
+
+// TestRemovedObjectDoesNotComeBackFromPeerReplica guards against an endpoint that left and gets requests
+// again because a peer that was partitioned still holds its entry.
+func TestRemovedObjectDoesNotComeBackFromPeerReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store memorystorer.MemoryStorer
+		first := put(t, &store, "k/a", "1")
+		last := put(t, &store, "k/b", "1")
+		r, stop := start(&store)
+		defer stop()
+		time.Sleep(time.Second)
+		r.SetFollowing(true)
+		a := fescuebank.Object{Key: "k/a", Value: []byte("1"), Version: first}
+		b := fescuebank.Object{Key: "k/b", Value: []byte("1"), Version: last}
+		r.ApplyDelta(wholeReplica(last+5, b))
+		r.ApplyDelta(wholeReplica(last+5, a, b))
+		if got := len(r.values()); got != 1 {
+			t.Errorf("got %d objects, want 1", got)
+		}
+	})
+}
