Log what attempts that were lost have in common

Callers saw one endpoint after the other crash, and the logs could not tell whether the same request, the same part of prompts or neither was there each time. 'Answer broke off.' and 'Attempt failed.' now name the fingerprint, the parts of the prompt, the team, and whether the response had begun.

--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -71,6 +71,7 @@
 			return false, errMoved
 		}
 		if complete := events.Feed(buffer[:n]); len(complete) > 0 {
+			t.attemptBegun = true
 			t.begin()
 			t.sendHeader(resp)
 			if err := t.writer.Write(complete); err != nil {
@@ -106,8 +107,8 @@
 	}
 	t.attemptHealth.record(false)
 	t.allocator.Exclude(t.endpoint.ID, allocator.ExclusionTime)
-	t.log.Info("Answer broke off.", "request", string(t.request.ID), "endpoint", string(t.endpoint.ID),
-		"lastEvent", t.lastEvent, "err", cause.Error())
+	t.log.Info("Answer broke off.", append(t.lossDetails(), "endpoint", string(t.endpoint.ID), "started", t.endpoint.StartedUnixMilli,
+		"lastEvent", t.lastEvent, "err", cause.Error())...)
 	return false, cause
 }
 
@@ -129,6 +130,7 @@
 	for {
 		n, readErr := resp.Read(buffer)
 		if n > 0 || readErr == io.EOF {
+			t.attemptBegun = true
 			t.sendHeader(resp)
 		}
 		if n > 0 {
--- a/internal/entry/relayer/outcome.go
+++ b/internal/entry/relayer/outcome.go
@@ -6,11 +6,15 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"fescuebank"
 	"fescuebank/internal/entry/allocator"
 )
 
+// maxLoggedParts is the number of parts of a prompt that a log line names.
+const maxLoggedParts = 8
+
 // finalError converts the cause of the last failure into the error returned to the
 // caller.
 func (t *transfer) finalError(ctx context.Context, cause error) error {
@@ -53,6 +57,18 @@
 		"the endpoint was lost").WithState(fescuebank.MayHaveRun)
 }
 
+// lossDetails returns the key-value pairs by which the log relates attempts that were lost: whether
+// the response had begun, the request's fingerprint and the parts of its prompt.
+func (t *transfer) lossDetails() []any {
+	r := t.request
+	parts := make([]string, 0, maxLoggedParts)
+	for _, part := range r.Prompt[:min(len(r.Prompt), maxLoggedParts)] {
+		parts = append(parts, part.ID)
+	}
+	return []any{"request", string(r.ID), "team", string(r.Team), "begun", t.attemptBegun,
+		"fingerprint", r.Fingerprint().String(), "promptParts", strings.Join(parts, ",")}
+}
+
 // Outcomes of a request in the log.
 const (
 	outcomeAnswered   = "answered"
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -138,6 +138,9 @@
 	// the response header was sent.
 	lastEvent  string
 	headerSent bool
+	// attemptBegun is set once the current attempt has brought part of its body: for a stream, a
+	// complete event.
+	attemptBegun bool
 	// begun is set once the stream has begun, here or in an earlier attempt of the caller. It
 	// continues only at endpoints of version.
 	begun   bool
@@ -247,7 +250,7 @@
 
 // enter makes the slot's endpoint that of the current attempt.
 func (t *transfer) enter(slot *allocator.Slot) {
-	t.endpoint, t.slotLoad = slot.Endpoint, slot.Load
+	t.endpoint, t.slotLoad, t.attemptBegun = slot.Endpoint, slot.Load, false
 	t.attemptHealth = &attemptHealth{health: t.health, id: slot.Endpoint.ID}
 }
 
@@ -337,7 +340,7 @@
 	t.attemptHealth.record(false)
 	t.allocator.Exclude(e.ID, allocator.ExclusionTime)
 	t.exchanger.CloseIdle(e.Addr)
-	t.log.Info("Attempt failed.", "request", string(t.request.ID), "endpoint", string(e.ID), "started", e.StartedUnixMilli, "err", err.Error())
+	t.log.Info("Attempt failed.", append(t.lossDetails(), "endpoint", string(e.ID), "started", e.StartedUnixMilli, "err", err.Error())...)
 }
 
 // errNotRun is the cause of an attempt that the endpoint refused without running the
