Stop requests that crash endpoints, on all instances

Callers saw: a request under which three endpoints had crashed was run 6 and 12 times more, 15 and 16 endpoints crashed, and each crash broke off some seven responses of other callers (BUDGET). Cause: an instance forgot a lost attempt with its answer and told no other instance. The quarantine of such requests was part of operate/supervisor alone. Evidence: with each of 13 crashes exactly one response broke off before its first event, at eight instances in all. TestRequestThatCrashesEndpointsIsStoppedOnAllInstances was red: 14 requests crashed 14 endpoints. Change: endpoint/isolator exchanges by gossip which requests were lost, before they had begun, at endpoints that are down since. Such a request runs once at a time; the second crash quarantines it, everywhere and in the store. A complete response clears it, so a sound request that was there by chance is served.

--- a/gossip.go
+++ b/gossip.go
@@ -84,6 +84,14 @@
 	// MembersVersion is the store version at which the instance last saw a change of the
 	// member entries.
 	MembersVersion StoreVersion `cbor:"20,keyasint,omitempty"`
+	// Crashes are the recent crashes of endpoints under requests of the instance, and
+	// Quarantines what it has quarantined because of crashes.
+	Crashes     []CrashReport `cbor:"22,keyasint,omitempty"`
+	Quarantines []Quarantine  `cbor:"23,keyasint,omitempty"`
+	// Completed holds suspects that the instance saw complete, with the time since then in
+	// milliseconds, and Trials those that it is running.
+	Completed map[SuspectKey]int64 `cbor:"24,keyasint,omitempty"`
+	Trials    []SuspectKey         `cbor:"25,keyasint,omitempty"`
 }
 
 // RelayedGossip is a gossip message of another instance. Origin and Sequence let a receiver
--- a/guard.go
+++ b/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -31,6 +32,19 @@
 	Enter(ctx context.Context, c *CompletionRequest, id EndpointID) (leave func(AttemptEnd), err error)
 }
 
+// CrashGuard stops requests on routes that crash endpoints.
+type CrashGuard interface {
+	// Enter returns a refusal if the request must not run. A suspect request waits until no
+	// other run of it is known, for the given time at most. The caller calls leave when the
+	// attempt has ended.
+	Enter(ctx context.Context, r *Request, maxWait time.Duration) (leave func(), err error)
+	// RecordLost records that the connection to an endpoint broke before the endpoint had
+	// responded to the request.
+	RecordLost(r *Request, e ServedEndpoint)
+	// RecordCompleted records that the request was served completely.
+	RecordCompleted(r *Request)
+}
+
 // ClassifyAttempt returns how the attempt that returned err ended.
 func ClassifyAttempt(ctx context.Context, err error) AttemptEnd {
 	if err == nil {
--- a/internal/endpoint/exchanger/exchanger.go
+++ b/internal/endpoint/exchanger/exchanger.go
@@ -26,6 +26,8 @@
 const (
 	// dialTimeout bounds connecting to an endpoint.
 	dialTimeout = time.Second
+	// downTimeout bounds finding out whether an endpoint is down.
+	downTimeout = 200 * time.Millisecond
 	// defaultKeepAlive is how long an idle connection is kept if the endpoint sends no
 	// Keep-Alive header.
 	defaultKeepAlive = 4 * time.Second
@@ -277,6 +279,17 @@
 	return &conn{Conn: dialed, reader: bufio.NewReaderSize(dialed, readerBytes)}, nil
 }
 
+// IsDown reports whether nothing listens at addr, as after a crash of the endpoint. It reports
+// false if that can't be found out within downTimeout.
+func (x *Exchanger) IsDown(addr string) bool {
+	probe, err := net.DialTimeout("tcp", addr, downTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	_ = probe.Close()
+	return false
+}
+
 // popIdle removes and returns the most recently used idle connection, or nil.
 func (x *Exchanger) popIdle(addr string) *conn {
 	x.mu.Lock()
--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -96,10 +96,18 @@
 		return t.handleTruncation(ctx, resp, io.ErrUnexpectedEOF)
 	}
 	t.sendHeader(resp)
-	t.attemptHealth.record(true)
+	t.recordSuccess(resp)
 	return true, nil
 }
 
+// recordSuccess records that the endpoint has responded completely.
+func (t *transfer) recordSuccess(resp *exchanger.Response) {
+	t.attemptHealth.record(true)
+	if resp.StatusCode/100 == 2 {
+		t.guard.RecordCompleted(t.request)
+	}
+}
+
 func (t *transfer) handleTruncation(ctx context.Context, resp *exchanger.Response, cause error) (done bool, err error) {
 	resp.Abort()
 	if ctx.Err() != nil {
@@ -109,6 +117,9 @@
 	t.allocator.Exclude(t.endpoint.ID, allocator.ExclusionTime)
 	t.log.Info("Answer broke off.", append(t.lossDetails(), "endpoint", string(t.endpoint.ID), "started", t.endpoint.StartedUnixMilli,
 		"lastEvent", t.lastEvent, "err", cause.Error())...)
+	if !t.attemptBegun {
+		t.guard.RecordLost(t.request, t.endpoint)
+	}
 	return false, cause
 }
 
@@ -140,7 +151,7 @@
 			}
 		}
 		if readErr == io.EOF {
-			t.attemptHealth.record(true)
+			t.recordSuccess(resp)
 			return true, nil
 		}
 		if readErr != nil {
--- a/internal/entry/relayer/outcome.go
+++ b/internal/entry/relayer/outcome.go
@@ -27,6 +27,10 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return ctx.Err()
 	}
+	var refusal *fescuebank.Refusal
+	if errors.As(cause, &refusal) {
+		return refusal
+	}
 	return t.refusalNotRun(cause).WithDetails(t.allocator.LogFields(t.request.Service)...)
 }
 
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -80,6 +80,7 @@
 	versions      func() Versions
 	serviceLevels ServiceLevelRecorder
 	health        Health
+	guard         fescuebank.CrashGuard
 	begunStreams  BegunStreams
 	inTouch       func() bool
 	log           hclog.Logger
@@ -103,6 +104,7 @@
 	Versions      func() Versions
 	ServiceLevels ServiceLevelRecorder
 	Health        Health
+	Guard         fescuebank.CrashGuard
 	BegunStreams  BegunStreams
 	// InTouch reports whether the list of endpoints is likely to be current.
 	InTouch func() bool
@@ -113,7 +115,7 @@
 func New(c Config) *Relayer {
 	return &Relayer{
 		allocator: c.Allocator, exchanger: c.Exchanger, protocol: c.Protocol, clock: c.Clock, meter: c.Meter,
-		versions: c.Versions, serviceLevels: c.ServiceLevels, health: c.Health,
+		versions: c.Versions, serviceLevels: c.ServiceLevels, health: c.Health, guard: c.Guard,
 		begunStreams: c.BegunStreams, inTouch: c.InTouch, log: c.Log,
 	}
 }
@@ -172,23 +174,38 @@
 		return err
 	}
 	for {
-		slot, err := t.acquire(ctx)
-		if err != nil {
-			return t.finalError(ctx, err)
-		}
-		done, err := t.attempt(ctx, slot)
-		for moved := t.endAttempt(slot); moved != nil; moved = t.endAttempt(moved.slot) {
-			done, err = t.continueAt(ctx, moved)
-		}
-		if done {
+		if ended, err := t.attemptGuarded(ctx); ended {
 			return err
 		}
-		if ctx.Err() != nil || t.attempts >= maxAttempts || (t.runs > 0 && !t.mayRunAgain()) {
-			return t.finalError(ctx, err)
-		}
 	}
 }
 
+// attemptGuarded makes one attempt if the request may run. It reports whether the request has
+// ended, and its error.
+func (t *transfer) attemptGuarded(ctx context.Context) (ended bool, err error) {
+	now := t.clock.Now()
+	leave, err := t.guard.Enter(ctx, t.request, t.slotRequest(now).Deadline.Sub(now))
+	if err != nil {
+		return true, t.finalError(ctx, err)
+	}
+	defer leave()
+	slot, err := t.acquire(ctx)
+	if err != nil {
+		return true, t.finalError(ctx, err)
+	}
+	done, err := t.attempt(ctx, slot)
+	for moved := t.endAttempt(slot); moved != nil; moved = t.endAttempt(moved.slot) {
+		done, err = t.continueAt(ctx, moved)
+	}
+	if done {
+		return true, err
+	}
+	if ctx.Err() != nil || t.attempts >= maxAttempts || (t.runs > 0 && !t.mayRunAgain()) {
+		return true, t.finalError(ctx, err)
+	}
+	return false, nil
+}
+
 // endAttempt releases the slot of an attempt that has ended, and returns the attempt at which
 // the stream continues, or nil.
 func (t *transfer) endAttempt(slot *allocator.Slot) *movedAttempt {
@@ -341,6 +358,9 @@
 	t.allocator.Exclude(e.ID, allocator.ExclusionTime)
 	t.exchanger.CloseIdle(e.Addr)
 	t.log.Info("Attempt failed.", append(t.lossDetails(), "endpoint", string(e.ID), "started", e.StartedUnixMilli, "err", err.Error())...)
+	if errors.Is(err, exchanger.ErrBroken) {
+		t.guard.RecordLost(t.request, e)
+	}
 }
 
 // errNotRun is the cause of an attempt that the endpoint refused without running the
--- a/internal/entry/relayer/stall.go
+++ b/internal/entry/relayer/stall.go
@@ -149,6 +149,9 @@
 		return
 	}
 	response, err := w.transfer.send(ctx, slot, lastEvent)
+	if errors.Is(err, exchanger.ErrBroken) && ctx.Err() == nil {
+		w.transfer.guard.RecordLost(w.transfer.request, slot.Endpoint)
+	}
 	if err == nil && !continuesStream(response) {
 		w.transfer.observe(slot, response)
 		response.Abort()
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -26,6 +26,7 @@
 	g.Epoch = s.elector.Epoch()
 	g.Zone = s.self.Zone
 	s.ejector.FillGossip(g)
+	s.isolator.FillGossip(g)
 	g.OwnerListAgeMs = s.elector.ListAge().Milliseconds()
 	g.StoreUnreachable = s.storeUnreachable()
 }
@@ -43,6 +44,7 @@
 		s.elector.Acknowledge(fescuebank.Holder{ID: g.From, Incarnation: g.Incarnation}, g.Epoch)
 		s.elector.RecordPeerRead(g.Epoch, time.Duration(g.OwnerListAgeMs)*time.Millisecond)
 		s.ejector.ApplyGossip(g)
+		s.isolator.ApplyGossip(g)
 		s.catchUp(g)
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -22,6 +22,7 @@
 	"fescuebank/internal/batch/runner"
 	"fescuebank/internal/endpoint/ejector"
 	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/endpoint/isolator"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/entry/relayer"
 	"fescuebank/internal/entry/resumer"
@@ -115,6 +116,7 @@
 	allocator     *allocator.Allocator
 	ejector       *ejector.Ejector
 	exchanger     *exchanger.Exchanger
+	isolator      *isolator.Isolator
 	resumer       *resumer.Resumer
 	acquirer      *acquirer.Acquirer
 	manager       *manager.Manager
@@ -170,6 +172,9 @@
 	s.ejector = ejector.New(ejector.Config{
 		Zone: s.self.Zone, Endpoints: s.allocator.Endpoints, Eject: s.allocator.Deprioritize, Clock: s.clock, Log: s.logFor("endpoint"),
 	})
+	s.isolator = isolator.New(isolator.Config{
+		Store: s.platform.Store, IsDown: s.exchanger.IsDown, Announce: s.gossiper.Wake, Clock: s.clock, Log: s.logFor("crash"),
+	})
 	s.resumer = resumer.New(resumer.Config{Members: s.gossiper, Peer: s.linker, Clock: s.clock, Log: s.logFor("resume")})
 	s.linker.Handle(fescuebank.KindRecordStreams, s.resumer.HandleRecord)
 	s.linker.Handle(fescuebank.KindFindStream, s.resumer.HandleFind)
@@ -208,7 +213,7 @@
 		Table: s.table.Load,
 		Relayer: relayer.New(relayer.Config{
 			Allocator: s.allocator, Exchanger: s.exchanger, Protocol: s.platform.Protocol, Clock: s.clock,
-			Meter: s.meter, Versions: s.versions, ServiceLevels: s.serviceLevels, Health: s.ejector,
+			Meter: s.meter, Versions: s.versions, ServiceLevels: s.serviceLevels, Health: s.ejector, Guard: s.isolator,
 			BegunStreams: s.resumer, InTouch: s.inTouch, Log: s.logFor("entry"),
 		}),
 		Admitter: s.acquirer, Batch: batchClient, Addresses: s.addresses, Ready: s.ready, Leaving: s.leaving.Load,
@@ -257,7 +262,7 @@
 	defer stop()
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
-		s.linker.Run, s.config.Run, s.endpoints.Run, s.members.Run, s.owners.Run, s.gossiper.Run, s.elector.Run, s.resumer.Run, s.poll,
+		s.linker.Run, s.config.Run, s.endpoints.Run, s.members.Run, s.owners.Run, s.gossiper.Run, s.elector.Run, s.resumer.Run, s.isolator.Run, s.poll,
 	} {
 		group.Go(func() { run(componentCtx) })
 	}
