--- a/internal/soak/tracer/tracer.go
+++ b/internal/soak/tracer/tracer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fescuebank"
+	"fescuebank/internal/soak/monitor"
 )
 
 // drainTime is how long after an endpoint's statement that it leaves requests may still reach
@@ -28,9 +29,10 @@
 	// timeout is the time after which a request may end without a complete response.
 	timeout time.Duration
 
-	mu           sync.Mutex
-	requests     map[fescuebank.RequestID]*request
-	disturbances map[string][]*disturbance
+	monitor *monitor.Monitor
+
+	mu       sync.Mutex
+	requests map[fescuebank.RequestID]*request
 	// statements are the times at which an instance first relayed a response that states that
 	// its endpoint leaves.
 	statements map[statement]time.Time
@@ -46,12 +48,6 @@
 	damaged bool
 }
 
-// disturbance is an interval in which an instance or endpoint may lose requests. Its end is
-// zero while it lasts.
-type disturbance struct {
-	begin, end time.Time
-}
-
 type statement struct {
 	instance, endpoint string
 }
@@ -59,23 +55,15 @@
 // New returns a tracer without requests. A request may be cut after the timeout.
 func New(timeout time.Duration) *Tracer {
 	return &Tracer{
-		timeout: timeout, requests: make(map[fescuebank.RequestID]*request),
-		disturbances: make(map[string][]*disturbance), statements: make(map[statement]time.Time),
+		timeout: timeout, monitor: monitor.New(), requests: make(map[fescuebank.RequestID]*request),
+		statements: make(map[statement]time.Time),
 	}
 }
 
 // Disturb records that a disturbance of an instance or endpoint begins. The function that it
 // returns records its end.
 func (t *Tracer) Disturb(name string, at time.Time) (end func(at time.Time)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	d := &disturbance{begin: at}
-	t.disturbances[name] = append(t.disturbances[name], d)
-	return func(at time.Time) {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		d.end = at
-	}
+	return t.monitor.Disturb(name, at)
 }
 
 // RecordSent records that a caller sends a request to an instance.
@@ -119,7 +107,7 @@
 	r.endpoints = append(r.endpoints, endpoint)
 	r.damaged = r.damaged || damaged
 	stated, ok := t.statements[statement{r.instance, endpoint}]
-	if !ok || r.sent.Sub(stated) <= drainTime || t.isDisturbed(r.instance, stated, at) {
+	if !ok || r.sent.Sub(stated) <= drainTime || t.monitor.IsDisturbed(r.instance, stated, at) {
 		return nil
 	}
 	return fmt.Errorf("request %s: sent to %s, reached %s %v after the statement that it leaves", id, r.instance, endpoint, at.Sub(stated))
@@ -131,7 +119,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.requests[id]
-	if r == nil || t.isDisturbed(r.instance, r.sent, at) || t.isExcused(r, at) {
+	if r == nil || t.monitor.IsDisturbed(r.instance, r.sent, at) || t.isExcused(r, at) {
 		return nil
 	}
 	return fmt.Errorf("request %s: sent to %s, reached %v, cut after %v", id, r.instance, r.endpoints, at.Sub(r.sent))
@@ -149,15 +137,5 @@
 	case len(r.endpoints) == 0:
 		return elapsed < readTime
 	}
-	return slices.ContainsFunc(r.endpoints, func(name string) bool { return t.isDisturbed(name, r.sent, at) })
-}
-
-// isDisturbed reports whether a disturbance overlaps the interval. The caller holds mu.
-func (t *Tracer) isDisturbed(name string, from, to time.Time) bool {
-	for _, d := range t.disturbances[name] {
-		if !d.begin.After(to) && (d.end.IsZero() || !d.end.Before(from)) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.endpoints, func(name string) bool { return t.monitor.IsDisturbed(name, r.sent, at) })
 }
