Count only crashes under trials against a request

Callers could see: a sound request that many of them repeat was refused for a minute, while another one crashed endpoints. Cause: several runs of it were at endpoints that crashed within moments, before the first crash was known, and each crash counted. Class: one cause is counted several times. Change: the first crash makes a request suspect, then only crashes under its trials count, one run at a time: fully if no other request of the fleet that had not begun was at the endpoint, by half otherwise, not at all beside a request that is quarantined. The end of a lost trial waits until all instances have reported the crash.

--- a/guard.go
+++ b/guard.go
@@ -35,14 +35,19 @@
 // CrashGuard stops requests on routes that crash endpoints.
 type CrashGuard interface {
 	// Enter returns a refusal if the request must not run. A suspect request waits until no
-	// other run of it is known, for the given time at most. The caller calls leave when the
-	// attempt has ended.
-	Enter(ctx context.Context, r *Request, maxWait time.Duration) (leave func(), err error)
+	// other run of it is known, for the given time at most.
+	Enter(ctx context.Context, r *Request, maxWait time.Duration) (GuardedRun, error)
+}
+
+// GuardedRun is a run of a request that a CrashGuard admitted.
+type GuardedRun interface {
 	// RecordLost records that the connection to an endpoint broke before the endpoint had
 	// responded to the request.
-	RecordLost(r *Request, e ServedEndpoint)
+	RecordLost(e ServedEndpoint)
 	// RecordCompleted records that the request was served completely.
-	RecordCompleted(r *Request)
+	RecordCompleted()
+	// Leave ends the run. It is called once, after the others.
+	Leave()
 }
 
 // ClassifyAttempt returns how the attempt that returned err ended.
--- a/internal/endpoint/isolator/evidence.go
+++ b/internal/endpoint/isolator/evidence.go
@@ -15,9 +15,22 @@
 	maxRequests = 32
 	// crashTTL is how long a crash is remembered.
 	crashTTL = 10 * time.Minute
-	// minCrashGap is the time from which two crashes count as two. Endpoints that crash at the
-	// same moment have one cause in common, such as a loss of power.
-	minCrashGap = 100 * time.Millisecond
+)
+
+// The score of a request sums what the crashes under it since it last completed weigh. Sound
+// requests are there by chance, most often beside the one that crashed the endpoint.
+const (
+	// ambiguousWeight is the weight of the first crash, which makes the request suspect, and of a
+	// crash under a trial while the endpoint had other requests that had not begun. Further
+	// crashes under runs that are no trials weigh nothing: these began before the first one was
+	// known, and may all have been lost to one cause.
+	ambiguousWeight = 1
+	// soleWeight is the weight of a crash under a trial that was the only such request.
+	soleWeight = 2
+	// scoreThreshold is the score from which a request is quarantined, and repeatedThreshold
+	// that of a request that was quarantined before.
+	scoreThreshold    = 3
+	repeatedThreshold = 2
 )
 
 // crash is the crash of one endpoint.
@@ -26,8 +39,28 @@
 	at time.Time
 	// requests are those under which the endpoint crashed before it had responded. own are
 	// those of this instance.
-	requests []fescuebank.SuspectKey
-	own      []fescuebank.SuspectKey
+	requests []fescuebank.LostRequest
+	own      []fescuebank.LostRequest
+}
+
+// find returns the request with a key.
+func (c *crash) find(key fescuebank.SuspectKey) (lost fescuebank.LostRequest, ok bool) {
+	n := slices.IndexFunc(c.requests, func(r fescuebank.LostRequest) bool { return r.Key == key })
+	if n < 0 {
+		return fescuebank.LostRequest{}, false
+	}
+	return c.requests[n], true
+}
+
+// weight returns what the crash weighs for a request that was lost in it.
+func (c *crash) weight(lost fescuebank.LostRequest, isFirst bool) int {
+	switch {
+	case lost.Trial && len(c.requests) == 1:
+		return soleWeight
+	case lost.Trial || isFirst:
+		return ambiguousWeight
+	}
+	return 0
 }
 
 // completion is the last time at which a key is known to have completed.
@@ -41,7 +74,7 @@
 type evidence struct {
 	// crashes are in the order in which they became known.
 	crashes []*crash
-	// completed has entries only for keys that crashes name or that are quarantined.
+	// completed has entries for keys that crashes name or that were quarantined.
 	completed map[fescuebank.SuspectKey]completion
 }
 
@@ -49,32 +82,31 @@
 	return evidence{completed: make(map[fescuebank.SuspectKey]completion)}
 }
 
-// add records that an endpoint crashed under a request, and reports whether that was not known.
-// Crashes of the same id are one.
-func (e *evidence) add(id fescuebank.CrashID, at time.Time, own bool, key fescuebank.SuspectKey) bool {
-	c := e.find(id)
-	if c == nil {
+// add records that an endpoint crashed under a request. Crashes of the same id are one.
+func (e *evidence) add(id fescuebank.CrashID, at time.Time, own bool, lost fescuebank.LostRequest) {
+	n := slices.IndexFunc(e.crashes, func(c *crash) bool { return c.id == id })
+	if n < 0 {
 		e.expire(at)
-		c = &crash{id: id, at: at}
-		e.crashes = append(e.crashes, c)
+		n = len(e.crashes)
+		e.crashes = append(e.crashes, &crash{id: id, at: at})
 	}
-	isNew := !slices.Contains(c.requests, key) && len(c.requests) < maxRequests
-	if isNew {
-		c.requests = append(c.requests, key)
+	c := e.crashes[n]
+	c.requests = addLost(c.requests, lost)
+	if own {
+		c.own = addLost(c.own, lost)
 	}
-	if own && !slices.Contains(c.own, key) && len(c.own) < maxRequests {
-		c.own = append(c.own, key)
-	}
-	return isNew
 }
 
-func (e *evidence) find(id fescuebank.CrashID) *crash {
-	for _, c := range e.crashes {
-		if c.id == id {
-			return c
-		}
+// addLost adds a request to those of a crash.
+func addLost(list []fescuebank.LostRequest, lost fescuebank.LostRequest) []fescuebank.LostRequest {
+	n := slices.IndexFunc(list, func(r fescuebank.LostRequest) bool { return r.Key == lost.Key })
+	switch {
+	case n >= 0:
+		list[n].Trial = list[n].Trial || lost.Trial
+	case len(list) < maxRequests:
+		list = append(list, lost)
 	}
-	return nil
+	return list
 }
 
 // expire drops the crashes that are older than crashTTL, and the oldest one if there are too
@@ -97,51 +129,40 @@
 
 // names reports whether a crash names the key.
 func (e *evidence) names(key fescuebank.SuspectKey) bool {
-	return slices.ContainsFunc(e.crashes, func(c *crash) bool { return slices.Contains(c.requests, key) })
-}
-
-// witnessed reports whether a crash under a request of this instance names the key.
-func (e *evidence) witnessed(key fescuebank.SuspectKey) bool {
-	return slices.ContainsFunc(e.crashes, func(c *crash) bool { return slices.Contains(c.own, key) })
+	return slices.ContainsFunc(e.crashes, func(c *crash) bool {
+		_, ok := c.find(key)
+		return ok
+	})
 }
 
 // complete records that a key completed.
 func (e *evidence) complete(key fescuebank.SuspectKey, at time.Time, own bool) {
-	last := e.completed[key]
-	if at.After(last.at) {
+	if at.After(e.completed[key].at) {
 		e.completed[key] = completion{at: at, own: own}
 	}
 }
 
-// count returns the number of crashes under a key since it last completed.
-func (e *evidence) count(key fescuebank.SuspectKey) int {
-	return e.countSince(key, time.Time{})
+// isSuspect reports whether an endpoint crashed under the key since it last completed.
+func (e *evidence) isSuspect(key fescuebank.SuspectKey) bool {
+	return slices.ContainsFunc(e.crashes, func(c *crash) bool {
+		_, ok := c.find(key)
+		return ok && c.at.After(e.completed[key].at)
+	})
 }
 
-// countSince is count for the crashes after a time.
-func (e *evidence) countSince(key fescuebank.SuspectKey, since time.Time) int {
+// score returns the score of a key by the crashes after a time. Crashes under other requests that
+// are known to crash endpoints don't count.
+func (e *evidence) score(key fescuebank.SuspectKey, since time.Time, isKnown func(fescuebank.SuspectKey) bool) int {
 	since = fescuebank.Latest(since, e.completed[key].at)
-	var times []time.Time
+	score := 0
 	for _, c := range e.crashes {
-		if c.at.After(since) && slices.Contains(c.requests, key) {
-			times = append(times, c.at)
-		}
-	}
-	return countApart(times)
-}
-
-// countApart returns the number of times that are at least minCrashGap after the previous one
-// that counts.
-func countApart(times []time.Time) int {
-	slices.SortFunc(times, time.Time.Compare)
-	count := 0
-	var last time.Time
-	for _, at := range times {
-		if count == 0 || at.Sub(last) >= minCrashGap {
-			count, last = count+1, at
+		lost, ok := c.find(key)
+		isExplained := slices.ContainsFunc(c.requests, func(r fescuebank.LostRequest) bool { return r.Key != key && isKnown(r.Key) })
+		if ok && c.at.After(since) && !isExplained {
+			score += c.weight(lost, score == 0)
 		}
 	}
-	return count
+	return score
 }
 
 // name returns the text of a key in the log and in the store.
--- a/internal/endpoint/isolator/gossip.go
+++ b/internal/endpoint/isolator/gossip.go
@@ -57,13 +57,10 @@
 	defer i.mu.Unlock()
 	now := i.Clock.Now()
 	i.applyTrials(g, now)
-	var added []fescuebank.SuspectKey
 	for _, report := range g.Crashes {
 		at := now.Add(-time.Duration(report.AgeMs) * time.Millisecond)
-		for _, key := range report.Requests {
-			if i.evidence.add(report.Crash, at, false, key) {
-				added = append(added, key)
-			}
+		for _, lost := range report.Requests {
+			i.evidence.add(report.Crash, at, false, lost)
 		}
 	}
 	for key, ageMs := range g.Completed {
@@ -73,9 +70,6 @@
 		until := now.Add(time.Duration(q.LeftMs) * time.Millisecond)
 		i.adopt(q.Key, quarantine{until: until, length: time.Duration(q.LengthMs) * time.Millisecond, adopted: true})
 	}
-	for _, key := range added {
-		i.evaluate(key, now)
-	}
 }
 
 // applyTrials replaces what is known of the trials of another instance. The caller holds the
--- a/internal/endpoint/isolator/isolator.go
+++ b/internal/endpoint/isolator/isolator.go
@@ -1,8 +1,9 @@
 // Package isolator stops requests that crash endpoints (poison requests) on all instances of the
-// fleet. The instances exchange by gossip which endpoints crashed under which requests. A request
-// under which several endpoints crashed is quarantined: it is refused without being run, until the
-// quarantine ends. Quarantines are also kept in the platform's store, so that they survive a
-// restart of all instances.
+// fleet. The instances exchange by gossip which endpoints crashed under which requests. Such a
+// request is suspect: it runs once at a time. If endpoints crash under it again and it never
+// completes, it is quarantined: it is refused without being run, until the quarantine ends.
+// Quarantines are also kept in the platform's store, so that they survive a restart of all
+// instances.
 package isolator
 
 import (
@@ -18,8 +19,6 @@
 )
 
 const (
-	// crashThreshold is the number of crashes from which a request is quarantined.
-	crashThreshold = 2
 	// minLength and maxLength bound the duration of a quarantine. It doubles if an endpoint
 	// crashes under the first run after the last one.
 	minLength = time.Minute
@@ -28,6 +27,9 @@
 	maxQuarantines = 1024
 	// trialRetryAfter is the Retry-After of a suspect that another run of it kept waiting.
 	trialRetryAfter = 500 * time.Millisecond
+	// settleMargin is how long after a crash, besides the time that gossip takes, the reports
+	// of all instances about it have arrived.
+	settleMargin = 50 * time.Millisecond
 )
 
 // Config holds the dependencies of an Isolator.
@@ -35,8 +37,9 @@
 	Store fescuebank.ObjectStore
 	// IsDown reports whether nothing listens at the address of an endpoint.
 	IsDown func(addr string) bool
-	// Announce makes this instance send gossip soon.
+	// Announce makes this instance send gossip soon, which reaches all others within Lag.
 	Announce func()
+	Lag      func() time.Duration
 	Clock    fescuebank.Clock
 	Log      hclog.Logger
 }
@@ -49,8 +52,8 @@
 
 	mu       sync.Mutex
 	evidence evidence
-	// quarantines holds those in force, and those that ended and whose request has neither run
-	// nor crashed an endpoint since.
+	// quarantines holds those in force, and those that ended and whose request has neither
+	// completed nor crashed an endpoint since.
 	quarantines map[fescuebank.SuspectKey]quarantine
 	// trials are the suspects that run here, and peerTrials those that run elsewhere.
 	trials     map[fescuebank.SuspectKey]bool
@@ -88,16 +91,19 @@
 }
 
 // Enter refuses a request that is quarantined. A suspect waits until no other run of it is known.
-func (i *Isolator) Enter(ctx context.Context, r *fescuebank.Request, maxWait time.Duration) (leave func(), err error) {
+func (i *Isolator) Enter(ctx context.Context, r *fescuebank.Request, maxWait time.Duration) (fescuebank.GuardedRun, error) {
 	if !i.knowsSuspects() {
-		return func() {}, nil
+		return &run{isolator: i, request: r}, nil
 	}
 	key := r.Fingerprint().Key()
 	timeout := i.Clock.After(maxWait)
 	for {
-		leave, changed, err := i.tryEnter(key)
-		if leave != nil || err != nil {
-			return leave, err
+		admitted, changed, err := i.tryEnter(r, key)
+		if admitted != nil {
+			return admitted, nil
+		}
+		if err != nil {
+			return nil, err
 		}
 		select {
 		case <-changed:
@@ -117,9 +123,9 @@
 	return len(i.evidence.crashes) > 0 || len(i.quarantines) > 0
 }
 
-// tryEnter returns the function that ends the run of a request that may run now, a refusal, or
-// the channel that closes when it may try again.
-func (i *Isolator) tryEnter(key fescuebank.SuspectKey) (leave func(), changed <-chan struct{}, err error) {
+// tryEnter returns the run of a request that may run now, a refusal, or the channel that closes
+// when it may try again.
+func (i *Isolator) tryEnter(r *fescuebank.Request, key fescuebank.SuspectKey) (admitted *run, changed <-chan struct{}, err error) {
 	now := i.Clock.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -128,15 +134,15 @@
 		return nil, nil, fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeQuarantined,
 			"endpoints crashed under the request").WithRetryAfter(left)
 	}
-	if !known && i.evidence.count(key) == 0 {
-		return func() {}, nil, nil
+	if !known && !i.evidence.isSuspect(key) {
+		return &run{isolator: i, request: r}, nil, nil
 	}
 	if i.isTried(key, now) {
 		return nil, i.changed, nil
 	}
 	i.trials[key] = true
 	i.Announce()
-	return func() { i.endTrial(key) }, nil, nil
+	return &run{isolator: i, request: r, trial: true}, nil, nil
 }
 
 // isTried reports whether a run of a suspect is known. The caller holds the lock.
@@ -170,64 +176,39 @@
 	i.changed = make(chan struct{})
 }
 
-// RecordLost records a crash of the endpoint under the request, if the endpoint is down.
-func (i *Isolator) RecordLost(r *fescuebank.Request, e fescuebank.ServedEndpoint) {
-	at := i.Clock.Now()
-	if !i.IsDown(e.Addr) {
-		return
-	}
-	key := r.Fingerprint().Key()
+// evaluate decides, once all instances have reported a crash, whether a request under which the
+// endpoint crashed is quarantined.
+func (i *Isolator) evaluate(key fescuebank.SuspectKey) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.evidence.add(e.CrashID(), at, true, key)
-	i.Log.Warn("Endpoint crashed under a request.", "request", string(r.ID), "team", string(r.Team), "endpoint", string(e.ID),
-		"started", e.StartedUnixMilli, "suspect", name(key), "crashes", i.evidence.count(key))
-	i.evaluate(key, i.Clock.Now())
-	i.Announce()
-}
-
-// RecordCompleted clears a request that was suspect.
-func (i *Isolator) RecordCompleted(r *fescuebank.Request) {
-	if !i.knowsSuspects() {
-		return
-	}
-	key := r.Fingerprint().Key()
 	now := i.Clock.Now()
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	_, known := i.quarantines[key]
-	if !known && !i.evidence.names(key) {
-		return
-	}
-	i.evidence.complete(key, now, true)
-	if i.lift(key, now) {
-		i.remove(key)
-	}
-	i.Announce()
-}
-
-// evaluate quarantines a key under which enough endpoints crashed. The caller holds the lock.
-func (i *Isolator) evaluate(key fescuebank.SuspectKey, now time.Time) {
 	last, known := i.quarantines[key]
 	if now.Before(last.until) {
 		return
 	}
-	length := minLength
-	switch {
-	case known && i.evidence.countSince(key, last.until) > 0:
-		length = min(2*last.length, maxLength)
-	case known || i.evidence.count(key) < crashThreshold:
+	length, threshold := minLength, scoreThreshold
+	if known {
+		length, threshold = min(2*last.length, maxLength), repeatedThreshold
+	}
+	score := i.evidence.score(key, last.until, i.isQuarantined)
+	if score < threshold {
 		return
 	}
 	q := quarantine{until: now.Add(length), length: length}
 	if !i.put(key, q) {
 		return
 	}
-	i.Log.Warn("Request quarantined.", "suspect", name(key), "crashes", i.evidence.count(key), "ms", length.Milliseconds())
-	if i.evidence.witnessed(key) {
-		i.save(key, q)
-	}
+	i.Log.Warn("Request quarantined.", "suspect", name(key), "score", score, "ms", length.Milliseconds())
+	i.save(key, q)
 	i.signal()
+	i.Announce()
+}
+
+// isQuarantined reports whether a key is or was quarantined and has not completed since. The
+// caller holds the lock.
+func (i *Isolator) isQuarantined(key fescuebank.SuspectKey) bool {
+	_, known := i.quarantines[key]
+	return known
 }
 
 // put remembers a quarantine, and drops those that ended longer than their duration ago. It
@@ -235,15 +216,15 @@
 func (i *Isolator) put(key fescuebank.SuspectKey, q quarantine) bool {
 	now := i.Clock.Now()
 	maps.DeleteFunc(i.quarantines, func(_ fescuebank.SuspectKey, old quarantine) bool { return old.isOver(now) })
-	if _, known := i.quarantines[key]; !known && len(i.quarantines) >= maxQuarantines {
+	if !i.isQuarantined(key) && len(i.quarantines) >= maxQuarantines {
 		return false
 	}
 	i.quarantines[key] = q
 	return true
 }
 
-// lift ends the quarantine of a key if the key completed at a time after it began, and reports
-// whether it did. The caller holds the lock.
+// lift ends the quarantine of a key that completed at a time after it began, and reports whether
+// it did. The caller holds the lock.
 func (i *Isolator) lift(key fescuebank.SuspectKey, completedAt time.Time) bool {
 	q, known := i.quarantines[key]
 	if !known || completedAt.Before(q.since()) {
--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -104,7 +104,7 @@
 func (t *transfer) recordSuccess(resp *exchanger.Response) {
 	t.attemptHealth.record(true)
 	if resp.StatusCode/100 == 2 {
-		t.guard.RecordCompleted(t.request)
+		t.guarded.RecordCompleted()
 	}
 }
 
@@ -118,7 +118,7 @@
 	t.log.Info("Answer broke off.", append(t.lossDetails(), "endpoint", string(t.endpoint.ID), "started", t.endpoint.StartedUnixMilli,
 		"lastEvent", t.lastEvent, "err", cause.Error())...)
 	if !t.attemptBegun {
-		t.guard.RecordLost(t.request, t.endpoint)
+		t.guarded.RecordLost(t.endpoint)
 	}
 	return false, cause
 }
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -136,6 +136,8 @@
 	// attemptHealth reports the outcome of the current attempt, and stalls watches its progress.
 	attemptHealth *attemptHealth
 	stalls        *stallWatch
+	// guarded is the current run.
+	guarded fescuebank.GuardedRun
 	// lastEvent is the id of the last event sent to the caller, and headerSent whether
 	// the response header was sent.
 	lastEvent  string
@@ -184,11 +186,11 @@
 // ended, and its error.
 func (t *transfer) attemptGuarded(ctx context.Context) (ended bool, err error) {
 	now := t.clock.Now()
-	leave, err := t.guard.Enter(ctx, t.request, t.slotRequest(now).Deadline.Sub(now))
+	t.guarded, err = t.guard.Enter(ctx, t.request, t.slotRequest(now).Deadline.Sub(now))
 	if err != nil {
 		return true, t.finalError(ctx, err)
 	}
-	defer leave()
+	defer t.guarded.Leave()
 	slot, err := t.acquire(ctx)
 	if err != nil {
 		return true, t.finalError(ctx, err)
@@ -359,7 +361,7 @@
 	t.exchanger.CloseIdle(e.Addr)
 	t.log.Info("Attempt failed.", append(t.lossDetails(), "endpoint", string(e.ID), "started", e.StartedUnixMilli, "err", err.Error())...)
 	if errors.Is(err, exchanger.ErrBroken) {
-		t.guard.RecordLost(t.request, e)
+		t.guarded.RecordLost(e)
 	}
 }
 
--- a/internal/entry/relayer/stall.go
+++ b/internal/entry/relayer/stall.go
@@ -37,6 +37,7 @@
 // never ends a response.
 type stallWatch struct {
 	transfer *transfer
+	guarded  fescuebank.GuardedRun
 	// ctx is the request's context, and cancel ends the attempt.
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -71,7 +72,7 @@
 // watchStalls starts to watch the attempt that cancel ends.
 func (t *transfer) watchStalls(ctx context.Context, cancel context.CancelFunc) *stallWatch {
 	w := &stallWatch{
-		transfer: t, ctx: ctx, cancel: cancel, endpoint: t.endpoint.ID, timeout: t.progressTimeout(),
+		transfer: t, guarded: t.guarded, ctx: ctx, cancel: cancel, endpoint: t.endpoint.ID, timeout: t.progressTimeout(),
 		request: t.slotRequest(t.clock.Now()), lastEvent: t.lastEvent,
 	}
 	if t.request.Route.Resumable {
@@ -150,7 +151,7 @@
 	}
 	response, err := w.transfer.send(ctx, slot, lastEvent)
 	if errors.Is(err, exchanger.ErrBroken) && ctx.Err() == nil {
-		w.transfer.guard.RecordLost(w.transfer.request, slot.Endpoint)
+		w.guarded.RecordLost(slot.Endpoint)
 	}
 	if err == nil && !continuesStream(response) {
 		w.transfer.observe(slot, response)
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -173,7 +173,8 @@
 		Zone: s.self.Zone, Endpoints: s.allocator.Endpoints, Eject: s.allocator.Deprioritize, Clock: s.clock, Log: s.logFor("endpoint"),
 	})
 	s.isolator = isolator.New(isolator.Config{
-		Store: s.platform.Store, IsDown: s.exchanger.IsDown, Announce: s.gossiper.Wake, Clock: s.clock, Log: s.logFor("crash"),
+		Store: s.platform.Store, IsDown: s.exchanger.IsDown, Announce: s.gossiper.Wake,
+		Lag: s.gossiper.Lag, Clock: s.clock, Log: s.logFor("crash"),
 	})
 	s.resumer = resumer.New(resumer.Config{Members: s.gossiper, Peer: s.linker, Clock: s.clock, Log: s.logFor("resume")})
 	s.linker.Handle(fescuebank.KindRecordStreams, s.resumer.HandleRecord)
--- a/suspect.go
+++ b/suspect.go
@@ -31,7 +31,15 @@
 	Crash CrashID
 	// AgeMs is how long ago the endpoint crashed, in milliseconds.
 	AgeMs    int64
-	Requests []SuspectKey
+	Requests []LostRequest
+}
+
+// LostRequest is a request under which an endpoint crashed.
+type LostRequest struct {
+	_   struct{} `cbor:",toarray"`
+	Key SuspectKey
+	// Trial is set if the request was suspect when it was sent to the endpoint.
+	Trial bool
 }
 
 // Quarantine states that a request must not run, because endpoints crashed under it.
