--- a/cmd/fescuebankd/crash_test.go
+++ b/cmd/fescuebankd/crash_test.go
@@ -19,8 +19,10 @@
 	// the number of them.
 	crashInterval = 150 * time.Millisecond
 	crashRequests = 14
-	// maxCrashes is how many endpoints may crash before the cause is known.
-	maxCrashes = 3
+	// maxCrashes is how many endpoints may crash before a request that crashes them is known, and
+	// maxPartCrashes before a part of prompts is.
+	maxCrashes     = 3
+	maxPartCrashes = 5
 	// refusalTime is how soon a request must be refused that can't be served.
 	refusalTime = 100 * time.Millisecond
 )
@@ -128,3 +130,26 @@
 		d.serveSound(n, "aa:100,03:10")
 	}
 }
+
+// TestPromptPartThatCrashesEndpointsIsStoppedOnAllInstances guards against different requests that
+// hold one part in their prompts and crash one endpoint after the other.
+func TestPromptPartThatCrashesEndpointsIsStoppedOnAllInstances(t *testing.T) {
+	d := newDeployment(t, 4)
+	a, b := d.startAll()
+	crashing := d.crashOn(func(r *http.Request, _ []byte) bool {
+		return strings.Contains(r.Header.Get("X-Fescuebank-Prompt-Prefix"), "bad:")
+	})
+	instances := []*runningInstance{a, b}
+	d.serveSound(a, "aa:100,01:10")
+	for i := range crashRequests {
+		status, text, took := d.sendPrompt(instances[i%2], fescuebank.NewRandomID("crash"), fmt.Sprintf("aa:100,bad:50,%02x:10", i))
+		if status == http.StatusServiceUnavailable && (took > refusalTime || !strings.Contains(text, string(fescuebank.CodeQuarantined))) {
+			t.Errorf("request %d: got %q after %v, want the code %q within %v", i, text, took, fescuebank.CodeQuarantined, refusalTime)
+		}
+		d.serveSound(instances[(i+1)%2], fmt.Sprintf("aa:100,ff%02x:10", i))
+		time.Sleep(crashInterval)
+	}
+	if got := crashing.count(); got > maxPartCrashes {
+		t.Errorf("%d requests crashed %d endpoints, want at most %d", crashRequests, got, maxPartCrashes)
+	}
+}
