Stop parts of prompts that crash endpoints, on all instances

Cause: what is remembered of a crash had a narrower key than its cause. Only whole requests were judged. TestPromptPartThatCrashesEndpointsIsStoppedOnAllInstances was red: 14 different requests crashed 14 endpoints. Change: a request has a key of its own and one for each part of its prompt but the last. Each is judged by the crashes under it since a request that has it last completed, anywhere; parts by different requests, and with one crash more. A popular sound part completes all the time, so it is never quarantined for what stands beside it; parts that always come together are refused together only. All instances repeat the quarantines in gossip, so that one that restarts while the store is down learns them.

--- a/internal/endpoint/isolator/evidence.go
+++ b/internal/endpoint/isolator/evidence.go
@@ -17,22 +17,46 @@
 	crashTTL = 10 * time.Minute
 )
 
-// The score of a request sums what the crashes under it since it last completed weigh. Sound
-// requests are there by chance, most often beside the one that crashed the endpoint.
+// The score of a key sums what the crashes under it since it last completed weigh. Sound requests
+// are there by chance, most often beside the one that crashed the endpoint.
 const (
-	// ambiguousWeight is the weight of the first crash, which makes the request suspect, and of a
-	// crash under a trial while the endpoint had other requests that had not begun. Further
-	// crashes under runs that are no trials weigh nothing: these began before the first one was
-	// known, and may all have been lost to one cause.
+	// freeWeight is the weight of a crash under a run that was no trial, and ambiguousWeight that
+	// of one under a trial while the endpoint had requests without the key that had not begun.
+	freeWeight      = 1
 	ambiguousWeight = 1
-	// soleWeight is the weight of a crash under a trial that was the only such request.
+	// soleWeight is the weight of a crash under a trial while all such requests had the key.
 	soleWeight = 2
-	// scoreThreshold is the score from which a request is quarantined, and repeatedThreshold
-	// that of a request that was quarantined before.
-	scoreThreshold    = 3
+	// repeatedThreshold is the score from which a key is quarantined again.
 	repeatedThreshold = 2
 )
 
+// policy states how a kind of key is judged.
+type policy struct {
+	// free is the score from which the key is suspect. Crashes under runs that are no trials
+	// count up to that: they may all have been lost to one cause.
+	free int
+	// distinct is set if crashes under the same request count once.
+	distinct bool
+}
+
+var (
+	requestPolicy = policy{free: 1}
+	partPolicy    = policy{free: 2, distinct: true}
+)
+
+// policyOf returns the policy of the key with an index among those of a request.
+func policyOf(index int) policy {
+	if index == 0 {
+		return requestPolicy
+	}
+	return partPolicy
+}
+
+// threshold returns the score from which a key is quarantined, which takes a trial.
+func (p policy) threshold() int {
+	return p.free + soleWeight
+}
+
 // crash is the crash of one endpoint.
 type crash struct {
 	id fescuebank.CrashID
@@ -43,24 +67,68 @@
 	own      []fescuebank.LostRequest
 }
 
-// find returns the request with a key.
+// find returns the request with a key, if there are several one that was a trial.
 func (c *crash) find(key fescuebank.SuspectKey) (lost fescuebank.LostRequest, ok bool) {
-	n := slices.IndexFunc(c.requests, func(r fescuebank.LostRequest) bool { return r.Key == key })
-	if n < 0 {
-		return fescuebank.LostRequest{}, false
+	for _, r := range c.requests {
+		if slices.Contains(r.Keys, key) && (!ok || isTrial(r, key)) {
+			lost, ok = r, true
+		}
 	}
-	return c.requests[n], true
+	return lost, ok
+}
+
+// isTrial reports whether a request was suspect itself, or because of one of its keys.
+func isTrial(lost fescuebank.LostRequest, key fescuebank.SuspectKey) bool {
+	return slices.Contains(lost.Trials, key) || slices.Contains(lost.Trials, lost.Keys[0])
+}
+
+// weight is what a crash weighs.
+type weight struct {
+	value   int
+	isTrial bool
 }
 
-// weight returns what the crash weighs for a request that was lost in it.
-func (c *crash) weight(lost fescuebank.LostRequest, isFirst bool) int {
+// weight returns what the crash weighs for a key of a request lost in it.
+func (c *crash) weight(lost fescuebank.LostRequest, key fescuebank.SuspectKey) weight {
 	switch {
-	case lost.Trial && len(c.requests) == 1:
-		return soleWeight
-	case lost.Trial || isFirst:
-		return ambiguousWeight
+	case !isTrial(lost, key):
+		return weight{value: freeWeight}
+	case slices.ContainsFunc(c.requests, func(r fescuebank.LostRequest) bool { return !slices.Contains(r.Keys, key) }):
+		return weight{value: ambiguousWeight, isTrial: true}
+	}
+	return weight{value: soleWeight, isTrial: true}
+}
+
+// tally sums weights.
+type tally struct {
+	free, trials int
+	// heaviest are the weights by request, if only the heaviest of each one counts.
+	heaviest map[fescuebank.SuspectKey]weight
+}
+
+// add adds the weight of a crash under a request. With distinct set it replaces a lighter one of the
+// same request.
+func (t *tally) add(request fescuebank.SuspectKey, w weight, distinct bool) {
+	if distinct {
+		last, known := t.heaviest[request]
+		if known && (last.isTrial && !w.isTrial || last.isTrial == w.isTrial && last.value >= w.value) {
+			return
+		}
+		if t.heaviest == nil {
+			t.heaviest = make(map[fescuebank.SuspectKey]weight)
+		}
+		t.sum(last, -1)
+		t.heaviest[request] = w
+	}
+	t.sum(w, 1)
+}
+
+func (t *tally) sum(w weight, sign int) {
+	if w.isTrial {
+		t.trials += sign * w.value
+	} else {
+		t.free += sign * w.value
 	}
-	return 0
 }
 
 // completion is the last time at which a key is known to have completed.
@@ -99,11 +167,11 @@
 
 // addLost adds a request to those of a crash.
 func addLost(list []fescuebank.LostRequest, lost fescuebank.LostRequest) []fescuebank.LostRequest {
-	n := slices.IndexFunc(list, func(r fescuebank.LostRequest) bool { return r.Key == lost.Key })
+	n := slices.IndexFunc(list, func(r fescuebank.LostRequest) bool { return slices.Equal(r.Keys, lost.Keys) })
 	switch {
-	case n >= 0:
-		list[n].Trial = list[n].Trial || lost.Trial
-	case len(list) < maxRequests:
+	case n >= 0 && len(list[n].Trials) < len(lost.Trials):
+		list[n].Trials = lost.Trials
+	case n < 0 && len(list) < maxRequests && len(lost.Keys) > 0:
 		list = append(list, lost)
 	}
 	return list
@@ -142,27 +210,41 @@
 	}
 }
 
-// isSuspect reports whether an endpoint crashed under the key since it last completed.
-func (e *evidence) isSuspect(key fescuebank.SuspectKey) bool {
-	return slices.ContainsFunc(e.crashes, func(c *crash) bool {
-		_, ok := c.find(key)
-		return ok && c.at.After(e.completed[key].at)
-	})
-}
-
-// score returns the score of a key by the crashes after a time. Crashes under other requests that
-// are known to crash endpoints don't count.
-func (e *evidence) score(key fescuebank.SuspectKey, since time.Time, isKnown func(fescuebank.SuspectKey) bool) int {
+// score returns the score of a key by the crashes after a time. Crashes that explains attributes to
+// something else don't count.
+func (e *evidence) score(key fescuebank.SuspectKey, p policy, since time.Time, explains func(fescuebank.LostRequest, fescuebank.SuspectKey) bool) int {
 	since = fescuebank.Latest(since, e.completed[key].at)
-	score := 0
+	var t tally
 	for _, c := range e.crashes {
 		lost, ok := c.find(key)
-		isExplained := slices.ContainsFunc(c.requests, func(r fescuebank.LostRequest) bool { return r.Key != key && isKnown(r.Key) })
-		if ok && c.at.After(since) && !isExplained {
-			score += c.weight(lost, score == 0)
+		if !ok || !c.at.After(since) {
+			continue
+		}
+		if slices.ContainsFunc(c.requests, func(r fescuebank.LostRequest) bool { return explains(r, key) }) {
+			continue
+		}
+		t.add(lost.Keys[0], c.weight(lost, key), p.distinct)
+	}
+	return min(t.free, p.free) + t.trials
+}
+
+// rivalScore returns the highest score of a key of those requests in a crash that don't have the key.
+func (e *evidence) rivalScore(id fescuebank.CrashID, key fescuebank.SuspectKey, explains func(fescuebank.LostRequest, fescuebank.SuspectKey) bool) int {
+	highest := 0
+	for _, c := range e.crashes {
+		if c.id != id {
+			continue
+		}
+		for _, r := range c.requests {
+			if slices.Contains(r.Keys, key) {
+				continue
+			}
+			for n, rival := range r.Keys {
+				highest = max(highest, e.score(rival, policyOf(n), time.Time{}, explains))
+			}
 		}
 	}
-	return score
+	return highest
 }
 
 // name returns the text of a key in the log and in the store.
--- a/internal/endpoint/isolator/fleet_test.go
+++ b/internal/endpoint/isolator/fleet_test.go
@@ -99,7 +99,6 @@
 // their number. Gossip about it arrives before it returns.
 func (f *fleet) crash(n int, requests ...*fescuebank.Request) int {
 	f.t.Helper()
-	e := f.newEndpoint()
 	var runs []fescuebank.GuardedRun
 	for _, r := range requests {
 		if run, ok := f.enter(n, r); ok {
@@ -107,6 +106,10 @@
 		}
 	}
 	f.gossip()
+	if len(runs) == 0 {
+		return 0
+	}
+	e := f.newEndpoint()
 	for _, run := range runs {
 		run.RecordLost(e)
 		run.Leave()
--- a/internal/endpoint/isolator/gossip.go
+++ b/internal/endpoint/isolator/gossip.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"slices"
 	"time"
 
 	"fescuebank"
@@ -41,9 +42,9 @@
 		}
 		g.Completed[key] = now.Sub(c.at).Milliseconds()
 	}
-	for key, q := range i.quarantines {
-		if left := q.until.Sub(now); left > 0 && !q.adopted && len(g.Quarantines) < maxReports {
-			g.Quarantines = append(g.Quarantines, fescuebank.Quarantine{Key: key, LeftMs: left.Milliseconds(), LengthMs: q.length.Milliseconds()})
+	for _, q := range i.quarantines {
+		if left := q.until.Sub(now); left > 0 && len(g.Quarantines) < maxReports {
+			g.Quarantines = append(g.Quarantines, fescuebank.Quarantine{ID: string(q.id), Keys: q.keys, LeftMs: left.Milliseconds(), LengthMs: q.length.Milliseconds()})
 		}
 	}
 	for key := range i.trials {
@@ -64,11 +65,11 @@
 		}
 	}
 	for key, ageMs := range g.Completed {
-		i.applyCompletion(key, now.Add(-time.Duration(ageMs)*time.Millisecond))
+		i.complete(key, now.Add(-time.Duration(ageMs)*time.Millisecond), false)
 	}
 	for _, q := range g.Quarantines {
 		until := now.Add(time.Duration(q.LeftMs) * time.Millisecond)
-		i.adopt(q.Key, quarantine{until: until, length: time.Duration(q.LengthMs) * time.Millisecond, adopted: true})
+		i.adopt(quarantine{id: quarantineID(q.ID), keys: q.Keys, until: until, length: time.Duration(q.LengthMs) * time.Millisecond})
 	}
 }
 
@@ -90,24 +91,19 @@
 	}
 }
 
-// applyCompletion records that a key completed elsewhere. The caller holds the lock.
-func (i *Isolator) applyCompletion(key fescuebank.SuspectKey, at time.Time) {
-	if i.evidence.names(key) {
-		i.evidence.complete(key, at, false)
-	}
-	i.lift(key, at)
-}
-
-// adopt applies a quarantine that another instance decided, unless the key has completed since
-// it began. The caller holds the lock.
-func (i *Isolator) adopt(key fescuebank.SuspectKey, q quarantine) {
-	known, ok := i.quarantines[key]
-	if ok && !q.until.After(known.until.Add(gossipTTL)) || i.evidence.completed[key].at.After(q.since()) {
+// adopt applies a quarantine that another instance decided, without the keys that have completed
+// since it began. The caller holds the lock.
+func (i *Isolator) adopt(q quarantine) {
+	q.keys = slices.DeleteFunc(slices.Clone(q.keys), func(key fescuebank.SuspectKey) bool {
+		return i.evidence.completed[key].at.After(q.since())
+	})
+	if len(q.keys) == 0 {
 		return
 	}
-	if !i.put(key, q) {
+	known, ok := i.quarantines[q.id]
+	if ok && !q.until.After(known.until.Add(gossipTTL)) || !i.put(q) {
 		return
 	}
-	i.Log.Warn("Quarantine adopted.", "suspect", name(key), "ms", q.length.Milliseconds())
+	i.Log.Warn("Quarantine adopted.", "suspect", string(q.id), "ms", q.length.Milliseconds())
 	i.signal()
 }
--- a/internal/endpoint/isolator/run.go
+++ b/internal/endpoint/isolator/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"fescuebank"
 )
@@ -10,9 +11,10 @@
 type run struct {
 	isolator *Isolator
 	request  *fescuebank.Request
-	// trial is set if the request was suspect when the run began, and lost once an endpoint
-	// crashed under it.
-	trial, lost bool
+	// trials are the request's keys that were suspect when the run began. lostIn is the crash of
+	// an endpoint under it, or 0.
+	trials []fescuebank.SuspectKey
+	lostIn fescuebank.CrashID
 }
 
 // RecordLost records a crash of the endpoint under the request, if the endpoint is down.
@@ -22,56 +24,64 @@
 	if !i.IsDown(e.Addr) {
 		return
 	}
-	lost := fescuebank.LostRequest{Key: r.request.Fingerprint().Key(), Trial: r.trial}
+	lost := fescuebank.LostRequest{Keys: r.request.SuspectKeys(), Trials: r.trials}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	r.lost = true
+	r.lostIn = e.CrashID()
 	i.evidence.add(e.CrashID(), at, true, lost)
 	i.Log.Warn("Endpoint crashed under a request.", "request", string(r.request.ID), "team", string(r.request.Team),
-		"endpoint", string(e.ID), "started", e.StartedUnixMilli, "suspect", name(lost.Key), "trial", r.trial)
+		"endpoint", string(e.ID), "started", e.StartedUnixMilli, "suspects", names(lost.Keys), "trials", names(r.trials))
 	i.Announce()
 }
 
-// settle calls f once the reports of all instances about a crash that just happened have arrived.
-func (i *Isolator) settle(f func()) {
-	_ = fescuebank.Sleep(context.Background(), i.Clock, settleMargin+i.Lag())
-	f()
-}
-
-// RecordCompleted clears a request that was suspect.
+// RecordCompleted clears all suspects of the request.
 func (r *run) RecordCompleted() {
 	i := r.isolator
 	if !i.knowsSuspects() {
 		return
 	}
-	key := r.request.Fingerprint().Key()
+	keys := r.request.SuspectKeys()
 	now := i.Clock.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if !i.isQuarantined(key) && !i.evidence.names(key) {
-		return
+	for _, key := range keys {
+		for _, id := range i.complete(key, now, true) {
+			i.remove(id)
+		}
 	}
-	i.evidence.complete(key, now, true)
-	if i.lift(key, now) {
-		i.remove(key)
-	}
-	i.signal()
 	i.Announce()
 }
 
-// Leave lets the next run of a suspect begin, after a crash not before it was evaluated.
+// Leave lets the next run of the suspects begin, after a crash not before it was evaluated.
 func (r *run) Leave() {
-	if !r.trial {
+	if len(r.trials) == 0 {
 		return
 	}
 	i := r.isolator
-	key := r.request.Fingerprint().Key()
-	i.mu.Lock()
-	lost := r.lost
-	i.mu.Unlock()
-	if lost {
-		go i.settle(func() { i.evaluate(key); i.endTrial(key) })
+	lostIn := r.crash()
+	if lostIn == 0 {
+		i.endTrials(r.trials)
 		return
 	}
-	i.endTrial(key)
+	go func() {
+		_ = fescuebank.Sleep(context.Background(), i.Clock, settleMargin+i.Lag())
+		i.evaluate(lostIn, r.request.SuspectKeys())
+		i.endTrials(r.trials)
+	}()
+}
+
+// crash returns the crash of an endpoint under the run, or 0.
+func (r *run) crash() fescuebank.CrashID {
+	r.isolator.mu.Lock()
+	defer r.isolator.mu.Unlock()
+	return r.lostIn
+}
+
+// names returns the texts of keys in the log.
+func names(keys []fescuebank.SuspectKey) []string {
+	list := make([]string, 0, len(keys))
+	for key := range slices.Values(keys) {
+		list = append(list, name(key))
+	}
+	return list
 }
--- a/internal/endpoint/isolator/store.go
+++ b/internal/endpoint/isolator/store.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"strconv"
 	"strings"
 	"time"
 
@@ -23,32 +22,33 @@
 
 // write is a change in the store.
 type write struct {
-	key fescuebank.SuspectKey
-	// entry is nil if the key's quarantine has been lifted.
+	id quarantineID
+	// entry is nil if the quarantine has been lifted.
 	entry *entry
 }
 
 // entry is a quarantine in the store.
 type entry struct {
-	UntilUnixMilli int64 `json:"untilUnixMilli"`
-	LengthMs       int64 `json:"lengthMs"`
+	Keys           []fescuebank.SuspectKey `json:"keys"`
+	UntilUnixMilli int64                   `json:"untilUnixMilli"`
+	LengthMs       int64                   `json:"lengthMs"`
 }
 
 // save makes Run store a quarantine. The caller holds the lock.
-func (i *Isolator) save(key fescuebank.SuspectKey, q quarantine) {
-	i.enqueue(write{key: key, entry: &entry{UntilUnixMilli: q.until.UnixMilli(), LengthMs: q.length.Milliseconds()}})
+func (i *Isolator) save(q quarantine) {
+	i.enqueue(write{id: q.id, entry: &entry{Keys: q.keys, UntilUnixMilli: q.until.UnixMilli(), LengthMs: q.length.Milliseconds()}})
 }
 
 // remove makes Run remove a quarantine from the store. The caller holds the lock.
-func (i *Isolator) remove(key fescuebank.SuspectKey) {
-	i.enqueue(write{key: key})
+func (i *Isolator) remove(id quarantineID) {
+	i.enqueue(write{id: id})
 }
 
 func (i *Isolator) enqueue(w write) {
 	select {
 	case i.writes <- w:
 	default:
-		i.Log.Warn("Quarantine not stored.", "suspect", name(w.key))
+		i.Log.Warn("Quarantine not stored.", "suspect", string(w.id))
 	}
 }
 
@@ -90,33 +90,32 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, o := range objects {
-		key, q, ok := decode(o)
-		if !ok {
-			continue
+		q, ok := decode(o)
+		switch {
+		case ok && !q.isOver(now):
+			i.adopt(q)
+		case ok:
+			i.remove(q.id)
 		}
-		if q.isOver(now) {
-			i.remove(key)
-			continue
-		}
-		i.adopt(key, q)
 	}
 	return nil
 }
 
-func decode(o fescuebank.Object) (fescuebank.SuspectKey, quarantine, bool) {
-	key, err := strconv.ParseUint(strings.TrimPrefix(o.Key, fescuebank.QuarantinePrefix), 16, 64)
+// decode returns the quarantine in an object, or false if the object has none.
+func decode(o fescuebank.Object) (q quarantine, ok bool) {
 	var e entry
-	if err != nil || json.Unmarshal(o.Value, &e) != nil {
-		return 0, quarantine{}, false
+	if json.Unmarshal(o.Value, &e) != nil || len(e.Keys) == 0 {
+		return quarantine{}, false
 	}
 	length := min(time.Duration(e.LengthMs)*time.Millisecond, maxLength)
-	return fescuebank.SuspectKey(key), quarantine{until: time.UnixMilli(e.UntilUnixMilli), length: length, adopted: true}, true
+	id := quarantineID(strings.TrimPrefix(o.Key, fescuebank.QuarantinePrefix))
+	return quarantine{id: id, keys: e.Keys, until: time.UnixMilli(e.UntilUnixMilli), length: length}, true
 }
 
 // apply makes a change in the store. Of two instances that store the same quarantine, the first
 // one does.
 func (i *Isolator) apply(ctx context.Context, w write) error {
-	path := fescuebank.QuarantinePrefix + name(w.key)
+	path := fescuebank.QuarantinePrefix + string(w.id)
 	stored, err := i.Store.Get(ctx, path)
 	if err != nil && !errors.Is(err, fescuebank.ErrAbsent) {
 		return err
@@ -127,7 +126,7 @@
 		}
 		return i.Store.Delete(ctx, path, stored.Version)
 	}
-	_, last, ok := decode(stored)
+	last, ok := decode(stored)
 	if ok && last.until.UnixMilli() >= w.entry.UntilUnixMilli-gossipTTL.Milliseconds() {
 		return nil
 	}
--- a/suspect.go
+++ b/suspect.go
@@ -15,6 +15,18 @@
 	return SuspectKey(binary.LittleEndian.Uint64(f[:]))
 }
 
+// SuspectKeys returns the keys of all that may make the request crash endpoints: first that of the
+// request itself, then those of the parts of its prompt that other requests may hold, at most
+// maxParts of them.
+func (r *Request) SuspectKeys() []SuspectKey {
+	const maxParts = 16
+	keys := []SuspectKey{r.Fingerprint().Key()}
+	for _, part := range r.Prompt[:min(max(0, len(r.Prompt)-1), maxParts)] {
+		keys = append(keys, SuspectKey(xxhash.Sum64String(string(r.Service)+"/"+part.ID)))
+	}
+	return keys
+}
+
 // CrashID identifies the crash of one incarnation of an endpoint.
 type CrashID uint64
 
@@ -36,16 +48,20 @@
 
 // LostRequest is a request under which an endpoint crashed.
 type LostRequest struct {
-	_   struct{} `cbor:",toarray"`
-	Key SuspectKey
-	// Trial is set if the request was suspect when it was sent to the endpoint.
-	Trial bool
+	_ struct{} `cbor:",toarray"`
+	// Keys has the key of the request first, then those of the parts of its prompt.
+	Keys []SuspectKey
+	// Trials are those of Keys that were suspect when the request was sent to the endpoint.
+	Trials []SuspectKey
 }
 
-// Quarantine states that a request must not run, because endpoints crashed under it.
+// Quarantine states that requests that have all keys must not run, because endpoints crashed under
+// such requests. It has one key, or those of several parts if all of these requests held them all.
 type Quarantine struct {
-	_   struct{} `cbor:",toarray"`
-	Key SuspectKey
+	_ struct{} `cbor:",toarray"`
+	// ID is the same at all instances, also after some of Keys were found to be sound.
+	ID   string
+	Keys []SuspectKey
 	// LeftMs is the remaining and LengthMs the whole duration, in milliseconds.
 	LeftMs   int64
 	LengthMs int64
