Keep the last owner at work until another can take over

Cause: a retiring owner released its teams without a successor; the list of owners went on naming it. TestLastOwnerServesUntilAnotherTakesOver was red: no job accepted by the last owner within 3 s. Change: it goes on until an owner is there that stays.

--- a/cmd/fescuebankd/objectplatform_test.go
+++ b/cmd/fescuebankd/objectplatform_test.go
@@ -412,6 +412,35 @@
 	})
 }
 
+// TestLastOwnerServesUntilAnotherTakesOver guards against jobs that nobody owns after all owners were
+// asked to retire.
+func TestLastOwnerServesUntilAnotherTakesOver(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, 1)
+	a, _ := d.startAll()
+	retired := func(name string) func() bool {
+		return func() bool { return d.store.Status("retirements/"+name) == `{"state":"completed"}` }
+	}
+	accepted := func(job string) func() bool {
+		return func() bool {
+			status, _ := d.send(a, http.MethodPost, "/batch/x", "k1", job, jobBody(1, 1))
+			return status == http.StatusAccepted
+		}
+	}
+	d.putObject("retirements/owner-1", `{"durationS":10}`)
+	d.eventually("completed retirement", 5*time.Second, retired("owner-1"))
+	d.putObject("retirements/owner-2", `{"durationS":10}`)
+	time.Sleep(time.Second)
+	d.eventually("job accepted by the last owner", 3*time.Second, accepted("job1"))
+	d.completeJob(a, "job2")
+	if retired("owner-2")() {
+		t.Error("got a completed retirement of the last owner, want none")
+	}
+	d.start("owner-3", false)
+	d.eventually("completed retirement after another owner has started", 10*time.Second, retired("owner-2"))
+	d.eventually("job accepted by the other owner", 5*time.Second, accepted("job3"))
+}
+
 func TestObjectPlatformEntryDrainsOnShutdown(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t, 1)
--- a/internal/operate/server/leave.go
+++ b/internal/operate/server/leave.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -58,36 +57,6 @@
 	}
 }
 
-// applyRetirements starts to retire this instance if a request for it is among the
-// objects.
-func (s *Server) applyRetirements(objects []fescuebank.Object) {
-	for _, o := range objects {
-		if o.Key == s.platform.RetirementPrefix+string(s.self.ID) && s.retiring.CompareAndSwap(false, true) {
-			go s.retire(context.Background(), o.Key)
-		}
-	}
-}
-
-// retire releases what this instance owns, waits until it is handed over, and records
-// the retirement as completed.
-func (s *Server) retire(ctx context.Context, key string) {
-	log := s.logFor("retire")
-	log.Info("Retirement requested; releasing ownership.")
-	s.releaseOwnership(ctx)
-	for !s.hasHandedOver() {
-		_ = fescuebank.Sleep(ctx, s.clock, idlePollInterval)
-	}
-	for {
-		err := s.platform.SetRetired(ctx, key, true)
-		if err == nil || errors.Is(err, fescuebank.ErrAbsent) {
-			log.Info("Retirement completed; this instance owns nothing.")
-			return
-		}
-		log.Warn("Retirement not recorded; retrying.", "err", err.Error())
-		_ = fescuebank.Sleep(ctx, s.clock, idlePollInterval)
-	}
-}
-
 // leave shuts the instance down: it removes itself from the addresses, releases
 // ownership, waits for the requests in flight, and removes its member entry.
 func (s *Server) leave(servers []*http.Server) {
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -101,9 +101,10 @@
 	leaving atomic.Bool
 	// retiring is set when the instance is asked to hand over what it owns, and
 	// released when it stops acting as an owner.
-	retiring atomic.Bool
-	released atomic.Bool
-	inFlight atomic.Int64
+	retiring    atomic.Bool
+	retirements atomic.Pointer[retirements]
+	released    atomic.Bool
+	inFlight    atomic.Int64
 
 	listeners     *listeners
 	linker        *linker.Linker
