End attempts at endpoints that send bytes without end

Callers could see: 504 at the deadline, while an endpoint in trouble filled the instance's memory with a head or an event that never ends. Cause: the head of a response and an incomplete event were read without a bound. Class: what an endpoint sends is trusted to end. Change: a head of more than 256 KiB, or an event of more than that, counts as a broken response; the request moves on as after any other. The same for batch items (TestEndlessEventEndsAttempt).

--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -345,6 +345,9 @@
 				return err
 			}
 		}
+		if err := events.Err(); err != nil {
+			return err
+		}
 		if err == io.EOF {
 			if events.Partial() || progress.Events == 0 {
 				return io.ErrUnexpectedEOF
--- a/internal/batch/runner/stall_test.go
+++ b/internal/batch/runner/stall_test.go
@@ -13,6 +13,7 @@
 	"fescuebank"
 	"fescuebank/internal/batch/manager"
 	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/endpoint/scanner"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/timing/timekeeper"
 )
@@ -96,3 +97,27 @@
 		})
 	}
 }
+
+// TestEndlessEventEndsAttempt guards against an endpoint that fills the memory with an event without
+// an end.
+func TestEndlessEventEndsAttempt(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), idleTimeout)
+	defer cancel()
+	handle := func(c net.Conn) {
+		buffer := make([]byte, 1)
+		_, _ = c.Read(buffer)
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"))
+		for block := make([]byte, 64<<10); ; {
+			if _, err := c.Write(block); err != nil {
+				return
+			}
+		}
+	}
+	cause, err := attemptAt(ctx, t, handle, &fescuebank.Progress{})
+	if ctx.Err() != nil {
+		t.Fatalf("got an attempt that goes on after %v, want its end", idleTimeout)
+	}
+	if cause != manager.CauseInterrupted || !errors.Is(err, scanner.ErrTooLong) {
+		t.Errorf("got cause %v, error %v, want cause %v, error %v", cause, err, manager.CauseInterrupted, scanner.ErrTooLong)
+	}
+}
--- a/internal/endpoint/exchanger/exchanger.go
+++ b/internal/endpoint/exchanger/exchanger.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -38,6 +39,8 @@
 	sweepInterval = time.Second
 	// readerBytes is the size of a connection's read buffer.
 	readerBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response, with what is read ahead of its end.
+	maxHeadBytes = 256 << 10
 	// asyncWriteBytes is the size from which a request is written concurrently with
 	// reading the response, as the endpoint may respond before it has read all of it.
 	asyncWriteBytes = 16 << 10
@@ -75,6 +78,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limit bounds the bytes read from Conn.
+	limit *io.LimitedReader
 	// expires is the time from which the idle connection is not reused.
 	expires time.Time
 }
@@ -148,7 +153,9 @@
 // a second response to an earlier request.
 func (r *Response) readHead(request *fescuebank.Request) error {
 	for range maxMismatched + 1 {
+		r.conn.limit.N = maxHeadBytes
 		resp, err := http.ReadResponse(r.conn.reader, &http.Request{Method: request.Method})
+		r.conn.limit.N = math.MaxInt64
 		if err != nil {
 			return eris.Wrapf(ErrBroken, "%v", err)
 		}
@@ -276,7 +283,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: dialed, reader: bufio.NewReaderSize(dialed, readerBytes)}, nil
+	limit := &io.LimitedReader{R: dialed, N: math.MaxInt64}
+	return &conn{Conn: dialed, limit: limit, reader: bufio.NewReaderSize(limit, readerBytes)}, nil
 }
 
 // IsDown reports whether nothing listens at addr, as after a crash of the endpoint. It reports
--- a/internal/endpoint/scanner/scanner.go
+++ b/internal/endpoint/scanner/scanner.go
@@ -3,9 +3,16 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 )
 
+// maxEventBytes bounds an event.
+const maxEventBytes = 256 << 10
+
+// ErrTooLong means that a stream contains an event that is longer than any valid one.
+var ErrTooLong = errors.New("event too long")
+
 // Scanner buffers the bytes of an incomplete event.
 type Scanner struct {
 	pending []byte
@@ -40,6 +47,15 @@
 	return len(s.pending) > 0
 }
 
+// Err returns ErrTooLong if the incomplete event is too long, so that the rest of the stream is no
+// use.
+func (s *Scanner) Err() error {
+	if len(s.pending) > maxEventBytes {
+		return ErrTooLong
+	}
+	return nil
+}
+
 // Events decodes complete events. Fields other than id and data are ignored.
 func Events(complete []byte) []Event {
 	var events []Event
--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -80,6 +80,9 @@
 			}
 			t.lastEvent = scanner.LastID(complete, t.lastEvent)
 		}
+		if err := events.Err(); err != nil {
+			return t.handleTruncation(ctx, resp, err)
+		}
 		if readErr == io.EOF {
 			return t.endEvents(ctx, resp, events.Partial())
 		}
