Take batch items as evidence of what crashes endpoints

Callers could see: a sound part that mostly batch items hold stays suspect, so that requests with it wait for each other; or a request is quarantined for a crash that an item beside it caused. Cause: only the runs of callers' requests were recorded. Change: the runner records items that completed, and those lost before their first event, with the parts of their prompts. Items themselves are never refused and never wait: they are owed.

--- a/exchange.go
+++ b/exchange.go
@@ -108,6 +108,8 @@
 	Encode(h http.Header, r *Request, e ServedEndpoint, timeLeft time.Duration)
 	// Resume sets the headers that request only the events after the one with the id last.
 	Resume(h http.Header, last string)
+	// Prompt returns the parts of the prompt that the header of a request states.
+	Prompt(h http.Header) []PromptPart
 	// Decode reads the status and header of a response.
 	Decode(status int, h http.Header) ResponseInfo
 }
--- a/guard.go
+++ b/guard.go
@@ -37,6 +37,8 @@
 	// Enter returns a refusal if the request must not run. A suspect request waits until no
 	// other run of it is known, for the given time at most.
 	Enter(ctx context.Context, r *Request, maxWait time.Duration) (GuardedRun, error)
+	// Observe returns the run of a request that must run in any case, as a batch item must.
+	Observe(r *Request) GuardedRun
 }
 
 // GuardedRun is a run of a request that a CrashGuard admitted.
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -42,6 +42,7 @@
 	Allocator *allocator.Allocator
 	Exchanger *exchanger.Exchanger
 	Protocol  fescuebank.EndpointProtocol
+	Guard     fescuebank.CrashGuard
 	// PeerBatchItems returns the number of batch items that the other instances run.
 	PeerBatchItems func() int
 	// Owners returns the number of instances that run batch items.
@@ -257,6 +258,8 @@
 // attempt runs an item once and appends the generated output to progress.
 func (r *Runner) attempt(ctx context.Context, a *attempt, progress *fescuebank.Progress) (manager.Cause, error) {
 	request, endpoint := a.task.Request, a.slot.Endpoint
+	run := r.observe(request)
+	defer run.Leave()
 	header := make(http.Header, len(request.Header)+4)
 	r.Protocol.Encode(header, request, endpoint, max(time.Second, request.Deadline.Sub(r.Clock.Now())))
 	if progress.Last != "" {
@@ -269,6 +272,9 @@
 	timedOut := !headTimer.Stop()
 	if err != nil {
 		cause := r.excludeEndpoint(ctx, endpoint, err)
+		if errors.Is(err, exchanger.ErrBroken) && exchange.Err() == nil {
+			run.RecordLost(endpoint)
+		}
 		if timedOut && ctx.Err() == nil {
 			// The item waited in the endpoint's queue, which says nothing about the item.
 			cause = manager.CauseNotRun
@@ -298,17 +304,29 @@
 	case response.StatusCode/100 != 2 || !response.Info.Signed:
 		return manager.CauseInterrupted, errCorrupted
 	}
+	eventsBefore := progress.Events
 	if err := r.readEvents(response, progress); err != nil {
 		response.Abort()
 		cause := r.excludeEndpoint(ctx, endpoint, err)
+		if progress.Events == eventsBefore && exchange.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			run.RecordLost(endpoint)
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
 			cause = manager.CauseSilent
 		}
 		return cause, err
 	}
+	run.RecordCompleted()
 	return 0, nil
 }
 
+// observe returns the guarded run of an item.
+func (r *Runner) observe(request *fescuebank.Request) fescuebank.GuardedRun {
+	observed := *request
+	observed.Prompt = r.Protocol.Prompt(request.Header)
+	return r.Guard.Observe(&observed)
+}
+
 // Errors of an attempt.
 var (
 	errNotRun     = errors.New("endpoint did not execute the item")
--- a/internal/batch/runner/runner_test.go
+++ b/internal/batch/runner/runner_test.go
@@ -20,6 +20,11 @@
 // plainProtocol is an endpoint protocol without headers of its own.
 type plainProtocol struct{}
 
+// promptParts are the parts of the prompt of each request with a plainProtocol.
+var promptParts = []fescuebank.PromptPart{{ID: "shared", Tokens: 10}, {ID: "own", Tokens: 5}}
+
+func (plainProtocol) Prompt(http.Header) []fescuebank.PromptPart { return promptParts }
+
 func (plainProtocol) Encode(http.Header, *fescuebank.Request, fescuebank.ServedEndpoint, time.Duration) {
 }
 func (plainProtocol) Resume(http.Header, string) {}
@@ -70,7 +75,7 @@
 			a := allocator.New(clock, func() {})
 			a.SetEndpoints([]fescuebank.ServedEndpoint{endpoint})
 			r := New(Config{
-				Allocator: a, Exchanger: exchanger.New(plainProtocol{}, clock), Protocol: plainProtocol{}, Clock: clock, Log: hclog.NewNullLogger(),
+				Allocator: a, Exchanger: exchanger.New(plainProtocol{}, clock), Protocol: plainProtocol{}, Guard: &recordingGuard{}, Clock: clock, Log: hclog.NewNullLogger(),
 			})
 			slot := a.AcquireBatch("s", "", 0)
 			if slot == nil {
@@ -121,7 +126,7 @@
 			a := allocator.New(clock, func() {})
 			a.SetEndpoints(list)
 			r := New(Config{
-				Allocator: a, Exchanger: exchanger.New(statingProtocol{}, clock), Protocol: statingProtocol{}, Clock: clock, Log: hclog.NewNullLogger(),
+				Allocator: a, Exchanger: exchanger.New(statingProtocol{}, clock), Protocol: statingProtocol{}, Guard: &recordingGuard{}, Clock: clock, Log: hclog.NewNullLogger(),
 			})
 			slot := a.AcquireBatch("s", "", 0)
 			if slot == nil {
--- a/internal/batch/runner/version_test.go
+++ b/internal/batch/runner/version_test.go
@@ -35,6 +35,8 @@
 func (resumingProtocol) Encode(h http.Header, r *fescuebank.Request, _ fescuebank.ServedEndpoint, _ time.Duration) {
 	h.Set(requestHeader, string(r.ID))
 }
+func (resumingProtocol) Prompt(http.Header) []fescuebank.PromptPart { return nil }
+
 func (resumingProtocol) Resume(h http.Header, last string) { h.Set(resumeHeader, last) }
 func (resumingProtocol) Decode(_ int, h http.Header) fescuebank.ResponseInfo {
 	return fescuebank.ResponseInfo{Request: fescuebank.RequestID(h.Get(requestHeader)), Signed: true}
@@ -108,7 +110,7 @@
 			a.SetEndpoints([]fescuebank.ServedEndpoint{endpoint})
 			m := newManager(t)
 			r := New(Config{
-				Manager: m, Allocator: a, Exchanger: exchanger.New(resumingProtocol{}, clock), Protocol: resumingProtocol{},
+				Manager: m, Allocator: a, Exchanger: exchanger.New(resumingProtocol{}, clock), Protocol: resumingProtocol{}, Guard: &recordingGuard{},
 				Clock: clock, Log: hclog.NewNullLogger(),
 			})
 			ctx, cancel := context.WithCancel(t.Context())
--- a/internal/endpoint/exchanger/exchanger_test.go
+++ b/internal/endpoint/exchanger/exchanger_test.go
@@ -23,6 +23,8 @@
 // plainProtocol is an endpoint protocol without headers of its own.
 type plainProtocol struct{}
 
+func (plainProtocol) Prompt(http.Header) []fescuebank.PromptPart { return nil }
+
 func (plainProtocol) Encode(http.Header, *fescuebank.Request, fescuebank.ServedEndpoint, time.Duration) {
 }
 func (plainProtocol) Resume(http.Header, string) {}
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -201,7 +201,7 @@
 	})
 	s.linker.Handle(fescuebank.KindProgressHandover, s.manager.HandleProgressHandover)
 	s.runner = runner.New(runner.Config{
-		Manager: s.manager, Allocator: s.allocator, Exchanger: s.exchanger, Protocol: s.platform.Protocol,
+		Manager: s.manager, Allocator: s.allocator, Exchanger: s.exchanger, Protocol: s.platform.Protocol, Guard: s.isolator,
 		PeerBatchItems: s.peerBatchItems, Owners: s.ownerCount, Lag: s.gossiper.Lag, Clock: s.clock, Log: s.logFor("run"),
 	})
 	batchClient := client.New(client.Config{
