Don't take removed objects back from a peer's replica

Callers saw: requests and batch items reached endpoints over 4 s after the store had acknowledged that they leave (DRAIN), in a large fleet, after a partition. Cause: an instance that reaches the store again keeps missing objects for 2.2 s. Followers, which had removed them, took them back from its replica. Change: a replica remembers for a minute which versions it removed and refuses these from peers. The store's versions are never used twice, so that an object that is written again is taken.

--- a/internal/fleet/replicator/replica.go
+++ b/internal/fleet/replicator/replica.go
@@ -64,7 +64,7 @@
 
 // ApplyDelta applies changes from the replica of another instance and reports whether this
 // replica now holds all that the peer's does. Newer objects of the peer replace those of this
-// replica. If the peer's replica is newer, objects that it lacks are removed, unless they
+// replica, but a version that was removed here doesn't come back. If the peer's replica is newer, objects that it lacks are removed, unless they
 // are newer still. They are only removed if this replicator follows, or if the store is
 // unreachable from this instance; otherwise it learns of removals from the store.
 func (r *Replicator) ApplyDelta(delta fescuebank.ReplicaDelta) (complete bool) {
@@ -72,7 +72,9 @@
 	disconnected := r.clock.Now().Sub(r.lastContact) >= outageThreshold
 	changed, newer := false, delta.At > r.asOf
 	for _, o := range delta.Objects {
-		changed = r.put(o) || changed
+		if !r.removed.covers(o.Key, o.Version) {
+			changed = r.put(o) || changed
+		}
 		r.asOf = max(r.asOf, o.Version)
 	}
 	for key, o := range r.objects {
@@ -83,7 +85,7 @@
 	}
 	complete = true
 	for key, version := range delta.Versions {
-		complete = complete && r.objects[key].Version >= version
+		complete = complete && (r.objects[key].Version >= version || r.removed.covers(key, version))
 	}
 	if r.following && complete {
 		r.asOf = max(r.asOf, delta.At)
@@ -161,6 +163,7 @@
 // lock.
 func (r *Replicator) put(o fescuebank.Object) (changed bool) {
 	delete(r.missingUntil, o.Key)
+	delete(r.removed, o.Key)
 	if current, ok := r.objects[o.Key]; ok && current.Version >= o.Version {
 		return false
 	}
@@ -172,7 +175,8 @@
 // remove removes an object, unless it may have expired during an outage of the store and
 // its writer still has time to write it again. The caller holds the lock.
 func (r *Replicator) remove(key string, at fescuebank.StoreVersion) (changed bool) {
-	if _, ok := r.objects[key]; !ok {
+	o, ok := r.objects[key]
+	if !ok {
 		return false
 	}
 	if until, isMissing := r.missingUntil[key]; isMissing && r.clock.Now().Before(until) {
@@ -180,6 +184,7 @@
 	}
 	delete(r.missingUntil, key)
 	delete(r.objects, key)
+	r.removed.add(o, r.clock.Now())
 	r.changedAt = max(r.changedAt, at)
 	return true
 }
--- a/internal/fleet/replicator/replicator.go
+++ b/internal/fleet/replicator/replicator.go
@@ -65,6 +65,7 @@
 	// missingUntil holds the objects that were missing after an outage, with the time
 	// until which the replica keeps them.
 	missingUntil map[string]time.Time
+	removed      removals
 	// changedAt is the store version of the newest change applied, and asOf the one up
 	// to which the replica is known to be current.
 	changedAt fescuebank.StoreVersion
@@ -88,7 +89,7 @@
 	return &Replicator{
 		store: store, clock: clock, log: log, prefix: prefix, onChange: onChange, lastContact: clock.Now(),
 		maxPause: func() time.Duration { return DefaultMaxPause },
-		relist:   make(chan struct{}, 1), modeChanged: make(chan struct{}, 1), objects: make(map[string]fescuebank.Object), missingUntil: make(map[string]time.Time),
+		relist:   make(chan struct{}, 1), modeChanged: make(chan struct{}, 1), objects: make(map[string]fescuebank.Object), missingUntil: make(map[string]time.Time), removed: make(removals),
 	}
 }
 
