--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -4,10 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -18,7 +14,6 @@
 	"fescuebank/internal/batch/manager"
 	"fescuebank/internal/batch/pacer"
 	"fescuebank/internal/endpoint/exchanger"
-	"fescuebank/internal/endpoint/scanner"
 	"fescuebank/internal/entry/allocator"
 )
 
@@ -66,15 +61,6 @@
 	stopped bool
 }
 
-// attempt is one item at one endpoint.
-type attempt struct {
-	task *manager.Task
-	slot *allocator.Slot
-	// cancel ends the attempt; preempted is set when it was called for a preemption.
-	cancel    context.CancelFunc
-	preempted bool
-}
-
 // New returns a runner.
 func New(c Config) *Runner {
 	return &Runner{Config: c, wake: make(chan struct{}, 1), pacer: pacer.New()}
@@ -211,184 +197,3 @@
 	}
 	return slot
 }
-
-func (r *Runner) run(ctx context.Context, a *attempt) {
-	started := r.Clock.Now()
-	a.task.Progress = a.task.Progress.ContinuedAt(a.slot.Endpoint.Version)
-	progress := a.task.Progress
-	progress.Output = slices.Clip(progress.Output)
-	cause, err := r.attempt(ctx, a, &progress)
-	a.cancel()
-	a.slot.Release()
-	r.mu.Lock()
-	r.running = slices.DeleteFunc(r.running, func(x *attempt) bool { return x == a })
-	r.mu.Unlock()
-	r.report(a, cause, err, progress, started)
-	r.Wake()
-}
-
-// errRejected means that the endpoint rejected the item as invalid, so that no other
-// attempt can succeed.
-var errRejected = errors.New("endpoint rejected the item permanently")
-
-// report passes the end of an attempt to the manager and logs it.
-func (r *Runner) report(a *attempt, cause manager.Cause, err error, progress fescuebank.Progress, started time.Time) {
-	took := r.Clock.Now().Sub(started)
-	r.Manager.ObserveAttempt(a.task, progress, took, err == nil)
-	outcome := "completed"
-	switch {
-	case err == nil:
-		r.Manager.Finish(a.task, false, progress.Output)
-	case errors.Is(err, errRejected):
-		outcome = err.Error()
-		r.Manager.Finish(a.task, true, nil)
-	default:
-		outcome = err.Error()
-		if a.preempted {
-			cause, outcome = manager.CausePreempted, "yielded"
-		}
-		r.Manager.Requeue(a.task, cause, progress)
-	}
-	r.Log.Info("Item attempted.", "request", string(a.task.Request.ID), "team", string(a.task.Request.Team),
-		"endpoint", string(a.slot.Endpoint.ID), "started", a.slot.Endpoint.StartedUnixMilli, "endpointVersion", a.slot.Endpoint.Version, "load", a.slot.Load,
-		"events", progress.Events, "ms", took.Milliseconds(),
-		"slackMs", a.task.Due.Sub(r.Clock.Now()).Milliseconds(), "outcome", outcome)
-}
-
-// attempt runs an item once and appends the generated output to progress.
-func (r *Runner) attempt(ctx context.Context, a *attempt, progress *fescuebank.Progress) (manager.Cause, error) {
-	request, endpoint := a.task.Request, a.slot.Endpoint
-	run := r.observe(request)
-	defer run.Leave()
-	header := make(http.Header, len(request.Header)+4)
-	r.Protocol.Encode(header, request, endpoint, max(time.Second, request.Deadline.Sub(r.Clock.Now())))
-	if progress.Last != "" {
-		r.Protocol.Resume(header, progress.Last)
-	}
-	exchange, cancel := context.WithCancel(ctx)
-	defer cancel()
-	headTimer := time.AfterFunc(idleTimeout, cancel)
-	response, err := r.Exchanger.Send(exchange, endpoint.Addr, request, header)
-	timedOut := !headTimer.Stop()
-	if err != nil {
-		cause := r.excludeEndpoint(ctx, endpoint, err)
-		if errors.Is(err, exchanger.ErrBroken) && exchange.Err() == nil {
-			run.RecordLost(endpoint)
-		}
-		if timedOut && ctx.Err() == nil {
-			// The item waited in the endpoint's queue, which says nothing about the item.
-			cause = manager.CauseNotRun
-		}
-		return cause, err
-	}
-	defer response.Finish()
-	if response.Info.Load != nil {
-		a.slot.Observe(*response.Info.Load)
-	}
-	if response.Info.StatesLeaving(endpoint.ID) && a.slot.MarkLeaving() {
-		r.Log.Info("Endpoint states that it leaves.", "request", string(request.ID), "endpoint", string(endpoint.ID), "started", endpoint.StartedUnixMilli)
-	}
-	if response.Info.NotRun {
-		response.SetReadDeadline(r.Clock.Now().Add(idleTimeout))
-		_, _ = io.Copy(io.Discard, io.LimitReader(response, readBufferBytes))
-		if response.Info.Misdirected {
-			r.Allocator.Exclude(endpoint.ID, allocator.ExclusionTime)
-		}
-		return manager.CauseNotRun, errNotRun
-	}
-	switch {
-	case response.StatusCode == http.StatusUnprocessableEntity:
-		return 0, errRejected
-	case response.StatusCode == http.StatusInternalServerError:
-		return manager.CauseItemFailed, errItemFailed
-	case response.StatusCode/100 != 2 || !response.Info.Signed:
-		return manager.CauseInterrupted, errCorrupted
-	}
-	eventsBefore := progress.Events
-	if err := r.readEvents(response, progress); err != nil {
-		response.Abort()
-		cause := r.excludeEndpoint(ctx, endpoint, err)
-		if progress.Events == eventsBefore && exchange.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			run.RecordLost(endpoint)
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
-			cause = manager.CauseSilent
-		}
-		return cause, err
-	}
-	run.RecordCompleted()
-	return 0, nil
-}
-
-// observe returns the guarded run of an item.
-func (r *Runner) observe(request *fescuebank.Request) fescuebank.GuardedRun {
-	observed := *request
-	observed.Prompt = r.Protocol.Prompt(request.Header)
-	return r.Guard.Observe(&observed)
-}
-
-// Errors of an attempt.
-var (
-	errNotRun     = errors.New("endpoint did not execute the item")
-	errItemFailed = errors.New("endpoint reported that the item failed")
-	errCorrupted  = errors.New("response corrupted")
-	errEventOrder = errors.New("event out of order")
-)
-
-// excludeEndpoint excludes a failed endpoint for allocator.ExclusionTime and closes its
-// idle connections, unless this instance cancelled the attempt. It returns the cause of
-// the attempt's end.
-func (r *Runner) excludeEndpoint(ctx context.Context, endpoint fescuebank.ServedEndpoint, err error) manager.Cause {
-	if ctx.Err() != nil {
-		return manager.CauseInterrupted
-	}
-	r.Allocator.Exclude(endpoint.ID, allocator.ExclusionTime)
-	r.Exchanger.CloseIdle(endpoint.Addr)
-	if errors.Is(err, exchanger.ErrUnreachable) {
-		return manager.CauseNotRun
-	}
-	return manager.CauseInterrupted
-}
-
-// readEvents reads events until the response ends, which it must do after a complete
-// event.
-func (r *Runner) readEvents(response *exchanger.Response, progress *fescuebank.Progress) error {
-	var events scanner.Scanner
-	buffer := make([]byte, readBufferBytes)
-	for {
-		response.SetReadDeadline(r.Clock.Now().Add(idleTimeout))
-		count, err := response.Read(buffer)
-		for _, e := range scanner.Events(events.Feed(buffer[:count])) {
-			if err := appendEvent(progress, e); err != nil {
-				return err
-			}
-		}
-		if err := events.Err(); err != nil {
-			return err
-		}
-		if err == io.EOF {
-			if events.Partial() || progress.Events == 0 {
-				return io.ErrUnexpectedEOF
-			}
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// appendEvent appends an event's data to the output. The event must directly follow the
-// last one.
-func appendEvent(progress *fescuebank.Progress, e scanner.Event) error {
-	if e.ID == "" || !follows(progress.Last, e.ID) {
-		return errEventOrder
-	}
-	if progress.Events > 0 {
-		progress.Output = append(progress.Output, '\n')
-	}
-	progress.Output = append(progress.Output, e.Data...)
-	progress.Events++
-	progress.Last = e.ID
-	return nil
-}
--- a/internal/endpoint/quarantiner/quarantiner.go
+++ b/internal/endpoint/quarantiner/quarantiner.go
@@ -4,17 +4,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"maps"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
 
 	"fescuebank"
 	"fescuebank/internal/endpoint/permitter"
@@ -85,13 +82,6 @@
 	return union(slices.Collect(maps.Keys(s.own)), slices.Collect(maps.Keys(s.reported)))
 }
 
-// incident is the loss of one endpoint as seen by this instance.
-type incident struct {
-	at time.Time
-	// requests are the online requests that were running at the endpoint.
-	requests []fescuebank.Fingerprint
-}
-
 // New returns a quarantiner without suspect requests.
 func New(store fescuebank.ObjectStore, peer fescuebank.Peer, d fescuebank.Directory, p *permitter.Permitter, clock fescuebank.Clock, log hclog.Logger) *Quarantiner {
 	return &Quarantiner{
@@ -275,22 +265,6 @@
 	q.suspectFor(f).at = now
 }
 
-// incidentFor returns the incident of an endpoint that was lost now, and drops those that are
-// older than outageWindow. The caller holds mu.
-func (q *Quarantiner) incidentFor(id fescuebank.EndpointID, now time.Time) *incident {
-	for other, in := range q.incidents {
-		if now.Sub(in.at) > outageWindow {
-			delete(q.incidents, other)
-		}
-	}
-	in, ok := q.incidents[id]
-	if !ok {
-		in = &incident{at: now}
-		q.incidents[id] = in
-	}
-	return in
-}
-
 // attribute decides, after all requests of a lost endpoint have been recorded, whether
 // the loss is attributed to f. If it is, it returns the crash record to publish.
 func (q *Quarantiner) attribute(f fescuebank.Fingerprint, id fescuebank.EndpointID) (fescuebank.CrashRecord, bool) {
@@ -320,145 +294,6 @@
 	return s
 }
 
-// findOutage treats losses of other endpoints under other requests as evidence of an
-// outage and retracts them, unless a crash record of one of the requests was received.
-// The caller holds mu.
-func (q *Quarantiner) findOutage(id fescuebank.EndpointID, in *incident) {
-	if q.anyReported(in.requests) {
-		return
-	}
-	for other, o := range q.incidents {
-		if other == id || sharesAny(o.requests, in.requests) || q.anyReported(o.requests) {
-			continue
-		}
-		q.retractLoss(other, o)
-		q.retractLoss(id, in)
-	}
-}
-
-// anyReported reports whether a crash record of any of the requests was received from
-// another instance or the store.
-func (q *Quarantiner) anyReported(list []fescuebank.Fingerprint) bool {
-	return slices.ContainsFunc(list, func(f fescuebank.Fingerprint) bool {
-		s, ok := q.suspects[f]
-		return ok && len(s.reported) > 0
-	})
-}
-
-func sharesAny(a, b []fescuebank.Fingerprint) bool {
-	return slices.ContainsFunc(a, func(f fescuebank.Fingerprint) bool { return slices.Contains(b, f) })
-}
-
-// retractLoss removes a loss from all requests that this instance attributed it to.
-func (q *Quarantiner) retractLoss(id fescuebank.EndpointID, in *incident) {
-	for _, f := range in.requests {
-		s, ok := q.suspects[f]
-		if !ok {
-			continue
-		}
-		delete(s.own, id)
-		if len(s.lost()) == 0 {
-			delete(q.suspects, f)
-		}
-	}
-}
-
-// publish sends the crash record to all peers and writes it to the store in the background.
-func (q *Quarantiner) publish(record fescuebank.CrashRecord) {
-	q.log.Warn("Endpoint lost while running a request.",
-		"fingerprint", record.Fingerprint.String(), "lost", len(record.Lost))
-	go q.storeRecord(record)
-	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
-	defer cancel()
-	var group errgroup.Group
-	group.SetLimit(publishConcurrency)
-	self := q.directory.Self().ID
-	for _, i := range q.directory.Instances() {
-		if i.ID == self {
-			continue
-		}
-		group.Go(func() error {
-			request := fescuebank.CrashRecordRequest{Record: record}
-			return q.peer.Call(ctx, i.PeerAddr, fescuebank.KindCrashRecord, &request, &fescuebank.CrashRecordReply{})
-		})
-	}
-	_ = group.Wait()
-}
-
-// storeRecord merges the crash record into the stored one.
-func (q *Quarantiner) storeRecord(record fescuebank.CrashRecord) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	key := fescuebank.CrashRecordPrefix + record.Fingerprint.String()
-	for range maxStoreAttempts {
-		merged := record
-		o, err := q.store.Get(ctx, key)
-		if err == nil {
-			var found fescuebank.CrashRecord
-			if json.Unmarshal(o.Value, &found) == nil {
-				merged.Lost = union(found.Lost, record.Lost)
-			}
-		} else if !errors.Is(err, fescuebank.ErrAbsent) {
-			_ = fescuebank.Sleep(ctx, q.clock, time.Second)
-			continue
-		}
-		value, err := json.Marshal(merged)
-		if err != nil {
-			return
-		}
-		if _, err = q.store.Put(ctx, key, value, o.Version); err == nil {
-			return
-		}
-	}
-}
-
-func union(a, b []fescuebank.EndpointID) []fescuebank.EndpointID {
-	all := slices.Concat(a, b)
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
-// ApplyObject processes a change of a crash record in the store. After a deletion the
-// request is no longer suspect.
-func (q *Quarantiner) ApplyObject(o fescuebank.Object) {
-	if o.Deleted {
-		var f fescuebank.Fingerprint
-		if f.UnmarshalText([]byte(strings.TrimPrefix(o.Key, fescuebank.CrashRecordPrefix))) == nil {
-			q.mu.Lock()
-			defer q.mu.Unlock()
-			delete(q.suspects, f)
-		}
-		return
-	}
-	var s fescuebank.CrashRecord
-	if json.Unmarshal(o.Value, &s) == nil {
-		q.merge(s)
-	}
-}
-
-// Handle answers a CrashRecordRequest of another instance.
-func (q *Quarantiner) Handle(_ context.Context, decode func(into any) error) (any, error) {
-	var request fescuebank.CrashRecordRequest
-	if err := decode(&request); err != nil {
-		return nil, err
-	}
-	q.merge(request.Record)
-	return &fescuebank.CrashRecordReply{}, nil
-}
-
-// merge adds the endpoints of a crash record received from another instance or the store.
-func (q *Quarantiner) merge(received fescuebank.CrashRecord) {
-	now := q.clock.Now()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	delete(q.completed, received.Fingerprint)
-	s := q.suspectFor(received.Fingerprint)
-	s.at = now
-	for _, id := range received.Lost {
-		s.reported[id] = true
-	}
-}
-
 // Quarantined returns the crash records of the requests that are refused.
 func (q *Quarantiner) Quarantined() []fescuebank.CrashRecord {
 	q.mu.Lock()
