--- a/cmd/fescuesoak/main_test.go
+++ b/cmd/fescuesoak/main_test.go
@@ -15,6 +15,7 @@
 	cause string
 }{
 	{1, ""},
+	{3, "a sound request that many callers repeat was quarantined, and a part that crashes endpoints was not"},
 	{143, "a SIGHUP ended an instance that was leaving"},
 }
 
--- a/internal/endpoint/isolator/isolator.go
+++ b/internal/endpoint/isolator/isolator.go
@@ -1,9 +1,9 @@
 // Package isolator stops requests that crash endpoints (poison requests) on all instances of the
 // fleet. What crashes an endpoint is a request that comes again, or a part of prompts that different
 // requests hold. The instances exchange by gossip which endpoints crashed under which requests.
-// What several endpoints crashed under is suspect: it runs once at a time. If endpoints crash under
-// it again and it never completes, it is quarantined: requests that have it are refused without
-// being run, until the quarantine ends. Quarantines are also kept in the platform's store, so that
+// A request under which an endpoint crashed, or a part under which two did, is suspect: it runs once at
+// a time. If endpoints crash under these trials and it never completes, it is quarantined: requests
+// that have it are refused without being run, until the quarantine ends. Quarantines are also kept in the platform's store, so that
 // they survive a restart of all instances.
 package isolator
 
--- a/internal/endpoint/isolator/run.go
+++ b/internal/endpoint/isolator/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"fescuebank"
 )
@@ -11,7 +10,7 @@
 type run struct {
 	isolator *Isolator
 	request  *fescuebank.Request
-	// keys are the request's, nil until they are needed.
+	// keys are the request's, nil if they weren't needed when the run began.
 	keys []fescuebank.SuspectKey
 	// trials are the request's keys that were suspect when the run began. lostIn is the crash of
 	// an endpoint under it, or 0.
@@ -22,7 +21,7 @@
 // suspectKeys returns the keys of the request.
 func (r *run) suspectKeys() []fescuebank.SuspectKey {
 	if r.keys == nil {
-		r.keys = r.request.SuspectKeys()
+		return r.request.SuspectKeys()
 	}
 	return r.keys
 }
@@ -90,7 +89,7 @@
 // names returns the texts of keys in the log.
 func names(keys []fescuebank.SuspectKey) []string {
 	list := make([]string, 0, len(keys))
-	for key := range slices.Values(keys) {
+	for _, key := range keys {
 		list = append(list, name(key))
 	}
 	return list
