Keep the request limits that endpoints state, on all instances together

Cause: nothing read the limit. The class: what an endpoint states of itself is ignored. Evidence: endpoints with and without a limit got the same number of requests (the busiest 1.08 times the mean). Change: responses are read for the limit, and limit/limiter divides it in fixed parts among a few instances, selected by a hash over all members. The allocator counts every slot, so first attempts, retries, continued streams and batch items. What neither a free slot nor the limit will serve in time is refused at once. Why it works: the parts add up to the limit whoever hears whom; what may be saved up is bounded by 2 s of it.

--- a/exchange.go
+++ b/exchange.go
@@ -86,6 +86,9 @@
 	Signed bool
 	// Load is nil if the endpoint reports none.
 	Load *EndpointLoad
+	// RateLimit is the number of requests per second that the endpoint takes from all instances
+	// together, 0 if it states none.
+	RateLimit RequestRate
 	// Endpoint is the endpoint that responded, or empty if the response names none.
 	Endpoint EndpointID
 	// Leaving is set when the endpoint that responded states that it leaves.
@@ -95,10 +98,24 @@
 // StatesLeaving reports whether the response states that the endpoint leaves to which the
 // request was sent. A response by another endpoint that now has the address doesn't.
 func (i ResponseInfo) StatesLeaving(sentTo EndpointID) bool {
+	return i.Leaving && i.isFrom(sentTo)
+}
+
+// isFrom reports whether the response is that of the endpoint to which the request was sent.
+func (i ResponseInfo) isFrom(sentTo EndpointID) bool {
 	if i.Endpoint != "" {
-		return i.Leaving && i.Endpoint == sentTo
+		return i.Endpoint == sentTo
+	}
+	return !i.Misdirected
+}
+
+// StatedRateLimit returns the limit that the endpoint to which the request was sent states, 0 if
+// it has none. It returns false if the response doesn't tell.
+func (i ResponseInfo) StatedRateLimit(sentTo EndpointID) (RequestRate, bool) {
+	if !i.isFrom(sentTo) || (i.NotRun && i.RateLimit == 0) {
+		return 0, false
 	}
-	return i.Leaving && !i.Misdirected
+	return i.RateLimit, true
 }
 
 // EndpointProtocol encodes the headers of requests to endpoints and decodes those
--- a/gossip.go
+++ b/gossip.go
@@ -92,6 +92,9 @@
 	// milliseconds, and Trials those that it is running.
 	Completed map[SuspectKey]int64 `cbor:"24,keyasint,omitempty"`
 	Trials    []SuspectKey         `cbor:"25,keyasint,omitempty"`
+	// RateLimits are the latest statements of endpoints about the rate of requests that they
+	// take: all of them in messages with Received, recent changes in the others.
+	RateLimits map[EndpointTag]RateLimitStatement `cbor:"26,keyasint,omitempty"`
 }
 
 // RelayedGossip is a gossip message of another instance. Origin and Sequence let a receiver
--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -52,10 +52,7 @@
 		return cause, err
 	}
 	defer response.Finish()
-	if response.Info.Load != nil {
-		a.slot.Observe(*response.Info.Load)
-	}
-	if response.Info.StatesLeaving(endpoint.ID) && a.slot.MarkLeaving() {
+	if a.slot.ObserveResponse(response.Info) {
 		r.Log.Info("Endpoint states that it leaves.", "request", string(request.ID), "endpoint", string(endpoint.ID), "started", endpoint.StartedUnixMilli)
 	}
 	if response.Info.NotRun {
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -108,14 +108,17 @@
 
 // preempt cancels items of services that run more batch items than their reserve allows, or
 // whose slots of one software version are all taken while requests wait, those due last first.
-// Each instance cancels its share of the excess, in proportion to the items that it runs.
+// Each instance cancels its share of the excess, in proportion to the items that it runs. Items at
+// endpoints with a request limit go on: requests couldn't be sent there in their place.
 func (r *Runner) preempt() {
 	peerItems := r.PeerBatchItems()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	own := make(map[fescuebank.ServiceName][]*attempt)
 	for _, a := range r.running {
-		own[a.task.Request.Service] = append(own[a.task.Request.Service], a)
+		if !a.slot.Limited() {
+			own[a.task.Request.Service] = append(own[a.task.Request.Service], a)
+		}
 	}
 	for service, list := range own {
 		excess, list := r.excess(service, list)
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -58,8 +58,10 @@
 	ReconsiderAt time.Time
 	// Priority is 0 for the most urgent requests.
 	Priority int
-	// batch is set for batch work, which may not use deprioritized endpoints.
-	batch bool
+	// batch is set for batch work, which may not use deprioritized endpoints, and limitedOnly if
+	// only endpoints that state a request limit will do.
+	batch       bool
+	limitedOnly bool
 }
 
 // Slot is a request's slot at an endpoint. It must be released exactly once.
@@ -78,6 +80,7 @@
 	clock fescuebank.Clock
 	// onChange is called without the lock held when this instance's counts change.
 	onChange func()
+	limiter  fescuebank.RateLimiter
 
 	mu        sync.Mutex
 	endpoints map[fescuebank.EndpointID]*endpoint
@@ -105,10 +108,15 @@
 	peerBatch    int
 }
 
-// New returns an allocator without endpoints.
+// New returns an allocator without endpoints that knows of no request limits.
 func New(clock fescuebank.Clock, onChange func()) *Allocator {
+	return NewLimited(clock, onChange, noLimits{})
+}
+
+// NewLimited returns an allocator without endpoints that keeps the request limits of the limiter.
+func NewLimited(clock fescuebank.Clock, onChange func(), limiter fescuebank.RateLimiter) *Allocator {
 	return &Allocator{
-		clock: clock, onChange: onChange, meanHold: initialHoldTime,
+		clock: clock, onChange: onChange, limiter: limiter, meanHold: initialHoldTime,
 		endpoints: make(map[fescuebank.EndpointID]*endpoint), heldSlots: make(map[*Slot]bool),
 		leaving: make(map[fescuebank.EndpointID]leavingStatement),
 	}
@@ -213,6 +221,7 @@
 	if !request.batch {
 		a.started++
 	}
+	a.limiter.Take(best.ID)
 	best.ownRequests++
 	slot := &Slot{Endpoint: best.ServedEndpoint, Load: best.load(now), acquiredAt: now, endpoint: best, allocator: a}
 	a.heldSlots[slot] = true
--- a/internal/entry/allocator/batch.go
+++ b/internal/entry/allocator/batch.go
@@ -10,18 +10,17 @@
 // instances are expected to have taken unseen.
 
 // AcquireBatch returns a slot for batch work without waiting, at an endpoint of the software
-// version if that is set and one has a free slot. It returns nil if requests wait at other
-// instances or the free slots would fall below the reserve.
+// version if that is set and one has a free slot. If requests wait at other instances or the
+// free slots would fall below the reserve, it returns one at an endpoint whose request limit this
+// instance has a part of, or nil.
 func (a *Allocator) AcquireBatch(service fescuebank.ServiceName, version string, reservedShare float64) *Slot {
 	a.mu.Lock()
 	now := a.clock.Now()
-	if a.batchRoom(service, reservedShare, now) <= 0 {
-		a.mu.Unlock()
-		return nil
-	}
-	slot := a.assign(SlotRequest{Service: service, Version: version, batch: true}, now)
+	request := SlotRequest{Service: service, Version: version, batch: true, limitedOnly: a.unlimitedRoom(service, reservedShare, now) <= 0}
+	slot := a.assign(request, now)
 	if slot == nil && version != "" {
-		slot = a.assign(SlotRequest{Service: service, batch: true}, now)
+		request.Version = ""
+		slot = a.assign(request, now)
 	}
 	a.mu.Unlock()
 	if slot != nil {
@@ -31,15 +30,18 @@
 }
 
 // BatchRoom returns the number of slots that batch work may take: those that are free beyond
-// the reserve, or none while requests wait at other instances.
+// the reserve, or none while requests wait at other instances, and what request limits allow this
+// instance.
 func (a *Allocator) BatchRoom(service fescuebank.ServiceName, reservedShare float64) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.batchRoom(service, reservedShare, a.clock.Now())
+	now := a.clock.Now()
+	allowed := a.allowance(SlotRequest{Service: service}, now)
+	return allowed.available + a.unlimitedRoom(service, reservedShare, now)
 }
 
-// batchRoom is BatchRoom for a caller that holds the lock.
-func (a *Allocator) batchRoom(service fescuebank.ServiceName, reservedShare float64, now time.Time) int {
+// unlimitedRoom is BatchRoom for the endpoints without a request limit. The caller holds the lock.
+func (a *Allocator) unlimitedRoom(service fescuebank.ServiceName, reservedShare float64, now time.Time) int {
 	if a.peersWaiting > 0 {
 		return 0
 	}
@@ -67,7 +69,11 @@
 	now := a.clock.Now()
 	free := make(map[string]int)
 	for _, e := range a.usable(service, "", now) {
-		free[e.Version] += max(0, e.Slots-e.load(now))
+		room := 0
+		if a.hasRoomFor(e, SlotRequest{}, now) {
+			room = e.freeSlots(now)
+		}
+		free[e.Version] += room
 	}
 	for version, count := range free {
 		if count == 0 {
@@ -81,14 +87,15 @@
 }
 
 // batchCapacity returns the slots of a service's usable endpoints and how many of them
-// are free, without deprioritized endpoints. The caller holds the lock.
+// are free, without deprioritized endpoints and those with a request limit. The caller holds the
+// lock.
 func (a *Allocator) batchCapacity(service fescuebank.ServiceName, now time.Time) (slots, free int) {
 	for _, e := range a.usable(service, "", now) {
-		if e.deprioritizedUntil.After(now) {
+		if _, limited := a.limiter.Share(e.ID); limited || e.deprioritizedUntil.After(now) {
 			continue
 		}
 		slots += e.Slots
-		free += max(0, e.Slots-e.load(now))
+		free += e.freeSlots(now)
 	}
 	return slots, free
 }
--- a/internal/entry/allocator/endpoint.go
+++ b/internal/entry/allocator/endpoint.go
@@ -1,7 +1,6 @@
 package allocator
 
 import (
-	"slices"
 	"time"
 
 	"fescuebank"
@@ -40,6 +39,11 @@
 	return e.ownRequests + e.otherRequests
 }
 
+// freeSlots returns the number of slots without a known request.
+func (e *endpoint) freeSlots(now time.Time) int {
+	return max(0, e.Slots-e.load(now))
+}
+
 // utilization returns the load per slot by which endpoints are compared, with the penalty
 // of a deprioritized endpoint.
 func (e *endpoint) utilization(now time.Time) float64 {
@@ -156,9 +160,3 @@
 	}
 	return loads
 }
-
-// hasSlotFor reports whether the endpoint has a free slot and was not tried by the
-// request.
-func (e *endpoint) hasSlotFor(request SlotRequest, now time.Time) bool {
-	return e.load(now) < e.Slots && !slices.Contains(request.Tried, e.ID)
-}
--- a/internal/entry/allocator/pick.go
+++ b/internal/entry/allocator/pick.go
@@ -47,21 +47,37 @@
 	return a.currentPeerRate(now) * a.peerLag.Seconds()
 }
 
-// pick returns a usable endpoint with a free slot, or nil: the least loaded one, or one
+// pick returns a usable endpoint with room for the request, or nil: the least loaded one, or one
 // sampled by load while the other instances are expected to have unreported requests.
 func (a *Allocator) pick(request SlotRequest, now time.Time) *endpoint {
-	var list []*endpoint
-	for _, e := range a.usable(request.Service, request.Version, now) {
-		if e.hasSlotFor(request, now) && (!request.batch || !e.deprioritizedUntil.After(now)) {
-			list = append(list, e)
-		}
-	}
+	list := a.candidates(request, now)
 	if unreported := unreportedFactor * a.estimateUnreported(now); unreported >= 1 {
 		return pickSampled(list, now, unreported)
 	}
 	return pickLeastLoaded(list, request.Prefix, now)
 }
 
+// candidates returns the usable endpoints with room for the request. Batch work goes to endpoints with
+// a request limit if it can, since an item holds its slot for long. Other requests go there only
+// if no other endpoint has a free slot, so that the limit is left for times of high load.
+func (a *Allocator) candidates(request SlotRequest, now time.Time) []*endpoint {
+	var limited, unlimited []*endpoint
+	for _, e := range a.usable(request.Service, request.Version, now) {
+		if !a.hasRoomFor(e, request, now) {
+			continue
+		}
+		if _, isLimited := a.limiter.Share(e.ID); isLimited {
+			limited = append(limited, e)
+			continue
+		}
+		unlimited = append(unlimited, e)
+	}
+	if len(unlimited) == 0 || (request.batch && len(limited) > 0) {
+		return limited
+	}
+	return unlimited
+}
+
 // pickSampled picks among endpoints with a free slot by loads that are out of date.
 func pickSampled(list []*endpoint, now time.Time, unreported float64) *endpoint {
 	var s sampler.Sampler
--- a/internal/entry/allocator/wait.go
+++ b/internal/entry/allocator/wait.go
@@ -71,6 +71,7 @@
 	expired := a.clock.After(w.request.Deadline.Sub(a.clock.Now()))
 	for {
 		var cause error
+		refill := a.refill(w.request)
 		select {
 		case slot, ok := <-w.assigned:
 			a.onChange()
@@ -78,6 +79,9 @@
 				return nil, ErrNoEndpoint
 			}
 			return slot, nil
+		case <-refill:
+			a.assignRefilled()
+			continue
 		case <-reconsider:
 			reconsider = nil
 			if a.canMeetDeadline(w) {
@@ -153,21 +157,41 @@
 	// maxSlotsPerRelease is the largest number of slots for which one slot of this instance
 	// is taken as a sample.
 	maxSlotsPerRelease = 16
+	// noAllowanceWait is the predicted wait if this instance has no part of any limit.
+	noAllowanceWait = time.Hour
 )
 
-// predictWait estimates the wait of a request behind ownAhead requests of this instance.
-// It reports false if there is no endpoint. The release times of this instance's slots
+// predictWait estimates the wait of a request behind ownAhead requests of this instance: for a
+// slot at an endpoint without a request limit, or until a limit allows it, whichever comes
+// first. It reports false if there is no endpoint.
+func (a *Allocator) predictWait(request SlotRequest, now time.Time, ownAhead int) (time.Duration, bool) {
+	slotWait, hasSlots := a.predictSlotWait(request, now, ownAhead)
+	allowed := a.allowance(request, now)
+	if allowed.endpoints == 0 {
+		return slotWait, hasSlots
+	}
+	limitWait, ok := allowed.timeFor(ownAhead + 1)
+	switch {
+	case !ok && !hasSlots:
+		return noAllowanceWait, true
+	case !ok || (hasSlots && slotWait < limitWait):
+		return slotWait, true
+	}
+	return limitWait, true
+}
+
+// predictSlotWait is predictWait for the endpoints without a request limit. The release times of this instance's slots
 // serve as a sample of those of all instances. If they are too few, as in a large fleet,
 // the slots are assumed to be released one after the other at equal intervals.
-func (a *Allocator) predictWait(request SlotRequest, now time.Time, ownAhead int) (time.Duration, bool) {
+func (a *Allocator) predictSlotWait(request SlotRequest, now time.Time, ownAhead int) (time.Duration, bool) {
 	slots, taken, free := 0, 0, 0
 	for _, e := range a.usable(request.Service, request.Version, now) {
-		if slices.Contains(request.Tried, e.ID) {
+		if _, limited := a.limiter.Share(e.ID); limited || slices.Contains(request.Tried, e.ID) {
 			continue
 		}
 		slots += e.Slots
 		taken += e.load(now)
-		free += max(0, e.Slots-e.load(now))
+		free += e.freeSlots(now)
 	}
 	if slots == 0 {
 		return 0, false
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -149,10 +149,7 @@
 
 // observe applies what an endpoint states of itself in its response. It changes nothing in t.
 func (t *transfer) observe(slot *allocator.Slot, resp *exchanger.Response) {
-	if resp.Info.Load != nil {
-		slot.Observe(*resp.Info.Load)
-	}
-	if resp.Info.StatesLeaving(slot.Endpoint.ID) && slot.MarkLeaving() {
+	if slot.ObserveResponse(resp.Info) {
 		t.log.Info("Endpoint states that it leaves.", "request", string(t.request.ID), "endpoint", string(slot.Endpoint.ID), "started", slot.Endpoint.StartedUnixMilli)
 	}
 }
--- a/internal/fleet/gossiper/gossip.go
+++ b/internal/fleet/gossiper/gossip.go
@@ -125,7 +125,7 @@
 // what was received from other incarnations.
 func (g *Gossiper) send(full bool) {
 	msg := fescuebank.Gossip{From: g.Self.ID, Incarnation: g.Self.Incarnation}
-	g.Fill(&msg)
+	g.Fill(&msg, full)
 	g.mu.Lock()
 	g.sequence++
 	msg.Sequence = g.sequence
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -32,8 +32,9 @@
 	Linker Linker
 	Clock  fescuebank.Clock
 	Log    hclog.Logger
-	// Fill completes a gossip message of this instance.
-	Fill func(*fescuebank.Gossip)
+	// Fill completes a gossip message of this instance, which is full if it also reports what
+	// was received.
+	Fill func(g *fescuebank.Gossip, full bool)
 	// OnGossip is called after gossip messages of peers have been applied.
 	OnGossip func([]fescuebank.Gossip)
 	// StoreUnreachable reports whether this instance can't reach the store.
--- a/internal/fleet/gossiper/gossiper_test.go
+++ b/internal/fleet/gossiper/gossiper_test.go
@@ -31,7 +31,7 @@
 	return New(Config{
 		Self:  fescuebank.MemberEntry{ID: "me", Incarnation: "me1", Owner: owner},
 		Store: &memorystorer.MemoryStorer{}, Linker: l, Clock: clock, Log: hclog.NewNullLogger(),
-		Fill: func(*fescuebank.Gossip) {}, OnGossip: func([]fescuebank.Gossip) {}, OnConnectionsStalled: func() {},
+		Fill: func(*fescuebank.Gossip, bool) {}, OnGossip: func([]fescuebank.Gossip) {}, OnConnectionsStalled: func() {},
 		StoreUnreachable: func() bool { return false }, OnTargets: func() {},
 		OnAcknowledged: func(fescuebank.Holder, fescuebank.FencingNumber) {},
 	}), clock
--- a/internal/fleet/gossiper/relay_test.go
+++ b/internal/fleet/gossiper/relay_test.go
@@ -102,7 +102,7 @@
 	for _, e := range entries {
 		g := New(Config{
 			Self: e, Store: &memorystorer.MemoryStorer{}, Linker: port{f.network, e.PeerAddr}, Clock: timekeeper.Timekeeper{}, Log: hclog.NewNullLogger(),
-			Fill: func(msg *fescuebank.Gossip) { msg.Waiting = f.getWaiting(e.ID) }, OnGossip: func([]fescuebank.Gossip) {},
+			Fill: func(msg *fescuebank.Gossip, _ bool) { msg.Waiting = f.getWaiting(e.ID) }, OnGossip: func([]fescuebank.Gossip) {},
 			OnConnectionsStalled: func() {}, StoreUnreachable: func() bool { return false }, OnTargets: func() {},
 			OnAcknowledged: func(fescuebank.Holder, fescuebank.FencingNumber) {},
 		})
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -11,8 +11,9 @@
 // before its gossip reports it.
 const storeUnreachableAfter = time.Second
 
-// fillGossip completes a gossip message of this instance.
-func (s *Server) fillGossip(g *fescuebank.Gossip) {
+// fillGossip completes a gossip message of this instance. A full one states also what hasn't
+// changed lately.
+func (s *Server) fillGossip(g *fescuebank.Gossip, full bool) {
 	counts, waiting := s.allocator.Counts()
 	if s.settings.Roles.Entry {
 		g.Online, g.Waiting, g.Started = counts, waiting, s.allocator.Started()
@@ -27,6 +28,7 @@
 	g.Zone = s.self.Zone
 	s.ejector.FillGossip(g)
 	s.isolator.FillGossip(g)
+	s.limiter.FillGossip(g, full)
 	g.OwnerListAgeMs = s.elector.ListAge().Milliseconds()
 	g.StoreUnreachable = s.storeUnreachable()
 }
@@ -45,6 +47,7 @@
 		s.elector.RecordPeerRead(g.Epoch, time.Duration(g.OwnerListAgeMs)*time.Millisecond)
 		s.ejector.ApplyGossip(g)
 		s.isolator.ApplyGossip(g)
+		s.limiter.ApplyGossip(g)
 		s.catchUp(g)
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
@@ -85,6 +88,7 @@
 		return waiting
 	})
 	s.meter.Gauge("endpointsHere", func() any { return s.allocator.Loads() })
+	s.meter.Gauge("limitedEndpoints", func() any { return s.limiter.Limited() })
 	s.meter.Gauge("storeAnswers", func() any {
 		reachable, since := s.platform.StoreState()
 		return map[string]any{"answers": reachable, "sinceMs": since.Milliseconds()}
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -31,6 +31,7 @@
 	"fescuebank/internal/fleet/replicator"
 	"fescuebank/internal/limit/acquirer"
 	"fescuebank/internal/limit/issuer"
+	"fescuebank/internal/limit/limiter"
 	"fescuebank/internal/operate/aggregator"
 	"fescuebank/internal/operate/collector"
 	"fescuebank/internal/operate/meter"
@@ -114,6 +115,7 @@
 	members       *replicator.Replicator
 	owners        *replicator.Replicator
 	elector       *elector.Elector
+	limiter       *limiter.Limiter
 	allocator     *allocator.Allocator
 	ejector       *ejector.Ejector
 	exchanger     *exchanger.Exchanger
@@ -169,7 +171,8 @@
 	s.aggregator = aggregator.New(s.gossiper, s.linker, s.serviceLevels)
 	s.linker.Handle(fescuebank.KindServiceLevels, s.aggregator.Handle)
 	s.exchanger = exchanger.New(s.platform.Protocol, s.clock)
-	s.allocator = allocator.New(s.clock, s.gossiper.Wake)
+	s.limiter = limiter.New(limiter.Config{Self: s.self.ID, Clock: s.clock, Announce: s.gossiper.Wake, Log: s.logFor("endpoint")})
+	s.allocator = allocator.NewLimited(s.clock, s.gossiper.Wake, s.limiter)
 	s.ejector = ejector.New(ejector.Config{
 		Zone: s.self.Zone, Endpoints: s.allocator.Endpoints, Eject: s.allocator.Deprioritize, Clock: s.clock, Log: s.logFor("endpoint"),
 	})
@@ -240,7 +243,7 @@
 	})
 	s.config = replicator.New(store, s.platform.ConfigPrefix, s.clock, s.logFor("config"), s.applyConfig)
 	s.endpoints = replicator.New(store, s.platform.EndpointPrefix, s.clock, s.logFor("endpoint"), s.applyEndpoints)
-	s.members = replicator.New(store, fescuebank.MemberPrefix, s.clock, s.logFor("fleet"), s.gossiper.ApplyObjects)
+	s.members = replicator.New(store, fescuebank.MemberPrefix, s.clock, s.logFor("fleet"), s.applyMembers)
 	s.endpoints.SetMaxPause(s.maxWatchPause)
 	s.members.SetMaxPause(s.maxWatchPause)
 	s.owners = replicator.New(store, fescuebank.OwnerListPrefix, s.clock, s.logFor("owner"), s.applyOwners)
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -49,6 +49,16 @@
 	s.runner.Wake()
 }
 
+func (s *Server) applyMembers(objects []fescuebank.Object) {
+	s.gossiper.ApplyObjects(objects)
+	peers := s.gossiper.Peers()
+	ids := make([]fescuebank.InstanceID, 0, len(peers))
+	for _, p := range peers {
+		ids = append(ids, p.ID)
+	}
+	s.limiter.SetMembers(ids)
+}
+
 func (s *Server) applyOwners(objects []fescuebank.Object) {
 	for _, o := range objects {
 		if o.Key == fescuebank.OwnerListKey {
