Reach the endpoints through another instance where this one can't

Cause: an instance knew one way to an endpoint, its own. Each request failed at one endpoint after the other, after 1 s each where connections hang. The class: the view of one instance is taken for the state of what it looks at. Evidence: all 47 to 91 attempts of each such instance failed in the same way at all endpoints; two sound endpoints were ejected by all because of it. Change: endpoint/dialer makes a second attempt through another instance beside one that takes 150 ms, and finds out by a check of four endpoints that this instance reaches none; endpoint/tunneler holds the connections for others. Silent streams move at once, outcomes and crashes seen by such an instance don't count. Why it works: only the connection takes another way. Slots, quota, deadline, version, attempts and refusals are decided where the request arrived, and no byte is sent before the tunnel stands. Red before: TestInstanceWithoutEndpointsServesThroughAnother without relays: 0 of 50 requests served where connections hang or are reset.

--- a/cmd/fescuebankd/objectplatform.go
+++ b/cmd/fescuebankd/objectplatform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -38,7 +39,7 @@
 	metrics := meter.New()
 	metrics.Gauge("logLinesLeftOut", func() any { return output.Dropped() })
 	log := logger.Logger{Settings: s.Log, Output: output}.Open("fescuebank")
-	instance, err := newObjectPlatformServer(s, clock, metrics, log)
+	instance, err := newObjectPlatformServer(s, endpointConnector(path), clock, metrics, log)
 	if err != nil {
 		return err
 	}
@@ -46,12 +47,16 @@
 	return instance.Run(ctx)
 }
 
+// connectFunc opens a connection to the endpoint at an address.
+type connectFunc func(ctx context.Context, addr string) (net.Conn, error)
+
 // newObjectPlatformServer returns an instance connected through the platform's
 // adapter.
-func newObjectPlatformServer(s *fescuebank.Settings, clock fescuebank.Clock, metrics *meter.Meter, log hclog.Logger) (*server.Server, error) {
+func newObjectPlatformServer(s *fescuebank.Settings, connect connectFunc, clock fescuebank.Clock, metrics *meter.Meter, log hclog.Logger) (*server.Server, error) {
 	store := storer.New(s.Platform.URL, clock, metrics)
 	return server.New(s, server.Platform{
-		Store: store, Reconnect: store.Reconnect, OnRecovery: store.OnRecovery, StoreState: store.State,
+		ConnectEndpoint: connect,
+		Store:           store, Reconnect: store.Reconnect, OnRecovery: store.OnRecovery, StoreState: store.State,
 		ConfigKey: decoder.ConfigKey, ConfigPrefix: decoder.ConfigPrefix, EndpointPrefix: decoder.EndpointPrefix,
 		DecodeConfig: decoder.Decoder{}.Config, DecodeEndpoint: decoder.Decoder{}.Endpoint, Protocol: marshaler.Marshaler{},
 		RetirementPrefix: decoder.RetirementPrefix,
--- a/cmd/fescuebankd/objectplatform_test.go
+++ b/cmd/fescuebankd/objectplatform_test.go
@@ -19,6 +19,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/operate/meter"
+	"fescuebank/internal/soak/partitioner"
 	"fescuebank/internal/standin/memorystorer"
 	"fescuebank/internal/timing/timekeeper"
 	"fescuebank/platform/simulator"
@@ -36,9 +37,10 @@
 }
 
 type runningInstance struct {
-	settings *fescuebank.Settings
-	cancel   context.CancelFunc
-	done     chan struct{}
+	settings  *fescuebank.Settings
+	partition *partitioner.Partitioner
+	cancel    context.CancelFunc
+	done      chan struct{}
 }
 
 const testRoutes = `{"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming","timeoutMs":4000,"targetLatencyMs":300,"service":"s","maxAttempts":1,"targetGapMs":400},
@@ -105,12 +107,13 @@
 	if err := s.Validate(); err != nil {
 		d.t.Fatal(err)
 	}
-	instance, err := newObjectPlatformServer(s, timekeeper.Timekeeper{}, meter.New(), hclog.NewNullLogger())
+	partition := partitioner.New()
+	instance, err := newObjectPlatformServer(s, partition.Connect, timekeeper.Timekeeper{}, meter.New(), hclog.NewNullLogger())
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &runningInstance{settings: s, cancel: cancel, done: make(chan struct{})}
+	n := &runningInstance{settings: s, partition: partition, cancel: cancel, done: make(chan struct{})}
 	d.instances[name] = n
 	go func() {
 		defer close(n.done)
--- a/cmd/fescuesoak/main_test.go
+++ b/cmd/fescuesoak/main_test.go
@@ -23,7 +23,7 @@
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
 	daemon := filepath.Join(dir, "fescuebankd")
-	build := exec.Command("go", "build", "-o", daemon, "fescuebank/cmd/fescuebankd")
+	build := exec.Command("go", "build", "-tags", "faults", "-o", daemon, "fescuebank/cmd/fescuebankd")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
--- a/gossip.go
+++ b/gossip.go
@@ -95,6 +95,10 @@
 	// RateLimits are the latest statements of endpoints about the rate of requests that they
 	// take: all of them in messages with Received, recent changes in the others.
 	RateLimits map[EndpointTag]RateLimitStatement `cbor:"26,keyasint,omitempty"`
+	// EndpointsLost is set while the instance reaches no endpoint, and Tunnels counts the
+	// connections to endpoints that it holds for other instances.
+	EndpointsLost bool `cbor:"27,keyasint,omitempty"`
+	Tunnels       int  `cbor:"28,keyasint,omitempty"`
 }
 
 // RelayedGossip is a gossip message of another instance. Origin and Sequence let a receiver
--- a/internal/batch/runner/crash_test.go
+++ b/internal/batch/runner/crash_test.go
@@ -11,6 +11,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/batch/manager"
+	"fescuebank/internal/endpoint/dialer"
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/timing/timekeeper"
@@ -61,7 +62,7 @@
 			a.SetEndpoints([]fescuebank.ServedEndpoint{endpoint})
 			guard := &recordingGuard{}
 			r := New(Config{
-				Allocator: a, Exchanger: exchanger.New(statusProtocol{}, clock), Protocol: statusProtocol{}, Guard: guard, Clock: clock, Log: hclog.NewNullLogger(),
+				Allocator: a, Exchanger: exchanger.New(statusProtocol{}, clock, dialer.Direct), Protocol: statusProtocol{}, Guard: guard, Clock: clock, Log: hclog.NewNullLogger(),
 			})
 			request := &fescuebank.Request{ID: "q", Service: "s", Method: http.MethodPost, Target: "/", Host: "h", Deadline: clock.Now().Add(time.Minute)}
 			_, _ = r.attempt(t.Context(), &attempt{task: &manager.Task{Request: request}, slot: a.AcquireBatch("s", "", 0)}, &fescuebank.Progress{})
--- a/internal/batch/runner/runner_test.go
+++ b/internal/batch/runner/runner_test.go
@@ -12,6 +12,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/batch/manager"
+	"fescuebank/internal/endpoint/dialer"
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/timing/timekeeper"
@@ -75,7 +76,7 @@
 			a := allocator.New(clock, func() {})
 			a.SetEndpoints([]fescuebank.ServedEndpoint{endpoint})
 			r := New(Config{
-				Allocator: a, Exchanger: exchanger.New(plainProtocol{}, clock), Protocol: plainProtocol{}, Guard: &recordingGuard{}, Clock: clock, Log: hclog.NewNullLogger(),
+				Allocator: a, Exchanger: exchanger.New(plainProtocol{}, clock, dialer.Direct), Protocol: plainProtocol{}, Guard: &recordingGuard{}, Clock: clock, Log: hclog.NewNullLogger(),
 			})
 			slot := a.AcquireBatch("s", "", 0)
 			if slot == nil {
@@ -126,7 +127,7 @@
 			a := allocator.New(clock, func() {})
 			a.SetEndpoints(list)
 			r := New(Config{
-				Allocator: a, Exchanger: exchanger.New(statingProtocol{}, clock), Protocol: statingProtocol{}, Guard: &recordingGuard{}, Clock: clock, Log: hclog.NewNullLogger(),
+				Allocator: a, Exchanger: exchanger.New(statingProtocol{}, clock, dialer.Direct), Protocol: statingProtocol{}, Guard: &recordingGuard{}, Clock: clock, Log: hclog.NewNullLogger(),
 			})
 			slot := a.AcquireBatch("s", "", 0)
 			if slot == nil {
--- a/internal/batch/runner/stall_test.go
+++ b/internal/batch/runner/stall_test.go
@@ -12,6 +12,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/batch/manager"
+	"fescuebank/internal/endpoint/dialer"
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/endpoint/scanner"
 	"fescuebank/internal/entry/allocator"
@@ -43,7 +44,7 @@
 	a := allocator.New(clock, func() {})
 	a.SetEndpoints([]fescuebank.ServedEndpoint{endpoint})
 	r := New(Config{
-		Allocator: a, Exchanger: exchanger.New(statusProtocol{}, clock), Protocol: statusProtocol{}, Guard: &recordingGuard{}, Clock: clock, Log: hclog.NewNullLogger(),
+		Allocator: a, Exchanger: exchanger.New(statusProtocol{}, clock, dialer.Direct), Protocol: statusProtocol{}, Guard: &recordingGuard{}, Clock: clock, Log: hclog.NewNullLogger(),
 	})
 	slot := a.AcquireBatch("s", "", 0)
 	if slot == nil {
--- a/internal/batch/runner/version_test.go
+++ b/internal/batch/runner/version_test.go
@@ -15,6 +15,7 @@
 	"fescuebank/internal/batch/estimator"
 	"fescuebank/internal/batch/manager"
 	"fescuebank/internal/batch/persister"
+	"fescuebank/internal/endpoint/dialer"
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/standin/memorystorer"
@@ -110,7 +111,7 @@
 			a.SetEndpoints([]fescuebank.ServedEndpoint{endpoint})
 			m := newManager(t)
 			r := New(Config{
-				Manager: m, Allocator: a, Exchanger: exchanger.New(resumingProtocol{}, clock), Protocol: resumingProtocol{}, Guard: &recordingGuard{},
+				Manager: m, Allocator: a, Exchanger: exchanger.New(resumingProtocol{}, clock, dialer.Direct), Protocol: resumingProtocol{}, Guard: &recordingGuard{},
 				Clock: clock, Log: hclog.NewNullLogger(),
 			})
 			ctx, cancel := context.WithCancel(t.Context())
--- a/internal/endpoint/ejector/ejector.go
+++ b/internal/endpoint/ejector/ejector.go
@@ -45,6 +45,8 @@
 	Zone fescuebank.Zone
 	// Endpoints returns the known endpoints.
 	Endpoints func() []fescuebank.ServedEndpoint
+	// Doubtful reports whether failures may be due to this instance.
+	Doubtful func() bool
 	// Eject excludes an endpoint from selection for the given time.
 	Eject func(id fescuebank.EndpointID, d time.Duration)
 	Clock fescuebank.Clock
@@ -93,8 +95,12 @@
 	return &Ejector{Config: c, peers: make(map[fescuebank.InstanceID]peerOutcomes), ejected: make(map[fescuebank.EndpointTag]ejection)}
 }
 
-// Record adds the outcome of one request. A failure may eject the endpoint.
+// Record adds the outcome of one request, unless it is a failure that may be due to this
+// instance. A failure may eject the endpoint.
 func (j *Ejector) Record(id fescuebank.EndpointID, good bool) {
+	if !good && j.Doubtful() {
+		return
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.Clock.Now()
@@ -108,6 +114,13 @@
 	}
 }
 
+// Forget discards the outcomes that this instance has seen, as they may be due to itself.
+func (j *Ejector) Forget() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.own = nil
+}
+
 // dropExpired drops outcomes older than the window. The caller holds the lock.
 func (j *Ejector) dropExpired(now time.Time) {
 	for len(j.own) > 0 && now.Sub(j.own[0].startedAt) >= windowSteps*stepDuration {
@@ -165,6 +178,10 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.Clock.Now()
+	if g.EndpointsLost {
+		delete(j.peers, g.From)
+		return
+	}
 	j.peers[g.From] = peerOutcomes{receivedAt: now, zone: g.Zone, counts: g.Outcomes, total: g.TotalOutcomes}
 	for _, e := range list {
 		tag := e.ID.Tag()
--- a/internal/endpoint/ejector/ejector_test.go
+++ b/internal/endpoint/ejector/ejector_test.go
@@ -35,6 +35,8 @@
 	id           fescuebank.InstanceID
 	zone         fescuebank.Zone
 	ejectedUntil map[fescuebank.EndpointID]time.Time
+	// doubtful is whether failures may be due to the instance.
+	doubtful bool
 }
 
 func newFleet(instances, endpoints int) *fleet {
@@ -48,7 +50,7 @@
 			ejectedUntil: make(map[fescuebank.EndpointID]time.Time),
 		}
 		in.Ejector = ejector.New(ejector.Config{
-			Zone: in.zone, Endpoints: func() []fescuebank.ServedEndpoint { return f.endpoints },
+			Zone: in.zone, Doubtful: func() bool { return in.doubtful }, Endpoints: func() []fescuebank.ServedEndpoint { return f.endpoints },
 			Eject: func(id fescuebank.EndpointID, d time.Duration) { in.ejectedUntil[id] = f.clock.now.Add(d) },
 			Clock: f.clock, Log: hclog.NewNullLogger(),
 		})
@@ -172,3 +174,41 @@
 		}
 	}
 }
+
+// TestInstanceWithoutEndpointsEjectsNone guards against sound endpoints that all instances avoid because
+// one that reaches none reports failures.
+func TestInstanceWithoutEndpointsEjectsNone(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// doubtful is whether the instance knows that failures may be due to itself, and lost whether
+		// its gossip states that.
+		doubtful, lost bool
+		want           int
+	}{
+		{"not found out yet", false, false, 1},
+		{"in doubt", true, false, 0},
+		{"found out by the others", false, true, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(9, 9)
+			f.simulate(2*time.Second, func(*instance, fescuebank.EndpointID) bool { return false })
+			cut := f.instances[0]
+			cut.doubtful = tt.doubtful
+			for range 5 {
+				cut.Record("e1", false)
+			}
+			message := &fescuebank.Gossip{From: cut.id, Zone: cut.zone, EndpointsLost: tt.lost}
+			cut.FillGossip(message)
+			ejecting := 0
+			for _, in := range f.instances[1:] {
+				in.ApplyGossip(message)
+				if f.clock.now.Before(in.ejectedUntil["e1"]) {
+					ejecting = 1
+				}
+			}
+			if ejecting != tt.want {
+				t.Errorf("got endpoints ejected by others %d, want %d", ejecting, tt.want)
+			}
+		})
+	}
+}
--- a/internal/endpoint/exchanger/exchanger.go
+++ b/internal/endpoint/exchanger/exchanger.go
@@ -25,10 +25,6 @@
 )
 
 const (
-	// dialTimeout bounds connecting to an endpoint.
-	dialTimeout = time.Second
-	// downTimeout bounds finding out whether an endpoint is down.
-	downTimeout = 200 * time.Millisecond
 	// defaultKeepAlive is how long an idle connection is kept if the endpoint sends no
 	// Keep-Alive header.
 	defaultKeepAlive = 4 * time.Second
@@ -65,6 +61,7 @@
 type Exchanger struct {
 	clock    fescuebank.Clock
 	protocol fescuebank.EndpointProtocol
+	dial     DialFunc
 	dialed   atomic.Int64
 
 	mu sync.Mutex
@@ -84,9 +81,13 @@
 	expires time.Time
 }
 
+// DialFunc connects to the endpoint at an address. If its connections have a method SingleUse that
+// returns true, each is used for one request only.
+type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+
 // New returns an exchanger without connections.
-func New(protocol fescuebank.EndpointProtocol, clock fescuebank.Clock) *Exchanger {
-	return &Exchanger{clock: clock, protocol: protocol, idle: make(map[string][]*conn)}
+func New(protocol fescuebank.EndpointProtocol, clock fescuebank.Clock, dial DialFunc) *Exchanger {
+	return &Exchanger{clock: clock, protocol: protocol, dial: dial, idle: make(map[string][]*conn)}
 }
 
 // Dialed returns the number of connections dialed.
@@ -198,7 +199,7 @@
 // read completely, no further bytes are buffered and the endpoint doesn't leave. Otherwise it
 // closes the connection.
 func (r *Response) Finish() {
-	if !r.stopCancel() || !r.complete || r.Close || r.Info.Leaving || r.conn.reader.Buffered() > 0 {
+	if !r.stopCancel() || !r.complete || r.Close || r.Info.Leaving || isSingleUse(r.conn.Conn) || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
@@ -217,6 +218,11 @@
 	r.exchanger.putIdle(r.addr, r.conn)
 }
 
+func isSingleUse(c net.Conn) bool {
+	s, ok := c.(interface{ SingleUse() bool })
+	return ok && s.SingleUse()
+}
+
 // keepAlive returns how long the endpoint keeps an idle connection, by its Keep-Alive
 // header.
 func keepAlive(h http.Header) time.Duration {
@@ -276,10 +282,8 @@
 		}
 		_ = c.Close()
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	x.dialed.Add(1)
-	dialed, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	dialed, err := x.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -287,17 +291,6 @@
 	return &conn{Conn: dialed, limit: limit, reader: bufio.NewReaderSize(limit, readerBytes)}, nil
 }
 
-// IsDown reports whether nothing listens at addr, as after a crash of the endpoint. It reports
-// false if that can't be found out within downTimeout.
-func (x *Exchanger) IsDown(addr string) bool {
-	probe, err := net.DialTimeout("tcp", addr, downTimeout)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-	}
-	_ = probe.Close()
-	return false
-}
-
 // popIdle removes and returns the most recently used idle connection, or nil.
 func (x *Exchanger) popIdle(addr string) *conn {
 	x.mu.Lock()
--- a/internal/endpoint/exchanger/exchanger_test.go
+++ b/internal/endpoint/exchanger/exchanger_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fescuebank"
+	"fescuebank/internal/endpoint/dialer"
 	"fescuebank/internal/endpoint/exchanger"
 )
 
@@ -91,7 +92,7 @@
 // that get no further requests.
 func TestExpiredConnectionsToUnusedEndpointsAreClosed(t *testing.T) {
 	clock := &manualClock{now: time.Now()}
-	x := exchanger.New(plainProtocol{}, clock)
+	x := exchanger.New(plainProtocol{}, clock, dialer.Direct)
 	unused, used := newEndpoint(t), newEndpoint(t)
 	unused.exchange(t, x)
 	used.exchange(t, x)
--- /dev/null
+++ b/internal/endpoint/tunneler/tunneler_test.go
@@ -0,0 +1,127 @@
+package tunneler
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/endpoint/dialer"
+)
+
+// newTestTunneler returns a tunneler to one endpoint, which sends back what it receives, and the
+// endpoint's address.
+func newTestTunneler(t *testing.T, closed *bool) (*Tunneler, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	addr := l.Addr().String()
+	return New(Config{
+		Endpoints: func() []fescuebank.ServedEndpoint {
+			return []fescuebank.ServedEndpoint{{ID: "i-1", Addr: addr}, {ID: "i-2", Addr: "127.0.0.1:1"}}
+		},
+		Connect: dialer.Connect, Closed: func() bool { return *closed }, OnChange: func() {}, Log: hclog.NewNullLogger(),
+	}), addr
+}
+
+// dial asks for a tunnel and serves it.
+func dial(t *testing.T, tunnels *Tunneler, addr string) (user net.Conn, reply fescuebank.DialReply, err error) {
+	t.Helper()
+	decode := func(into any) error {
+		*into.(*fescuebank.DialRequest) = fescuebank.DialRequest{Addr: addr}
+		return nil
+	}
+	r, serve, err := tunnels.Handle(t.Context(), decode)
+	if err != nil {
+		return nil, fescuebank.DialReply{}, err
+	}
+	user, other := net.Pipe()
+	if serve != nil {
+		go serve(other)
+	}
+	return user, *r.(*fescuebank.DialReply), nil
+}
+
+func awaitActive(t *testing.T, tunnels *Tunneler, want int) {
+	t.Helper()
+	for until := time.Now().Add(time.Second); tunnels.Active() != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("got %d tunnels, want %d", tunnels.Active(), want)
+		}
+	}
+}
+
+func TestTunnelCarriesBytesUntilOneSideCloses(t *testing.T) {
+	closed := false
+	tunnels, addr := newTestTunneler(t, &closed)
+	user, reply, err := dial(t, tunnels, addr)
+	if err != nil || !reply.Connected {
+		t.Fatalf("got reply %+v, err %v, want a connection", reply, err)
+	}
+	if _, err := user.Write([]byte("hello")); err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, 5)
+	if _, err := io.ReadFull(user, got); err != nil || string(got) != "hello" {
+		t.Errorf("got %q, err %v, want hello", got, err)
+	}
+	awaitActive(t, tunnels, 1)
+	_ = user.Close()
+	awaitActive(t, tunnels, 0)
+}
+
+// TestTunnelsLeadToEndpointsOnly guards against an instance that connects its peers to any address.
+func TestTunnelsLeadToEndpointsOnly(t *testing.T) {
+	closed := false
+	tunnels, addr := newTestTunneler(t, &closed)
+	if _, _, err := dial(t, tunnels, "127.0.0.1:2"); err == nil {
+		t.Errorf("got a tunnel to an address of no endpoint, want an error")
+	}
+	if _, reply, err := dial(t, tunnels, "127.0.0.1:1"); err != nil || reply.Connected || !reply.Refused {
+		t.Errorf("got reply %+v, err %v for an endpoint that is down, want it refused", reply, err)
+	}
+	closed = true
+	if _, _, err := dial(t, tunnels, addr); err == nil {
+		t.Errorf("got a tunnel of an instance that opens none, want an error")
+	}
+}
+
+// TestUsersOfClosedTunnelsFindOutAtOnce guards against requests that wait for an instance which has lost the
+// endpoints itself.
+func TestUsersOfClosedTunnelsFindOutAtOnce(t *testing.T) {
+	closed := false
+	tunnels, addr := newTestTunneler(t, &closed)
+	user, _, err := dial(t, tunnels, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	awaitActive(t, tunnels, 1)
+	tunnels.CloseAll()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = user.SetReadDeadline(time.Now()) })
+	defer stop()
+	if _, err := user.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("got %v, want %v", err, io.EOF)
+	}
+	awaitActive(t, tunnels, 0)
+}
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -82,6 +82,7 @@
 	begunStreams  BegunStreams
 	inTouch       func() bool
 	log           hclog.Logger
+	watches       stallWatches
 }
 
 // Versions are the versions of the state that decisions are based on.
--- a/internal/entry/relayer/stall.go
+++ b/internal/entry/relayer/stall.go
@@ -49,6 +49,8 @@
 	mu    sync.Mutex
 	state stallState
 	timer *time.Timer
+	// waitingSince is when the state stallWaiting began.
+	waitingSince time.Time
 	// request is for a slot at an endpoint that was not tried.
 	request   allocator.SlotRequest
 	lastEvent string
@@ -80,6 +82,7 @@
 		w.maxRuns = t.request.Route.Attempts - t.runs - 1
 	}
 	w.wait(t.lastEvent)
+	t.watches.add(w)
 	return w
 }
 
@@ -95,7 +98,7 @@
 
 // startTimer starts the timeout if another endpoint may be asked. The caller holds the lock.
 func (w *stallWatch) startTimer() {
-	w.state = stallWaiting
+	w.state, w.waitingSince = stallWaiting, w.transfer.clock.Now()
 	if len(w.asked) < w.maxAsked && w.runs < w.maxRuns {
 		w.timer = time.AfterFunc(w.timeout, w.move)
 	}
@@ -115,6 +118,7 @@
 func (w *stallWatch) stop() (moved *movedAttempt, asked []fescuebank.EndpointID, runs int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.transfer.watches.remove(w)
 	w.halt(stallEnded)
 	return w.moved, w.asked, w.runs
 }
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -31,6 +31,7 @@
 	s.limiter.FillGossip(g, full)
 	g.OwnerListAgeMs = s.elector.ListAge().Milliseconds()
 	g.StoreUnreachable = s.storeUnreachable()
+	g.EndpointsLost, g.Tunnels = s.dialer.Lost(), s.tunneler.Active()
 }
 
 // storeUnreachable reports whether this instance can't reach the store.
@@ -88,6 +89,9 @@
 		return waiting
 	})
 	s.meter.Gauge("endpointsHere", func() any { return s.allocator.Loads() })
+	s.meter.Gauge("endpointsLost", func() any { return s.dialer.Lost() })
+	s.meter.Gauge("relayedConnections", func() any { return s.dialer.Relayed() })
+	s.meter.Gauge("tunnels", func() any { return s.tunneler.Active() })
 	s.meter.Gauge("limitedEndpoints", func() any { return s.limiter.Limited() })
 	s.meter.Gauge("storeAnswers", func() any {
 		reachable, since := s.platform.StoreState()
--- a/internal/operate/server/leave.go
+++ b/internal/operate/server/leave.go
@@ -58,7 +58,8 @@
 }
 
 // leave shuts the instance down: it removes itself from the addresses, releases
-// ownership, waits for the requests in flight, and removes its member entry.
+// ownership, waits for the requests in flight, also those of other instances that go through it,
+// and removes its member entry.
 func (s *Server) leave(servers []*http.Server) {
 	start := s.clock.Now()
 	s.log.Info("Instance leaves.", "inFlight", s.inFlight.Load(), "items", s.runner.Running())
@@ -71,6 +72,7 @@
 	} else {
 		s.awaitHandover(ctx, start.Add(s.settings.Timing.Grace-leaveMargin))
 	}
+	s.awaitTunnels(ctx, start.Add(s.settings.Timing.Grace-leaveMargin/2))
 	// The shutdown may have used up its time; the entry must be removed all the same.
 	leaveCtx, cancelLeave := context.WithDeadline(ctx, start.Add(s.settings.Timing.Grace))
 	defer cancelLeave()
@@ -100,6 +102,13 @@
 	_ = fescuebank.Sleep(ctx, s.clock, 3*idlePollInterval)
 }
 
+// awaitTunnels waits until no other instance's request goes through this one, or until the deadline.
+func (s *Server) awaitTunnels(ctx context.Context, deadline time.Time) {
+	for s.clock.Now().Before(deadline) && s.tunneler.Active() > 0 {
+		_ = fescuebank.Sleep(ctx, s.clock, idlePollInterval)
+	}
+}
+
 // hasHandedOver reports whether the list of owners no longer has this incarnation.
 func (s *Server) hasHandedOver() bool {
 	l := s.elector.List()
--- /dev/null
+++ b/internal/operate/server/reach.go
@@ -0,0 +1,64 @@
+package server
+
+import (
+	"context"
+	"net"
+
+	"fescuebank"
+	"fescuebank/internal/endpoint/dialer"
+	"fescuebank/internal/endpoint/tunneler"
+)
+
+// buildReach builds what connects to endpoints for this instance and for others.
+func (s *Server) buildReach() {
+	s.dialer = dialer.New(dialer.Config{
+		Zone: s.self.Zone, Endpoints: s.allocator.Endpoints, Relays: s.relays, Connect: s.platform.ConnectEndpoint, Open: s.openTunnel,
+		OnChange: s.applyReach, Clock: s.clock, Log: s.logFor("endpoint"),
+	})
+	s.tunneler = tunneler.New(tunneler.Config{
+		Endpoints: s.allocator.Endpoints, Connect: s.platform.ConnectEndpoint, Closed: s.opensNoTunnels, OnChange: s.gossiper.Wake, Log: s.logFor("endpoint"),
+	})
+	s.linker.HandleOpen(fescuebank.KindDialEndpoint, s.tunneler.Handle)
+}
+
+// relays returns the other instances that may connect this one to endpoints.
+func (s *Server) relays() []dialer.Relay {
+	var list []dialer.Relay
+	for _, p := range s.gossiper.Peers() {
+		if !p.Alive || p.Gossip.EndpointsLost || p.Gossip.Leaving {
+			continue
+		}
+		load := float64(p.Gossip.Online.Sum()+p.Gossip.Batch.Sum()+p.Gossip.Tunnels) / max(p.Weight, minWeight)
+		list = append(list, dialer.Relay{ID: p.ID, Zone: p.Zone, Addr: p.PeerAddr, Load: load})
+	}
+	return list
+}
+
+func (s *Server) opensNoTunnels() bool {
+	return s.dialer.Lost() || s.leaving.Load()
+}
+
+// minWeight is the least weight by which the load of an instance is divided.
+const minWeight = 0.01
+
+// openTunnel has a peer connect this instance to an endpoint.
+func (s *Server) openTunnel(ctx context.Context, peer, endpoint string) (net.Conn, fescuebank.DialReply, error) {
+	var reply fescuebank.DialReply
+	c, err := s.linker.Open(ctx, peer, fescuebank.KindDialEndpoint, &fescuebank.DialRequest{Addr: endpoint}, &reply)
+	if err == nil && !reply.Connected {
+		_ = c.Close()
+	}
+	return c, reply, err
+}
+
+// applyReach handles that this instance has lost all endpoints, or reaches them again. What it saw of
+// the endpoints before says nothing about them.
+func (s *Server) applyReach(lost bool) {
+	s.gossiper.Wake()
+	s.exchanger.CloseAllIdle()
+	s.ejector.Forget()
+	if lost {
+		s.tunneler.CloseAll()
+		s.entry.Relayer.MoveSilent()
+	}
+}
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -20,9 +20,11 @@
 	"fescuebank/internal/batch/manager"
 	"fescuebank/internal/batch/persister"
 	"fescuebank/internal/batch/runner"
+	"fescuebank/internal/endpoint/dialer"
 	"fescuebank/internal/endpoint/ejector"
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/endpoint/isolator"
+	"fescuebank/internal/endpoint/tunneler"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/entry/relayer"
 	"fescuebank/internal/entry/resumer"
@@ -62,6 +64,8 @@
 	// has handed over all it owned.
 	RetirementPrefix string
 	SetRetired       func(ctx context.Context, key string, completed bool) error
+	// ConnectEndpoint opens a connection to the endpoint at an address, as dialer.Connect does.
+	ConnectEndpoint func(ctx context.Context, addr string) (net.Conn, error)
 	// Handlers returns the HTTP handlers for callers.
 	Handlers func(Entry) Handlers
 }
@@ -118,6 +122,8 @@
 	limiter       *limiter.Limiter
 	allocator     *allocator.Allocator
 	ejector       *ejector.Ejector
+	dialer        *dialer.Dialer
+	tunneler      *tunneler.Tunneler
 	exchanger     *exchanger.Exchanger
 	isolator      *isolator.Isolator
 	resumer       *resumer.Resumer
@@ -170,14 +176,15 @@
 	s.serviceLevels = collector.New(s.clock, fescuebank.DefaultObjectives)
 	s.aggregator = aggregator.New(s.gossiper, s.linker, s.serviceLevels)
 	s.linker.Handle(fescuebank.KindServiceLevels, s.aggregator.Handle)
-	s.exchanger = exchanger.New(s.platform.Protocol, s.clock)
 	s.limiter = limiter.New(limiter.Config{Self: s.self.ID, Clock: s.clock, Announce: s.gossiper.Wake, Log: s.logFor("endpoint")})
 	s.allocator = allocator.NewLimited(s.clock, s.gossiper.Wake, s.limiter)
+	s.buildReach()
+	s.exchanger = exchanger.New(s.platform.Protocol, s.clock, s.dialer.Dial)
 	s.ejector = ejector.New(ejector.Config{
-		Zone: s.self.Zone, Endpoints: s.allocator.Endpoints, Eject: s.allocator.Deprioritize, Clock: s.clock, Log: s.logFor("endpoint"),
+		Zone: s.self.Zone, Endpoints: s.allocator.Endpoints, Doubtful: s.dialer.Doubtful, Eject: s.allocator.Deprioritize, Clock: s.clock, Log: s.logFor("endpoint"),
 	})
 	s.isolator = isolator.New(isolator.Config{
-		Store: s.platform.Store, IsDown: s.exchanger.IsDown, Announce: s.gossiper.Wake,
+		Store: s.platform.Store, IsDown: s.dialer.IsDown, Announce: s.gossiper.Wake,
 		Lag: s.gossiper.Lag, Clock: s.clock, Log: s.logFor("crash"),
 	})
 	s.resumer = resumer.New(resumer.Config{Members: s.gossiper, Peer: s.linker, Clock: s.clock, Log: s.logFor("resume")})
--- a/internal/wire/linker/link.go
+++ b/internal/wire/linker/link.go
@@ -20,6 +20,9 @@
 	frameCall frameType = iota + 1
 	frameReply
 	frameNotification
+	// frameOpen is the first and only frame that a connection carries in its direction, before
+	// the bytes of another protocol.
+	frameOpen
 )
 
 const (
@@ -74,8 +77,12 @@
 }
 
 func (c *frameConn) readFrame() (frame, error) {
+	return readFrame(c.reader)
+}
+
+func readFrame(r io.Reader) (frame, error) {
 	var header [headerBytes]byte
-	if _, err := io.ReadFull(c.reader, header[:]); err != nil {
+	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return frame{}, err
 	}
 	length := binary.BigEndian.Uint32(header[:])
@@ -86,7 +93,7 @@
 		typ: frameType(header[4]), kind: fescuebank.MessageKind(header[5]),
 		id: binary.BigEndian.Uint64(header[6:]), body: make([]byte, length),
 	}
-	_, err := io.ReadFull(c.reader, f.body)
+	_, err := io.ReadFull(r, f.body)
 	return f, err
 }
 
--- a/internal/wire/linker/linker.go
+++ b/internal/wire/linker/linker.go
@@ -38,6 +38,7 @@
 	listener             net.Listener
 	handlers             map[fescuebank.MessageKind]fescuebank.PeerHandler
 	notificationHandlers map[fescuebank.MessageKind]NotificationHandler
+	connHandlers         map[fescuebank.MessageKind]ConnHandler
 
 	mu       sync.Mutex
 	links    map[string]*link
@@ -54,6 +55,7 @@
 		clock: clock, log: log, listener: l,
 		handlers:             make(map[fescuebank.MessageKind]fescuebank.PeerHandler),
 		notificationHandlers: make(map[fescuebank.MessageKind]NotificationHandler),
+		connHandlers:         make(map[fescuebank.MessageKind]ConnHandler),
 		links:                make(map[string]*link), accepted: make(map[net.Conn]bool),
 	}, nil
 }
@@ -119,6 +121,10 @@
 		if err != nil {
 			return
 		}
+		if f.typ == frameOpen {
+			l.serveOpened(ctx, conn, f)
+			return
+		}
 		if f.typ == frameNotification {
 			if handle := l.notificationHandlers[f.kind]; handle != nil {
 				handle(func(into any) error { return decodeBody(f.body, into) })
@@ -132,11 +138,18 @@
 func (l *Linker) handleCall(ctx context.Context, conn *frameConn, f frame) {
 	ctx, cancel := context.WithTimeout(ctx, handleTimeout)
 	defer cancel()
-	reply := l.dispatch(ctx, f)
-	if err := conn.writeFrame(frame{typ: frameReply, id: f.id, kind: f.kind, body: reply}, l.clock.Now().Add(writeTimeout)); err != nil {
+	l.reply(conn, f, l.dispatch(ctx, f))
+}
+
+// reply writes the encoded reply to a frame and reports whether that succeeded. It closes the connection
+// otherwise.
+func (l *Linker) reply(conn *frameConn, f frame, body []byte) bool {
+	if err := conn.writeFrame(frame{typ: frameReply, id: f.id, kind: f.kind, body: body}, l.clock.Now().Add(writeTimeout)); err != nil {
 		l.log.Debug("Reply not written.", "kind", f.kind, "err", err.Error())
 		_ = conn.conn.Close()
+		return false
 	}
+	return true
 }
 
 func (l *Linker) dispatch(ctx context.Context, f frame) []byte {
--- a/peer.go
+++ b/peer.go
@@ -36,6 +36,7 @@
 	KindGossipBundle
 	KindRecordStreams
 	KindFindStream
+	KindDialEndpoint
 )
 
 // ProbeRequest checks whether an instance is alive and carries health updates.
