Count crashes of endpoints also when no instance reaches any

The check now connects to eight endpoints, and without an instance to ask, a refused connection is a crash. TestCrashOfAllEndpointsCounts was red.

--- a/internal/endpoint/dialer/dialer.go
+++ b/internal/endpoint/dialer/dialer.go
@@ -71,7 +71,7 @@
 	if !d.Lost() {
 		return d.race(ctx, addr)
 	}
-	c, _, err := d.dialRelayed(ctx, addr)
+	c, err := d.dialRelayed(ctx, addr)
 	if err == nil || d.Lost() {
 		return c, err
 	}
@@ -144,7 +144,7 @@
 	a.relaying = true
 	a.running++
 	go func() {
-		c, _, err := a.dialRelayed(ctx, a.addr)
+		c, err := a.dialRelayed(ctx, a.addr)
 		a.results <- dialed{conn: c, relayed: true, err: err}
 	}()
 }
@@ -182,8 +182,9 @@
 }
 
 // IsDown reports whether nothing listens at addr, as after a crash of the endpoint. Another instance
-// must confirm it if one can be asked, as this one may be refused where others are not. IsDown
-// reports false if that can't be found out.
+// must confirm it if one can be asked, as this one may be refused where others are not. If none
+// reaches endpoints, it is the endpoints that are down. IsDown reports false if that can't be
+// found out.
 func (d *Dialer) IsDown(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), downTimeout)
 	defer cancel()
@@ -197,12 +198,12 @@
 	}
 	confirmCtx, cancelConfirm := context.WithTimeout(context.Background(), downTimeout)
 	defer cancelConfirm()
-	c, refused, err := d.dialRelayed(confirmCtx, addr)
+	c, err = d.dialRelayed(confirmCtx, addr)
 	if err == nil {
 		_ = c.Close()
 		return false
 	}
-	return refused || (errors.Is(err, errNoRelay) && !d.Doubtful())
+	return !errors.Is(err, errNotReached) || !d.Doubtful()
 }
 
 // Direct connects to the endpoint at addr without another instance.
--- a/internal/endpoint/dialer/dialer_test.go
+++ b/internal/endpoint/dialer/dialer_test.go
@@ -193,6 +193,21 @@
 	}
 }
 
+// TestCrashOfAllEndpointsCounts guards against requests that crash endpoints and are not found because no
+// instance reaches any endpoint any more.
+func TestCrashOfAllEndpointsCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, n := newTestDialer()
+		n.set(func() { n.all = refuses })
+		d.loseAll(t)
+		if !d.IsDown("e0") {
+			t.Errorf("got an endpoint up that refuses while all are lost, want it down")
+		}
+		n.set(func() { n.all = opens })
+		time.Sleep(time.Second)
+	})
+}
+
 // TestSilenceOfAllConnectionsIsNoticed guards against an instance that waits on connections which deliver
 // nothing, as it opens no new one that would show it.
 func TestSilenceOfAllConnectionsIsNoticed(t *testing.T) {
@@ -237,7 +252,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d, n := newTestDialer(someRelays[:2]...)
 		n.set(func() { n.all, n.dead["a"] = hangs, true })
-		d.check0(t)
+		d.loseAll(t)
 		for range 10 {
 			if took, relayed, err := dial(t, d, "e0"); err != nil || !relayed || took > relayTimeout {
 				t.Errorf("got relayed %v after %v, err %v, want a relayed connection within %v", relayed, took, err, relayTimeout)
@@ -251,8 +266,8 @@
 	})
 }
 
-// check0 makes the dialer find out that it has lost the endpoints.
-func (d *Dialer) check0(t *testing.T) {
+// loseAll makes the dialer find out that it has lost the endpoints.
+func (d *Dialer) loseAll(t *testing.T) {
 	t.Helper()
 	d.startCheck()
 	time.Sleep(checkTimeout + time.Millisecond)
@@ -267,7 +282,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d, n := newTestDialer()
 		n.set(func() { n.all = hangs })
-		d.check0(t)
+		d.loseAll(t)
 		if took, _, err := dial(t, d, "e0"); !errors.Is(err, errNoRelay) || took > 0 {
 			t.Errorf("got %v after %v, want %v at once", err, took, errNoRelay)
 		}
--- a/internal/endpoint/dialer/reach.go
+++ b/internal/endpoint/dialer/reach.go
@@ -10,7 +10,7 @@
 const (
 	// checkedEndpoints is the number of endpoints that a check connects to, and checkTimeout bounds
 	// it. All of them must fail for this instance to have lost the endpoints.
-	checkedEndpoints = 4
+	checkedEndpoints = 8
 	checkTimeout     = 200 * time.Millisecond
 	// minFailed is the number of endpoints that must have failed for a check, if there are so
 	// many, and failureTime how long a failure counts.
--- a/internal/endpoint/dialer/relay.go
+++ b/internal/endpoint/dialer/relay.go
@@ -35,18 +35,25 @@
 	Load float64
 }
 
-// errNoRelay means that no other instance could be asked to connect.
-var errNoRelay = errors.New("no other instance reaches the endpoint")
+// Errors of a connection through another instance.
+var (
+	// errNoRelay means that there is no instance to ask.
+	errNoRelay = errors.New("no other instance reaches endpoints")
+	// errNotReached means that the instances asked did not connect.
+	errNotReached = errors.New("no connection through another instance")
+	// errRefused means that an instance found that nothing listens at the address.
+	errRefused = errors.New("connection refused at another instance")
+)
 
-// dialRelayed connects to an endpoint through another instance. It reports whether one found that
-// nothing listens there.
-func (d *Dialer) dialRelayed(ctx context.Context, addr string) (c net.Conn, refused bool, err error) {
-	err = errNoRelay
+// dialRelayed connects to an endpoint through another instance.
+func (d *Dialer) dialRelayed(ctx context.Context, addr string) (net.Conn, error) {
+	err := errNoRelay
 	for range maxRelays {
 		r, ok := d.relays.pick(d.Relays())
 		if !ok || ctx.Err() != nil {
-			return nil, refused, err
+			return nil, err
 		}
+		err = errNotReached
 		c, reply, openErr := d.open(ctx, r, addr)
 		switch {
 		case openErr != nil:
@@ -55,18 +62,16 @@
 			}
 		case reply.Connected:
 			d.relayed.Add(1)
-			return &relayedConn{Conn: c, release: sync.OnceFunc(func() { d.relays.release(r.ID) })}, false, nil
+			return &relayedConn{Conn: c, release: sync.OnceFunc(func() { d.relays.release(r.ID) })}, nil
 		case reply.Refused:
-			return nil, true, errRefused
+			d.relays.release(r.ID)
+			return nil, errRefused
 		}
 		d.relays.release(r.ID)
 	}
-	return nil, refused, err
+	return nil, err
 }
 
-// errRefused means that another instance found that nothing listens at the address.
-var errRefused = errors.New("connection refused at another instance")
-
 func (d *Dialer) open(ctx context.Context, r Relay, addr string) (net.Conn, fescuebank.DialReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
