--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -48,7 +48,7 @@
 		tj.jobs[spec.ID] = newJob(tj, spec)
 	}
 	tj.mu.Unlock()
-	m.Log.Info("Job accepted.", "job", string(spec.ID), "team", string(spec.Team), "items", len(spec.Items),
+	m.Log.Info("Job accepted.", "job", string(spec.ID), "team", string(spec.Team), "items", len(spec.Items), "bodies", spec.BodyDigests(),
 		"tokens", int64(spec.Tokens()), "waiting", int64(tj.waiting(spec.Route)), "ledger", uint64(tj.version))
 	m.OnItemsAvailable()
 	return nil
--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -126,6 +126,7 @@
 	}
 	r.Log.Info("Item attempted.", "request", string(a.task.Request.ID), "team", string(a.task.Request.Team),
 		"endpoint", string(a.slot.Endpoint.ID), "started", a.slot.Endpoint.StartedUnixMilli, "endpointVersion", a.slot.Endpoint.Version, "load", a.slot.Load,
+		"body", fescuebank.BodyDigest(a.task.Request.Body),
 		"events", progress.Events, "ms", took.Milliseconds(),
 		"slackMs", a.task.Due.Sub(r.Clock.Now()).Milliseconds(), "outcome", outcome)
 }
--- a/routedjob.go
+++ b/routedjob.go
@@ -1,6 +1,12 @@
 package fescuebank
 
-import "time"
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // RoutedItem is one item of a RoutedJob.
 type RoutedItem struct {
@@ -75,3 +81,17 @@
 	}
 	return p
 }
+
+// BodyDigest returns a short digest of a body, by which log lines show whether it changed.
+func BodyDigest(body []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(body), 16)
+}
+
+// BodyDigests returns the ids of the items with the digests of their bodies, for the log.
+func (j *RoutedJob) BodyDigests() string {
+	list := make([]string, 0, len(j.Items))
+	for i := range j.Items {
+		list = append(list, j.Items[i].ID+"="+BodyDigest(j.Items[i].Body))
+	}
+	return strings.Join(list, ",")
+}
