Give up the slots of streams that an instance without endpoints can't move

Cause: streams that may not be continued wait until their callers leave, 3.2 s here, and were counted as running. Change: after 1 s of silence at an instance that has lost the endpoints their slots are released; the streams go on to wait. Why it works: the endpoint generates the response within that time whether it can be delivered or not.

--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -97,7 +97,7 @@
 	defer cancel()
 	t.tried = append(t.tried, slot.Endpoint.ID)
 	t.attempts++
-	t.stalls = t.watchStalls(ctx, cancel)
+	t.stalls = t.watchStalls(ctx, slot, cancel)
 	stopHeaderWatch := t.watchHeaderWait(t.attemptHealth)
 	resp, err := t.send(attemptCtx, slot, t.lastEvent)
 	stopHeaderWatch()
@@ -113,7 +113,7 @@
 	defer moved.cancel()
 	t.enter(moved.slot)
 	t.log.Info("Stream moved from a silent endpoint.", "request", string(t.request.ID), "endpoint", string(t.endpoint.ID), "lastEvent", t.lastEvent)
-	t.stalls = t.watchStalls(ctx, moved.cancel)
+	t.stalls = t.watchStalls(ctx, moved.slot, moved.cancel)
 	return t.receive(ctx, moved.slot, moved.response)
 }
 
--- a/internal/entry/relayer/lost.go
+++ b/internal/entry/relayer/lost.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// maxLostHold is how long a silent stream that can't move holds its slot, once the endpoints can't be
+// reached from this instance.
+const maxLostHold = time.Second
+
 // minLostSilence is how long an endpoint must have sent nothing for its stream to move before the
 // progress timeout, once the endpoints can't be reached from this instance. Connections that live
 // on deliver bytes more often.
@@ -50,12 +54,31 @@
 	}
 }
 
-// expedite ends the timeout if the endpoint has been silent for minLostSilence.
+// expedite ends the timeout if the endpoint has been silent for minLostSilence. A stream that can't move
+// goes on to wait, but gives up its slot later.
 func (w *stallWatch) expedite() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	silent := w.transfer.clock.Now().Sub(w.waitingSince) >= minLostSilence
-	if w.state == stallWaiting && silent && w.timer != nil && w.timer.Stop() {
+	silence := w.transfer.clock.Now().Sub(w.waitingSince)
+	if w.state != stallWaiting || silence < minLostSilence {
+		return
+	}
+	if !w.mayAsk() {
+		since := w.waitingSince
+		time.AfterFunc(maxLostHold-silence, func() { w.releaseSlot(since) })
+		return
+	}
+	if w.timer.Stop() {
 		go w.move()
 	}
 }
+
+// releaseSlot releases the slot of a stream whose endpoint has been silent since a time: by now the
+// endpoint has generated the response, which doesn't arrive.
+func (w *stallWatch) releaseSlot(since time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state == stallWaiting && w.waitingSince.Equal(since) {
+		w.slot.Release()
+	}
+}
--- a/internal/entry/relayer/stall.go
+++ b/internal/entry/relayer/stall.go
@@ -37,6 +37,7 @@
 // never ends a response.
 type stallWatch struct {
 	transfer *transfer
+	slot     *allocator.Slot
 	guarded  fescuebank.GuardedRun
 	// ctx is the request's context, and cancel ends the attempt.
 	ctx      context.Context
@@ -71,10 +72,10 @@
 	cancel context.CancelFunc
 }
 
-// watchStalls starts to watch the attempt that cancel ends.
-func (t *transfer) watchStalls(ctx context.Context, cancel context.CancelFunc) *stallWatch {
+// watchStalls starts to watch the attempt in a slot that cancel ends.
+func (t *transfer) watchStalls(ctx context.Context, slot *allocator.Slot, cancel context.CancelFunc) *stallWatch {
 	w := &stallWatch{
-		transfer: t, guarded: t.guarded, ctx: ctx, cancel: cancel, endpoint: t.endpoint.ID, timeout: t.progressTimeout(),
+		transfer: t, slot: slot, guarded: t.guarded, ctx: ctx, cancel: cancel, endpoint: t.endpoint.ID, timeout: t.progressTimeout(),
 		request: t.slotRequest(t.clock.Now()), lastEvent: t.lastEvent,
 	}
 	if t.request.Route.Resumable {
@@ -99,11 +100,16 @@
 // startTimer starts the timeout if another endpoint may be asked. The caller holds the lock.
 func (w *stallWatch) startTimer() {
 	w.state, w.waitingSince = stallWaiting, w.transfer.clock.Now()
-	if len(w.asked) < w.maxAsked && w.runs < w.maxRuns {
+	if w.mayAsk() {
 		w.timer = time.AfterFunc(w.timeout, w.move)
 	}
 }
 
+// mayAsk reports whether another endpoint may be asked. The caller holds the lock.
+func (w *stallWatch) mayAsk() bool {
+	return len(w.asked) < w.maxAsked && w.runs < w.maxRuns
+}
+
 // pause stops the timeout after the endpoint has sent something. It reports false if the stream
 // has moved, so that nothing more from the endpoint may be relayed.
 func (w *stallWatch) pause() bool {
