Find out through another instance whether an endpoint has crashed

Cause: an instance that reaches no endpoint saw connections through another instance break, looked at the endpoint directly, which timed out, and counted no crash. What crashes endpoints was not found there. Change: such an instance asks another one whether anything listens. Red before: TestCrashBehindAPartitionCounts.

--- a/cmd/fescuesoak/main_test.go
+++ b/cmd/fescuesoak/main_test.go
@@ -16,6 +16,7 @@
 }{
 	{1, ""},
 	{3, "a sound request that many callers repeat was quarantined, and a part that crashes endpoints was not"},
+	{4015, "a part of prompts that crashes endpoints was not stopped at instances without endpoints"},
 	{143, "a SIGHUP ended an instance that was leaving"},
 }
 
--- a/internal/endpoint/dialer/dialer.go
+++ b/internal/endpoint/dialer/dialer.go
@@ -186,24 +186,35 @@
 // reaches endpoints, it is the endpoints that are down. IsDown reports false if that can't be
 // found out.
 func (d *Dialer) IsDown(addr string) bool {
+	lost := d.Lost()
+	if !lost && !IsRefused(d.probe(addr)) {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), downTimeout)
 	defer cancel()
-	c, err := d.Connect(ctx, addr)
+	c, err := d.dialRelayed(ctx, addr)
 	if err == nil {
 		_ = c.Close()
 		return false
 	}
-	if !IsRefused(err) {
-		return false
+	switch {
+	case errors.Is(err, errRefused):
+		return true
+	case errors.Is(err, errNoRelay):
+		return !lost || IsRefused(d.probe(addr))
 	}
-	confirmCtx, cancelConfirm := context.WithTimeout(context.Background(), downTimeout)
-	defer cancelConfirm()
-	c, err = d.dialRelayed(confirmCtx, addr)
+	return !d.Doubtful()
+}
+
+// probe connects to an endpoint directly and closes the connection.
+func (d *Dialer) probe(addr string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), downTimeout)
+	defer cancel()
+	c, err := d.Connect(ctx, addr)
 	if err == nil {
 		_ = c.Close()
-		return false
 	}
-	return !errors.Is(err, errNotReached) || !d.Doubtful()
+	return err
 }
 
 // Direct connects to the endpoint at addr without another instance.
--- a/internal/endpoint/dialer/dialer_test.go
+++ b/internal/endpoint/dialer/dialer_test.go
@@ -193,6 +193,26 @@
 	}
 }
 
+// TestCrashBehindAPartitionCounts guards against requests that crash one endpoint after the other because the
+// instance that sends them can't look at the endpoints itself.
+func TestCrashBehindAPartitionCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, n := newTestDialer(someRelays...)
+		n.set(func() { n.all, n.relayed["e0"], n.relayed["e1"] = hangs, refuses, hangs })
+		d.loseAll(t)
+		for _, tt := range []struct {
+			addr string
+			want bool
+		}{{"e0", true}, {"e1", false}, {"e2", false}} {
+			if got := d.IsDown(tt.addr); got != tt.want {
+				t.Errorf("%s: got down %v, want %v", tt.addr, got, tt.want)
+			}
+		}
+		n.set(func() { n.all = opens })
+		time.Sleep(time.Second)
+	})
+}
+
 // TestCrashOfAllEndpointsCounts guards against requests that crash endpoints and are not found because no
 // instance reaches any endpoint any more.
 func TestCrashOfAllEndpointsCounts(t *testing.T) {
