--- a/internal/batch/tracker/tracker.go
+++ b/internal/batch/tracker/tracker.go
@@ -3,8 +3,6 @@
 
 import (
 	"encoding/json"
-	"net/http"
-	"slices"
 	"time"
 
 	"fescuebank"
@@ -203,91 +201,6 @@
 	return &c.items[ref.Item]
 }
 
-// Report applies a puller's report on an item. It returns false if the puller should
-// stop the item, because the item was handed out to another puller or is done.
-func (t *Tracker) Report(now time.Time, from fescuebank.InstanceID, r fescuebank.ItemReport, expiry time.Duration) bool {
-	it := t.item(r.Ref)
-	if it == nil || it.status != handedOut || it.attempt != r.Attempt || it.puller != from {
-		return false
-	}
-	switch r.Kind {
-	case fescuebank.ItemDone:
-		t.finish(now, r.Ref, r.Outcome)
-	case fescuebank.ItemReturned:
-		it.saveProgress(r.Resume)
-		t.requeue(r.Ref)
-	case fescuebank.ItemLost:
-		it.saveProgress(r.Resume)
-		it.recordLoss(now)
-	case fescuebank.ItemFailed:
-		it.saveProgress(r.Resume)
-		t.recordFailure(now, r.Ref)
-	case fescuebank.ItemRunning:
-		it.saveProgress(r.Resume)
-		it.expiry = now.Add(expiry)
-	}
-	return true
-}
-
-// saveProgress stores a partial output if it is longer than the stored one.
-func (i *item) saveProgress(p fescuebank.PartialResponse) {
-	if p.Tokens > i.resume.Tokens {
-		i.resume = p
-		i.losses = 0
-	}
-}
-
-func (t *Tracker) requeue(ref fescuebank.ItemRef) {
-	t.item(ref).status = pending
-	t.enqueue(ref)
-}
-
-// recordLoss pauses an item whose attempt was lost.
-func (i *item) recordLoss(now time.Time) {
-	i.status = paused
-	i.notBefore = now.Add(lossPause << min(i.losses, maxLossDoublings))
-	i.losses++
-}
-
-// recordFailure requeues an item that failed at its endpoint, or fails it after MaxFailures.
-func (t *Tracker) recordFailure(now time.Time, ref fescuebank.ItemRef) {
-	it := t.item(ref)
-	it.failures++
-	if it.failures < MaxFailures {
-		t.requeue(ref)
-		return
-	}
-	body, _ := json.Marshal(failureBody{Code: fescuebank.CodeEndpointError, Message: "the item failed on every endpoint that tried it"})
-	t.finish(now, ref, fescuebank.ItemOutcome{
-		CustomID: customID(t.chunks[ref.Chunk].lines[ref.Item]), Status: http.StatusBadGateway, Body: body, Failed: true,
-	})
-}
-
-// failureBody is the error body of an item that failed after MaxFailures.
-type failureBody struct {
-	Code    fescuebank.RefusalCode `json:"code"`
-	Message string                 `json:"message"`
-}
-
-func customID(line []byte) string {
-	var request fescuebank.BatchLine
-	_ = json.Unmarshal(line, &request) // The line was checked when it was uploaded.
-	return request.CustomID
-}
-
-// finish records an item's outcome for the next commit.
-func (t *Tracker) finish(now time.Time, ref fescuebank.ItemRef, outcome fescuebank.ItemOutcome) {
-	c := &t.chunks[ref.Chunk]
-	it := &c.items[ref.Item]
-	it.status = finished
-	it.resume = fescuebank.PartialResponse{}
-	if len(c.results) == 0 {
-		c.oldest = now
-	}
-	c.results = append(c.results, fescuebank.ItemResult{Item: ref.Item, Outcome: outcome})
-	c.bytes += len(outcome.Body)
-}
-
 // Expire counts an attempt as lost if its puller has not reported in time, and requeues the
 // items whose pause is over.
 func (t *Tracker) Expire(now time.Time) {
@@ -304,82 +217,6 @@
 	}
 }
 
-// Commit is a group of results of one chunk to be written to the store.
-type Commit struct {
-	Chunk   int
-	Results []fescuebank.ItemResult
-	// Record is the chunk record with the results marked as done, but without the key
-	// of the new segment.
-	Record fescuebank.ChunkRecord
-	// Version is the version that the record must have in the store when it is written.
-	Version fescuebank.StoreVersion
-}
-
-// DueCommits returns the groups that are due: large enough, older than age, or the
-// last of their chunk. Each must be completed by ApplyCommit or RevertCommit.
-func (t *Tracker) DueCommits(now time.Time, age time.Duration) []Commit {
-	var due []Commit
-	for n := range t.chunks {
-		c := &t.chunks[n]
-		if c.committing || len(c.results) == 0 {
-			continue
-		}
-		if c.bytes < maxSegmentBytes && now.Sub(c.oldest) < age && len(c.results) < c.remaining {
-			continue
-		}
-		c.committing = true
-		due = append(due, Commit{Chunk: n, Results: c.results, Record: c.nextRecord(), Version: c.version})
-		c.results, c.bytes = nil, 0
-	}
-	return due
-}
-
-// nextRecord returns the record with the chunk's uncommitted results marked as done.
-func (c *chunk) nextRecord() fescuebank.ChunkRecord {
-	next := c.record
-	next.Done = slices.Clone(c.record.Done)
-	next.Segments = slices.Clone(c.record.Segments)
-	for _, r := range c.results {
-		next.MarkDone(r.Item)
-		if r.Outcome.Failed {
-			next.Failed++
-		} else {
-			next.Completed++
-		}
-	}
-	return next
-}
-
-// ApplyCommit records that a commit was written with the given record.
-func (t *Tracker) ApplyCommit(done Commit, record fescuebank.ChunkRecord, version fescuebank.StoreVersion) {
-	c := &t.chunks[done.Chunk]
-	c.committing = false
-	c.record = record
-	c.version = version
-	c.remaining -= len(done.Results)
-	if c.items == nil {
-		return // The job was stopped meanwhile.
-	}
-	for _, r := range done.Results {
-		c.items[r.Item].status = committed
-	}
-	c.releaseIfDone()
-}
-
-// RevertCommit returns the results of a commit to the uncommitted ones, after a write
-// that is known to have had no effect.
-func (t *Tracker) RevertCommit(failed Commit, now time.Time) {
-	c := &t.chunks[failed.Chunk]
-	c.committing = false
-	if len(c.results) == 0 {
-		c.oldest = now
-	}
-	c.results = append(failed.Results, c.results...)
-	for _, r := range failed.Results {
-		c.bytes += len(r.Outcome.Body)
-	}
-}
-
 // Done reports whether every item has a committed result.
 func (t *Tracker) Done() bool {
 	for n := range t.chunks {
@@ -399,32 +236,6 @@
 	return completed, failed
 }
 
-// OpenRecord is the record of a chunk that may still change.
-type OpenRecord struct {
-	Chunk   int
-	Record  fescuebank.ChunkRecord
-	Version fescuebank.StoreVersion
-}
-
-// OpenRecords returns the records that are not closed, of the chunks that are not
-// loaded or have items without a committed result.
-func (t *Tracker) OpenRecords() []OpenRecord {
-	var open []OpenRecord
-	for n := range t.chunks {
-		c := &t.chunks[n]
-		if !c.record.Closed && (!c.loaded || c.remaining > 0) {
-			open = append(open, OpenRecord{Chunk: n, Record: c.record, Version: c.version})
-		}
-	}
-	return open
-}
-
-// MarkClosed records that a chunk's record was closed.
-func (t *Tracker) MarkClosed(number int, version fescuebank.StoreVersion) {
-	t.chunks[number].record.Closed = true
-	t.chunks[number].version = version
-}
-
 // Stop drops all items without a committed result, after a cancellation. Later
 // reports on them return false.
 func (t *Tracker) Stop() {
