--- a/internal/endpoint/dialer/reach.go
+++ b/internal/endpoint/dialer/reach.go
@@ -12,8 +12,8 @@
 	// it. All of them must fail for this instance to have lost the endpoints.
 	checkedEndpoints = 8
 	checkTimeout     = 200 * time.Millisecond
-	// minFailed is the number of endpoints that must have failed for a check, if there are so
-	// many, and failureTime how long a failure counts.
+	// minFailed is the number of endpoints that must have failed for a check, and failureTime how
+	// long a failure counts.
 	minFailed   = 2
 	failureTime = 2 * time.Second
 	// minCheckInterval is the minimum time between the starts of two checks.
@@ -82,11 +82,6 @@
 	}
 }
 
-// checkSilence checks whether the endpoints are lost after all connections fell silent.
-func (d *Dialer) checkSilence() {
-	d.startCheck()
-}
-
 // startCheck finds out in the background whether this instance reaches endpoints, unless it has
 // begun to lately or knows that it doesn't.
 func (d *Dialer) startCheck() {
--- a/internal/endpoint/dialer/relay.go
+++ b/internal/endpoint/dialer/relay.go
@@ -18,8 +18,8 @@
 	maxRelays    = 2
 	// relayPause is how long an instance that failed as a relay is not tried again.
 	relayPause = time.Second
-	// zoneLoadFactor is by how much more requests an instance of this zone may have than one of another
-	// zone, per weight, to be chosen all the same, zoneLoadMargin how many more.
+	// An instance of another zone is preferred if the one of this zone has more than zoneLoadFactor
+	// times its load and zoneLoadMargin.
 	zoneLoadFactor = 2
 	zoneLoadMargin = 16
 )
--- a/internal/entry/allocator/limit.go
+++ b/internal/entry/allocator/limit.go
@@ -13,8 +13,7 @@
 // noLimits is a RateLimiter for endpoints that state no limits.
 type noLimits struct{}
 
-func (noLimits) Allows(fescuebank.EndpointID) bool { return true }
-func (noLimits) Take(fescuebank.EndpointID)        {}
+func (noLimits) Take(fescuebank.EndpointID) {}
 func (noLimits) Share(fescuebank.EndpointID) (fescuebank.RateShare, bool) {
 	return fescuebank.RateShare{}, false
 }
--- a/internal/limit/limiter/limiter.go
+++ b/internal/limit/limiter/limiter.go
@@ -140,12 +140,6 @@
 	return s
 }
 
-// Allows reports whether a request may be sent to the endpoint now.
-func (l *Limiter) Allows(id fescuebank.EndpointID) bool {
-	share, limited := l.Share(id)
-	return !limited || share.Available >= 1
-}
-
 // Take counts a request that is sent to the endpoint.
 func (l *Limiter) Take(id fescuebank.EndpointID) {
 	l.mu.Lock()
--- a/internal/limit/limiter/limiter_test.go
+++ b/internal/limit/limiter/limiter_test.go
@@ -67,7 +67,7 @@
 
 // send sends one request if the instance may.
 func (f *fleet) send(l *Limiter) {
-	if !l.Allows(endpointID) {
+	if share, limited := l.Share(endpointID); limited && share.Available < 1 {
 		return
 	}
 	l.Take(endpointID)
--- a/internal/operate/server/reach.go
+++ b/internal/operate/server/reach.go
@@ -9,6 +9,9 @@
 	"fescuebank/internal/endpoint/tunneler"
 )
 
+// minWeight is the least weight by which the load of an instance is divided.
+const minWeight = 0.01
+
 // buildReach builds what connects to endpoints for this instance and for others.
 func (s *Server) buildReach() {
 	s.dialer = dialer.New(dialer.Config{
@@ -34,13 +37,11 @@
 	return list
 }
 
+// opensNoTunnels reports whether this instance connects no others to endpoints.
 func (s *Server) opensNoTunnels() bool {
 	return s.dialer.Lost() || s.leaving.Load()
 }
 
-// minWeight is the least weight by which the load of an instance is divided.
-const minWeight = 0.01
-
 // openTunnel has a peer connect this instance to an endpoint.
 func (s *Server) openTunnel(ctx context.Context, peer, endpoint string) (net.Conn, fescuebank.DialReply, error) {
 	var reply fescuebank.DialReply
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -13,8 +13,6 @@
 
 // RateLimiter limits the requests of this instance to endpoints that state a limit.
 type RateLimiter interface {
-	// Allows reports whether a request may be sent to the endpoint now.
-	Allows(id EndpointID) bool
 	// Take counts a request that is sent to the endpoint.
 	Take(id EndpointID)
 	// Share returns this instance's part of the endpoint's limit. It returns false for an
