Have a few instances repeat what endpoints state of their limits

Cause: each full gossip message of each instance repeated the statements of all limited endpoints, and each adopted change was news of the adopter again. Change: the instance that observed a change tells it for a second; the holders of a limit and two more repeat it. Why it works: messages grow with the endpoints, not with endpoints times instances; two more than the holders know a limit that a restarted holder has to learn. Red before: TestFewInstancesRepeatAStatement, as the former code repeats 50 statements at each of 195 instances.

--- a/gossip.go
+++ b/gossip.go
@@ -92,8 +92,8 @@
 	// milliseconds, and Trials those that it is running.
 	Completed map[SuspectKey]int64 `cbor:"24,keyasint,omitempty"`
 	Trials    []SuspectKey         `cbor:"25,keyasint,omitempty"`
-	// RateLimits are the latest statements of endpoints about the rate of requests that they
-	// take: all of them in messages with Received, recent changes in the others.
+	// RateLimits are statements of endpoints about the rate of requests that they take: recent
+	// changes that the instance observed, and in messages with Received those that it repeats.
 	RateLimits map[EndpointTag]RateLimitStatement `cbor:"26,keyasint,omitempty"`
 	// EndpointsLost is set while the instance reaches no endpoint, and Tunnels counts the
 	// connections to endpoints that it holds for other instances.
--- a/internal/limit/limiter/gossip.go
+++ b/internal/limit/limiter/gossip.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	// newsTime is how long all messages of this instance state a change. Later only the full
-	// ones do.
+	// newsTime is how long all messages of the instance that observed a change state it.
 	newsTime = time.Second
 	// refreshMargin is by how much a statement that changes nothing must be later to count. It
 	// exceeds the age that statements gain on the way from one instance to the next, or two
@@ -19,15 +18,15 @@
 	orderMargin = 50 * time.Millisecond
 )
 
-// FillGossip adds the statements of the endpoints to a message: all of them if it is full, else
-// the recent changes.
+// FillGossip adds statements of endpoints to a message: the recent changes that this instance has
+// observed, and, if the message is full, those that it has to repeat.
 func (l *Limiter) FillGossip(g *fescuebank.Gossip, full bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
 	for tag := range l.statements {
 		s := l.inForce(tag, now)
-		if s == nil || (!full && now.Sub(s.changedAt) >= newsTime) {
+		if s == nil || !s.isDue(full, now) {
 			continue
 		}
 		if g.RateLimits == nil {
@@ -37,6 +36,11 @@
 	}
 }
 
+// isDue reports whether a message has to contain the statement.
+func (s *statement) isDue(full bool, now time.Time) bool {
+	return (full && s.repeats) || (s.observed && now.Sub(s.changedAt) < newsTime)
+}
+
 // ApplyGossip applies the statements of endpoints that another instance knows. The latest one
 // of each endpoint counts.
 func (l *Limiter) ApplyGossip(g *fescuebank.Gossip) {
--- a/internal/limit/limiter/limiter.go
+++ b/internal/limit/limiter/limiter.go
@@ -52,9 +52,11 @@
 	// here.
 	at        time.Time
 	changedAt time.Time
-	// share is this instance's part of rate, and bucket holds the requests that it allows; nil if
-	// share is 0.
-	share  fescuebank.RequestRate
+	// observed is set if this instance itself received the response that stated the rate.
+	observed bool
+	// role is this instance's role for rate, or for the one before if rate is 0.
+	role
+	// bucket holds the requests that the share allows; nil if that is 0.
 	bucket *rate.Limiter
 }
 
@@ -84,6 +86,9 @@
 		return
 	}
 	changed := l.apply(id.Tag(), limit, now, now)
+	if changed {
+		l.statements[id.Tag()].observed = true
+	}
 	l.mu.Unlock()
 	if changed {
 		l.Log.Info("Endpoint states a request limit.", "endpoint", string(id), "ratePerS", float64(limit))
@@ -106,14 +111,18 @@
 	if s.rate == limit {
 		return false
 	}
-	s.rate, s.changedAt = limit, now
+	s.rate, s.changedAt, s.observed = limit, now, false
 	l.divide(tag, s, now)
 	return true
 }
 
 // divide determines this instance's part of a limit. The caller holds the lock.
 func (l *Limiter) divide(tag fescuebank.EndpointTag, s *statement, now time.Time) {
-	s.share = shareOf(l.Self, l.members, tag, s.rate)
+	if s.rate == 0 {
+		s.share, s.bucket = 0, nil
+		return
+	}
+	s.role = roleOf(l.Self, l.members, tag, s.rate)
 	if s.share == 0 {
 		s.bucket = nil
 		return
--- a/internal/limit/limiter/limiter_test.go
+++ b/internal/limit/limiter/limiter_test.go
@@ -207,17 +207,49 @@
 // TestRestartedInstanceLearnsLimits guards against an instance that sends without a limit after its
 // restart, until a response tells it.
 func TestRestartedInstanceLearnsLimits(t *testing.T) {
+	for _, limit := range []fescuebank.RequestRate{0.3, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(8)
+			f.limit = limit
+			f.run(5 * time.Second)
+			for i := range f.instances {
+				f.restart(i)
+				for range int(heartbeat/step) + 1 {
+					f.gossip()
+					time.Sleep(step)
+				}
+				if _, limited := f.instances[i].Share(endpointID); !limited {
+					t.Errorf("limit %v: got none at instance %d a heartbeat after its restart, want it", limit, i)
+				}
+			}
+		})
+	}
+}
+
+// TestFewInstancesRepeatAStatement guards against gossip that grows with the number of instances times that of
+// endpoints.
+func TestFewInstancesRepeatAStatement(t *testing.T) {
+	const (
+		size      = 195
+		endpoints = 50
+		limit     = 3
+	)
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(3)
-		f.limit = 2
-		f.run(5 * time.Second)
-		f.restart(0)
-		for range int(heartbeat/step) + 1 {
-			f.gossip()
-			time.Sleep(step)
+		f := newFleet(size)
+		for n := range endpoints {
+			f.instances[n].Observe(fescuebank.EndpointID(fmt.Sprint("e", n)), limit)
+		}
+		f.gossip()
+		time.Sleep(newsTime)
+		count := 0
+		for _, l := range f.instances {
+			var g fescuebank.Gossip
+			l.FillGossip(&g, true)
+			count += len(g.RateLimits)
+			l.FillGossip(&g, false)
 		}
-		if _, limited := f.instances[0].Share(endpointID); !limited {
-			t.Errorf("got no limit a heartbeat after the restart, want one")
+		if most := endpoints * (holderCount(limit) + extraRepeaters); count > most || count < endpoints {
+			t.Errorf("got %d statements in one round of messages, want %d to %d", count, endpoints, most)
 		}
 	})
 }
