--- a/cmd/fescuebankd/lost_test.go
+++ b/cmd/fescuebankd/lost_test.go
@@ -43,8 +43,7 @@
 	return runs
 }
 
-// TestInstanceWithoutEndpointsServesThroughAnother guards against an instance that is partitioned from all
-// endpoints and serves nobody, although other instances reach them.
+// TestInstanceWithoutEndpointsServesThroughAnother guards against an instance that serves nobody in a partition.
 func TestInstanceWithoutEndpointsServesThroughAnother(t *testing.T) {
 	for _, mode := range []partitioner.Mode{partitioner.Hang, partitioner.Reset, partitioner.Refuse} {
 		t.Run(string(mode), func(t *testing.T) {
--- a/cmd/fescuebankd/ratelimit_test.go
+++ b/cmd/fescuebankd/ratelimit_test.go
@@ -8,8 +8,7 @@
 	"time"
 )
 
-// TestStatedLimitIsKeptByAllInstances guards against instances that together send an endpoint more
-// requests than it states to take, with batch items and after a restart.
+// TestStatedLimitIsKeptByAllInstances guards against instances that exceed a limit together.
 func TestStatedLimitIsKeptByAllInstances(t *testing.T) {
 	t.Parallel()
 	const (
--- a/internal/endpoint/dialer/dialer_test.go
+++ b/internal/endpoint/dialer/dialer_test.go
@@ -114,8 +114,7 @@
 	return time.Since(began), relayed, nil
 }
 
-// TestLostEndpointsAreReachedThroughAnotherInstance guards against requests that end while the instance
-// finds out that it reaches no endpoint, and against a detour that outlasts the partition.
+// TestLostEndpointsAreReachedThroughAnotherInstance guards against requests that end with the partition of their instance.
 func TestLostEndpointsAreReachedThroughAnotherInstance(t *testing.T) {
 	for _, tt := range []struct {
 		name string
@@ -158,8 +157,7 @@
 	}
 }
 
-// TestCrashedEndpointsAreNotThisInstancesFault guards against an instance that takes some crashed or silent
-// endpoints for a partition of its own.
+// TestCrashedEndpointsAreNotThisInstancesFault guards against crashes that are taken for a partition.
 func TestCrashedEndpointsAreNotThisInstancesFault(t *testing.T) {
 	for _, how := range []outcome{hangs, refuses} {
 		synctest.Test(t, func(t *testing.T) {
@@ -183,8 +181,7 @@
 	}
 }
 
-// TestRefusalHereAloneIsNoCrash guards against sound endpoints and requests that are blamed for a crash
-// because this instance can't connect.
+// TestRefusalHereAloneIsNoCrash guards against sound requests that are blamed for a crash.
 func TestRefusalHereAloneIsNoCrash(t *testing.T) {
 	d, n := newTestDialer(someRelays...)
 	n.all = refuses
@@ -193,8 +190,7 @@
 	}
 }
 
-// TestCrashBehindAPartitionCounts guards against requests that crash one endpoint after the other because the
-// instance that sends them can't look at the endpoints itself.
+// TestCrashBehindAPartitionCounts guards against crashes that are overlooked in a partition.
 func TestCrashBehindAPartitionCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d, n := newTestDialer(someRelays...)
@@ -213,8 +209,7 @@
 	})
 }
 
-// TestCrashOfAllEndpointsCounts guards against requests that crash endpoints and are not found because no
-// instance reaches any endpoint any more.
+// TestCrashOfAllEndpointsCounts guards against crashes that are overlooked when no endpoint is left.
 func TestCrashOfAllEndpointsCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d, n := newTestDialer()
@@ -228,8 +223,7 @@
 	})
 }
 
-// TestSilenceOfAllConnectionsIsNoticed guards against an instance that waits on connections which deliver
-// nothing, as it opens no new one that would show it.
+// TestSilenceOfAllConnectionsIsNoticed guards against waiting on connections that deliver nothing.
 func TestSilenceOfAllConnectionsIsNoticed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d, n := newTestDialer(someRelays...)
@@ -296,8 +290,7 @@
 	}
 }
 
-// TestWithoutRelaysRequestsFailAtOnce guards against requests that wait for a connection that nobody can
-// make.
+// TestWithoutRelaysRequestsFailAtOnce guards against waiting for a connection that nobody can make.
 func TestWithoutRelaysRequestsFailAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d, n := newTestDialer()
--- a/internal/endpoint/ejector/ejector_test.go
+++ b/internal/endpoint/ejector/ejector_test.go
@@ -175,8 +175,7 @@
 	}
 }
 
-// TestInstanceWithoutEndpointsEjectsNone guards against sound endpoints that all instances avoid because
-// one that reaches none reports failures.
+// TestInstanceWithoutEndpointsEjectsNone guards against sound endpoints that all instances avoid.
 func TestInstanceWithoutEndpointsEjectsNone(t *testing.T) {
 	for _, tt := range []struct {
 		name string
--- a/internal/endpoint/tunneler/tunneler_test.go
+++ b/internal/endpoint/tunneler/tunneler_test.go
@@ -105,8 +105,7 @@
 	}
 }
 
-// TestUsersOfClosedTunnelsFindOutAtOnce guards against requests that wait for an instance which has lost the
-// endpoints itself.
+// TestUsersOfClosedTunnelsFindOutAtOnce guards against requests that wait in a dead tunnel.
 func TestUsersOfClosedTunnelsFindOutAtOnce(t *testing.T) {
 	closed := false
 	tunnels, addr := newTestTunneler(t, &closed)
--- a/internal/entry/allocator/limit_test.go
+++ b/internal/entry/allocator/limit_test.go
@@ -30,8 +30,7 @@
 	return a, list
 }
 
-// TestLimitIsLeftForHighLoad guards against requests that use up a limit while other endpoints have free
-// slots, and find none of either when the load is high.
+// TestLimitIsLeftForHighLoad guards against limits that are used up while other slots are free.
 func TestLimitIsLeftForHighLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, list := newLimitedAllocator(2, 1, 2)
@@ -48,8 +47,7 @@
 	})
 }
 
-// TestFreeSlotsBeyondTheLimitAreNotWaitedFor guards against requests that wait as if a limited endpoint's
-// free slots could be used.
+// TestFreeSlotsBeyondTheLimitAreNotWaitedFor guards against waits for slots that the limit forbids.
 func TestFreeSlotsBeyondTheLimitAreNotWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, _ := newLimitedAllocator(1, 1, 2)
@@ -67,8 +65,7 @@
 	})
 }
 
-// TestBatchWorkUsesThisInstancesPartOfALimit guards against batch work that stands still while requests wait
-// elsewhere, though they couldn't use this instance's part of the limit.
+// TestBatchWorkUsesThisInstancesPartOfALimit guards against parts of limits that nobody uses.
 func TestBatchWorkUsesThisInstancesPartOfALimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, list := newLimitedAllocator(2, 1, 2)
@@ -90,8 +87,7 @@
 	})
 }
 
-// TestInstanceWithoutAPartOfAnyLimitRefusesAtOnce guards against requests that wait at an instance that may
-// send nothing to any endpoint.
+// TestInstanceWithoutAPartOfAnyLimitRefusesAtOnce guards against waiting in vain.
 func TestInstanceWithoutAPartOfAnyLimitRefusesAtOnce(t *testing.T) {
 	clock := timekeeper.Timekeeper{}
 	l := limiter.New(limiter.Config{Self: "e", Clock: clock, Announce: func() {}, Log: hclog.NewNullLogger()})
--- a/internal/entry/allocator/saturated_test.go
+++ b/internal/entry/allocator/saturated_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// TestSaturatedLargeFleetDoesNotQueueAtEndpoints guards against many instances that give the same free slot to
-// a waiting request each, when more requests wait than slots are free, and fill the endpoints' queues.
+// TestSaturatedLargeFleetDoesNotQueueAtEndpoints guards against many requests for one free slot.
 func TestSaturatedLargeFleetDoesNotQueueAtEndpoints(t *testing.T) {
 	const (
 		maxLate = 0.15
--- a/internal/limit/limiter/limiter_test.go
+++ b/internal/limit/limiter/limiter_test.go
@@ -107,8 +107,7 @@
 	return most
 }
 
-// TestLimitHoldsForAllInstancesTogether guards against instances that keep an endpoint's limit each for
-// itself and exceed it together, also while they can't reach each other or after restarts.
+// TestLimitHoldsForAllInstancesTogether guards against limits that each instance keeps for itself.
 func TestLimitHoldsForAllInstancesTogether(t *testing.T) {
 	const window = 4 * time.Second
 	for _, tt := range []struct {
@@ -169,8 +168,7 @@
 	}
 }
 
-// TestEndOfALimitReachesAllInstances guards against instances without a part of a limit that never
-// learn that it has ended, as they send nothing to the endpoint.
+// TestEndOfALimitReachesAllInstances guards against limits that outlast their statement.
 func TestEndOfALimitReachesAllInstances(t *testing.T) {
 	for _, tt := range []struct {
 		name string
@@ -204,8 +202,7 @@
 	}
 }
 
-// TestRestartedInstanceLearnsLimits guards against an instance that sends without a limit after its
-// restart, until a response tells it.
+// TestRestartedInstanceLearnsLimits guards against limits that are forgotten with a restart.
 func TestRestartedInstanceLearnsLimits(t *testing.T) {
 	for _, limit := range []fescuebank.RequestRate{0.3, 2} {
 		synctest.Test(t, func(t *testing.T) {
@@ -226,8 +223,7 @@
 	}
 }
 
-// TestFewInstancesRepeatAStatement guards against gossip that grows with the number of instances times that of
-// endpoints.
+// TestFewInstancesRepeatAStatement guards against gossip of the size instances times endpoints.
 func TestFewInstancesRepeatAStatement(t *testing.T) {
 	const (
 		size      = 195
@@ -254,8 +250,7 @@
 	})
 }
 
-// TestUnknownMembersSendNothing guards against an instance that takes a whole limit for itself because it
-// doesn't know the others yet.
+// TestUnknownMembersSendNothing guards against an instance that takes a whole limit for itself.
 func TestUnknownMembersSendNothing(t *testing.T) {
 	l := New(Config{Self: "a", Clock: timekeeper.Timekeeper{}, Announce: func() {}, Log: hclog.NewNullLogger()})
 	l.Observe(endpointID, 10)
@@ -264,8 +259,7 @@
 	}
 }
 
-// TestOldStatementsAreNotConfirmedBetweenInstances guards against a limit that never ends because
-// instances tell each other of it without end.
+// TestOldStatementsAreNotConfirmedBetweenInstances guards against limits that never end.
 func TestOldStatementsAreNotConfirmedBetweenInstances(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(12)
--- a/internal/wire/linker/open_test.go
+++ b/internal/wire/linker/open_test.go
@@ -42,8 +42,7 @@
 	return l
 }
 
-// TestOpenedConnectionCarriesBytes guards against bytes of the other protocol that are read as frames
-// or lost with the reply.
+// TestOpenedConnectionCarriesBytes guards against bytes that are lost or read as frames.
 func TestOpenedConnectionCarriesBytes(t *testing.T) {
 	a, b := newOpenLinker(t), newOpenLinker(t)
 	c, reply, err := open(a, b.Addr(), "hello")
