--- /dev/null
+++ b/internal/entry/allocator/slot.go
@@ -0,0 +1,70 @@
+package allocator
+
+import (
+	"sync"
+	"time"
+
+	"fescuebank"
+)
+
+// SlotRequest describes the slot that a request needs.
+type SlotRequest struct {
+	Service fescuebank.ServiceName
+	// Version restricts the slot to endpoints of a software version; empty means any.
+	Version string
+	// Resuming is set for a stream that has begun before. It goes before requests that begin.
+	Resuming bool
+	// Prefix breaks ties among equally loaded endpoints, so that requests with a common
+	// prompt prefix go to the same endpoint. It may be empty.
+	Prefix string
+	// Tried are the endpoints that the request already tried; they are skipped.
+	Tried []fescuebank.EndpointID
+	// Deadline is the latest time at which the slot may be assigned.
+	Deadline time.Time
+	// ReconsiderAt is when the wait ends early unless a slot is expected before the
+	// deadline. Zero means never.
+	ReconsiderAt time.Time
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	// batch is set for batch work, which may not use deprioritized endpoints, and limitedOnly if
+	// only endpoints that state a request limit will do.
+	batch       bool
+	limitedOnly bool
+}
+
+// Slot is a request's slot at an endpoint. It must be released exactly once.
+type Slot struct {
+	Endpoint fescuebank.ServedEndpoint
+	// Load is the number of requests at the endpoint as known here, including this one.
+	Load       int
+	acquiredAt time.Time
+	endpoint   *endpoint
+	allocator  *Allocator
+	once       sync.Once
+}
+
+// Observe applies a load report of the endpoint. Reported requests beyond the known
+// counts are those of instances whose gossip does not arrive here.
+func (s *Slot) Observe(report fescuebank.EndpointLoad) {
+	a := s.allocator
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	endpoint := s.endpoint
+	endpoint.unaccounted = max(0, report.Running+report.Waiting-endpoint.ownRequests-endpoint.otherRequests-unaccountedTolerance)
+	endpoint.unaccountedUntil = a.clock.Now().Add(unaccountedTTL)
+}
+
+// Release frees the slot.
+func (s *Slot) Release() {
+	s.once.Do(func() {
+		a := s.allocator
+		a.mu.Lock()
+		s.endpoint.ownRequests--
+		delete(a.heldSlots, s)
+		heldFor := a.clock.Now().Sub(s.acquiredAt)
+		a.meanHold += time.Duration(holdSmoothing * float64(heldFor-a.meanHold))
+		a.assignReleased(s.endpoint.Service)
+		a.mu.Unlock()
+		a.onChange()
+	})
+}
