Take only events for progress of a stream

Cause: the progress timeout of a stream, and the idle timeout of a batch item, began anew with each read. An endpoint that was stalled but sent a byte or a comment now and then kept the stream until its deadline, where it broke off. Change: reads go on until an event is complete; the timeout runs meanwhile. Comments between events are passed on with the next event to callers and left out of the output of items, which they used to end as out of order. The scanner searches new bytes only.

--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -158,13 +158,15 @@
 func (r *Runner) readEvents(response *exchanger.Response, progress *fescuebank.Progress) error {
 	var events scanner.Scanner
 	buffer := make([]byte, readBufferBytes)
+	response.SetReadDeadline(r.Clock.Now().Add(idleTimeout))
 	for {
-		response.SetReadDeadline(r.Clock.Now().Add(idleTimeout))
 		count, err := response.Read(buffer)
 		for _, e := range scanner.Events(events.Feed(buffer[:count])) {
 			if err := appendEvent(progress, e); err != nil {
 				return err
 			}
+			// Only events are progress: a stalled endpoint may send bytes now and then.
+			response.SetReadDeadline(r.Clock.Now().Add(idleTimeout))
 		}
 		if err := events.Err(); err != nil {
 			return err
--- a/internal/batch/runner/stall_test.go
+++ b/internal/batch/runner/stall_test.go
@@ -122,3 +122,39 @@
 		t.Errorf("got cause %v, error %v, want cause %v, error %v", cause, err, manager.CauseInterrupted, scanner.ErrTooLong)
 	}
 }
+
+// TestBytesWithoutAnEventAreNoProgress guards against an attempt that goes on because its stalled endpoint
+// sends a byte or a comment now and then.
+func TestBytesWithoutAnEventAreNoProgress(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nid: 1\ndata: a\n\n"
+	for _, tt := range []struct {
+		name string
+		part string
+	}{
+		{"bytes", "x"},
+		{"comments", ": still here\n\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*idleTimeout)
+			defer cancel()
+			handle := func(c net.Conn) {
+				respondAndStall(head)(c)
+				for err := error(nil); err == nil; time.Sleep(idleTimeout / 5) {
+					_, err = c.Write([]byte(tt.part))
+				}
+			}
+			progress := fescuebank.Progress{}
+			cause, err := attemptAt(ctx, t, handle, &progress)
+			if ctx.Err() != nil {
+				t.Fatalf("got an attempt that goes on after %v, want its end", 2*idleTimeout)
+			}
+			if cause != manager.CauseSilent || err == nil {
+				t.Errorf("got cause %v, error %v, want cause %v and an error", cause, err, manager.CauseSilent)
+			}
+			if progress.Events != 1 || string(progress.Output) != "a" {
+				t.Errorf("got progress %+v with output %q, want 1 event", progress, progress.Output)
+			}
+		})
+	}
+}
--- a/internal/endpoint/scanner/scanner.go
+++ b/internal/endpoint/scanner/scanner.go
@@ -31,12 +31,14 @@
 // Feed adds the next bytes of the stream and returns the events completed by them, still
 // encoded. The result is valid until the next call.
 func (s *Scanner) Feed(p []byte) []byte {
+	// The bytes fed before contain no end of an event, but may end within one.
+	searched := max(0, len(s.pending)-len(eventEnd)+1)
 	s.pending = append(s.pending, p...)
-	i := bytes.LastIndex(s.pending, eventEnd)
+	i := bytes.LastIndex(s.pending[searched:], eventEnd)
 	if i < 0 {
 		return nil
 	}
-	end := i + len(eventEnd)
+	end := searched + i + len(eventEnd)
 	complete := s.pending[:end:end]
 	s.pending = append([]byte(nil), s.pending[end:]...)
 	return complete
@@ -56,18 +58,37 @@
 	return nil
 }
 
-// Events decodes complete events. Fields other than id and data are ignored.
+// Events decodes complete events. Comments, and fields other than id and data, are ignored.
 func Events(complete []byte) []Event {
 	var events []Event
 	for _, block := range bytes.Split(complete, eventEnd) {
-		if len(block) == 0 {
-			continue
+		if !isComment(block) {
+			events = append(events, decode(block))
 		}
-		events = append(events, decode(block))
 	}
 	return events
 }
 
+// OnlyComments reports whether there is no event among the complete ones.
+func OnlyComments(complete []byte) bool {
+	for _, block := range bytes.Split(complete, eventEnd) {
+		if !isComment(block) {
+			return false
+		}
+	}
+	return true
+}
+
+// isComment reports whether a block between two empty lines has no field of an event.
+func isComment(block []byte) bool {
+	for _, line := range bytes.Split(block, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 func decode(block []byte) Event {
 	var e Event
 	lines := 0
--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -64,13 +64,13 @@
 	buffer := make([]byte, readBufferBytes)
 	for {
 		t.stalls.wait(t.lastEvent)
-		n, readErr := resp.Read(buffer)
+		complete, readErr := readEvents(resp, &events, buffer)
 		if !t.stalls.pause() {
 			resp.Abort()
 			t.attemptHealth.record(false)
 			return false, errMoved
 		}
-		if complete := events.Feed(buffer[:n]); len(complete) > 0 {
+		if len(complete) > 0 {
 			t.attemptBegun = true
 			t.begin()
 			t.sendHeader(resp)
@@ -80,9 +80,6 @@
 			}
 			t.lastEvent = scanner.LastID(complete, t.lastEvent)
 		}
-		if err := events.Err(); err != nil {
-			return t.handleTruncation(ctx, resp, err)
-		}
 		if readErr == io.EOF {
 			return t.endEvents(ctx, resp, events.Partial())
 		}
@@ -92,6 +89,28 @@
 	}
 }
 
+// readEvents reads until at least one event is complete or the stream ends. Bytes of an incomplete event and
+// comments are no progress: a stalled endpoint may send them now and then. Comments are returned with
+// the event after them.
+func readEvents(resp io.Reader, events *scanner.Scanner, buffer []byte) (complete []byte, err error) {
+	for err == nil && scanner.OnlyComments(complete) {
+		var n int
+		n, err = resp.Read(buffer)
+		if fed := events.Feed(buffer[:n]); len(complete) == 0 {
+			complete = fed
+		} else {
+			complete = append(complete, fed...)
+		}
+		if len(complete) > maxBufferedBytes && scanner.OnlyComments(complete) {
+			return nil, scanner.ErrTooLong
+		}
+		if tooLong := events.Err(); tooLong != nil {
+			return complete, tooLong
+		}
+	}
+	return complete, err
+}
+
 // endEvents handles the end of a stream. Bytes after the last complete event mean that
 // the endpoint stopped within an event.
 func (t *transfer) endEvents(ctx context.Context, resp *exchanger.Response, partial bool) (done bool, err error) {
