Tell other instances which endpoints stated that they leave

Cause: only the instance that received such a response knew it, and forgot it at a restart. Where an endpoint's entry still says ready, it was in use again. Change: gossip states it: at once, and for a minute in full messages, by the instances that were told. It names the start of the incarnation by its entry, so no clock of another instance counts. Field 33, which older builds ignore. Result: TestRestartedInstanceLearnsWhichEndpointsLeave; without ApplyGossip its first three cases are red.

--- a/gossip.go
+++ b/gossip.go
@@ -95,6 +95,9 @@
 	// RateLimits are statements of endpoints about the rate of requests that they take: recent
 	// changes that the instance observed, and in messages with Received those that it repeats.
 	RateLimits map[EndpointTag]RateLimitStatement `cbor:"26,keyasint,omitempty"`
+	// LeavingEndpoints are the endpoints that stated in a response to the instance that they leave, with the
+	// start of the incarnation that did so, in Unix milliseconds.
+	LeavingEndpoints map[EndpointTag]int64 `cbor:"33,keyasint,omitempty"`
 	// EndpointsLost is set while the instance reaches no endpoint, and Tunnels counts the
 	// connections to endpoints that it holds for other instances.
 	EndpointsLost bool `cbor:"27,keyasint,omitempty"`
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -49,8 +49,8 @@
 	mu        sync.Mutex
 	endpoints map[fescuebank.EndpointID]*endpoint
 	versions  versionHistory
-	// leaving holds the endpoints that stated in a response that they leave.
-	leaving      map[fescuebank.EndpointID]leavingStatement
+	// leaving holds the endpoints that stated in a response, to this or another instance, that they leave.
+	leaving      map[fescuebank.EndpointTag]leavingStatement
 	waiting      []*waiter
 	nextSequence uint64
 	// meanHold is the moving average of how long a slot is held.
@@ -85,7 +85,7 @@
 	return &Allocator{
 		clock: clock, onChange: onChange, limiter: limiter, meanHold: initialHoldTime,
 		endpoints: make(map[fescuebank.EndpointID]*endpoint), heldSlots: make(map[*Slot]bool),
-		leaving: make(map[fescuebank.EndpointID]leavingStatement),
+		leaving: make(map[fescuebank.EndpointTag]leavingStatement),
 	}
 }
 
--- a/internal/entry/allocator/leaving_test.go
+++ b/internal/entry/allocator/leaving_test.go
@@ -276,3 +276,56 @@
 		}
 	})
 }
+
+// TestRestartedInstanceLearnsWhichEndpointsLeave guards against requests to an endpoint that leaves, from an
+// instance that has restarted since the endpoint stated it, or that the endpoint never told.
+func TestRestartedInstanceLearnsWhichEndpointsLeave(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// pause is the time between the statement and the message.
+		pause time.Duration
+		full  bool
+		// listedFirst is whether the instance lists the endpoints before it gets the message.
+		listedFirst bool
+		// restarted is whether the endpoint has restarted since it made the statement.
+		restarted bool
+		leaves    bool
+	}{
+		{"at once", 0, false, true, false, true},
+		{"message before the list", 0, false, false, false, true},
+		{"a full message later", 30 * time.Second, true, true, false, true},
+		{"endpoint restarted", 10 * time.Second, true, true, true, false},
+		{"another message later", 30 * time.Second, false, true, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				started := time.Now()
+				told := allocator.New(timekeeper.Timekeeper{}, func() {})
+				told.SetEndpoints(entriesAt(started)[:1])
+				slot := mustAcquire(t, told)
+				slot.MarkLeaving()
+				time.Sleep(tt.pause)
+				var message fescuebank.Gossip
+				told.FillGossip(&message, tt.full)
+				list := entriesAt(started)
+				if tt.restarted {
+					list = entriesAt(time.Now())
+				}
+				a := allocator.New(timekeeper.Timekeeper{}, func() {})
+				if tt.listedFirst {
+					a.SetEndpoints(list)
+				}
+				a.ApplyGossip(&message)
+				a.SetEndpoints(list)
+				if got := !getsRequests(a, slot.Endpoint.ID); got != tt.leaves {
+					t.Errorf("got leaving %v, want %v", got, tt.leaves)
+				}
+				var relayed fescuebank.Gossip
+				a.FillGossip(&relayed, true)
+				if got := len(relayed.LeavingEndpoints); got != 0 {
+					t.Errorf("got %d statements of others in an own message, want none", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -29,6 +29,7 @@
 	s.ejector.FillGossip(g)
 	s.isolator.FillGossip(g)
 	s.limiter.FillGossip(g, full)
+	s.allocator.FillGossip(g, full)
 	g.OwnerListAgeMs = s.elector.ListAge().Milliseconds()
 	g.StoreUnreachable = s.storeUnreachable()
 	g.EndpointsLost, g.Tunnels = s.dialer.Lost(), s.tunneler.Active()
@@ -49,6 +50,7 @@
 		s.ejector.ApplyGossip(g)
 		s.isolator.ApplyGossip(g)
 		s.limiter.ApplyGossip(g)
+		s.allocator.ApplyGossip(g)
 		s.catchUp(g)
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
