Keep the bodies of all requests within a part of the memory

Cause: each body was bounded by the configuration, all of them together by nothing: 40 bodies of the largest size that the configuration allows are more than an instance's memory, whose process then ends with all its requests. Change: limit/reserver reserves the memory of a body until its request ends, a quarter of the machine's in all. A request that finds too little is refused at once and has not run. A reservation takes at most half of what is free, so small requests are served beside large ones. Metric heldMemory. Result: TestBodiesBeyondTheMemoryAreRefused, TestLargeRequestsLeaveRoomForSmallOnes.

--- a/cmd/fescuebankd/objectplatform.go
+++ b/cmd/fescuebankd/objectplatform.go
@@ -93,7 +93,7 @@
 // newHandlers returns the HTTP handlers of the platform's caller-facing API.
 func newHandlers(e server.Entry, s *fescuebank.Settings) server.Handlers {
 	handler := gateway.New(gateway.Config{
-		Table: e.Table, Relayer: e.Relayer, Admitter: e.Admitter, Batch: e.Batch, Addresses: e.Addresses,
+		Table: e.Table, Relayer: e.Relayer, Admitter: e.Admitter, Batch: e.Batch, Memory: e.Memory, Addresses: e.Addresses,
 		Ready: e.Ready, Leaving: e.Leaving, AddressTTL: s.Timing.AddressTTL, Clock: e.Clock, Meter: e.Meter, ServiceLevels: e.ServiceLevels, Log: e.Log,
 	})
 	return server.Handlers{
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -94,6 +94,7 @@
 	s.meter.Gauge("endpointsLost", func() any { return s.dialer.Lost() })
 	s.meter.Gauge("relayedConnections", func() any { return s.dialer.Relayed() })
 	s.meter.Gauge("tunnels", func() any { return s.tunneler.Active() })
+	s.meter.Gauge("heldMemory", func() any { return s.memory.Status() })
 	s.meter.Gauge("limitedEndpoints", func() any { return s.limiter.Limited() })
 	s.meter.Gauge("storeAnswers", func() any {
 		reachable, since := s.platform.StoreState()
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -34,6 +34,7 @@
 	"fescuebank/internal/limit/acquirer"
 	"fescuebank/internal/limit/issuer"
 	"fescuebank/internal/limit/limiter"
+	"fescuebank/internal/limit/reserver"
 	"fescuebank/internal/operate/aggregator"
 	"fescuebank/internal/operate/collector"
 	"fescuebank/internal/operate/meter"
@@ -84,6 +85,7 @@
 	Relayer       *relayer.Relayer
 	Admitter      *acquirer.Acquirer
 	Batch         *client.Client
+	Memory        *reserver.Reserver
 	Addresses     func(zone fescuebank.Zone) []string
 	Ready         func() bool
 	Leaving       func() bool
@@ -130,6 +132,7 @@
 	acquirer      *acquirer.Acquirer
 	manager       *manager.Manager
 	runner        *runner.Runner
+	memory        *reserver.Reserver
 	serviceLevels *collector.Collector
 	aggregator    *aggregator.Aggregator
 	entry         Entry
@@ -173,6 +176,7 @@
 func (s *Server) build() error {
 	s.buildFleet()
 	self := fescuebank.Holder{ID: s.self.ID, Incarnation: s.self.Incarnation}
+	s.memory = reserver.New(heldMemory(s.settings.Limits.MemoryMiB))
 	s.serviceLevels = collector.New(s.clock, fescuebank.DefaultObjectives)
 	s.aggregator = aggregator.New(s.gossiper, s.linker, s.serviceLevels)
 	s.linker.Handle(fescuebank.KindServiceLevels, s.aggregator.Handle)
@@ -228,7 +232,7 @@
 			Meter: s.meter, Versions: s.versions, ServiceLevels: s.serviceLevels, Health: s.ejector, Guard: s.isolator,
 			BegunStreams: s.resumer, InTouch: s.inTouch, Log: s.logFor("entry"),
 		}),
-		Admitter: s.acquirer, Batch: batchClient, Addresses: s.addresses, Ready: s.ready, Leaving: s.leaving.Load,
+		Admitter: s.acquirer, Batch: batchClient, Memory: s.memory, Addresses: s.addresses, Ready: s.ready, Leaving: s.leaving.Load,
 		Clock: s.clock, Meter: s.meter, ServiceLevels: s.serviceLevels, Log: s.logFor("entry"),
 	}
 	s.registerGauges()
