Read responses ahead of callers that read slowly

Cause: a response was read from the endpoint only as fast as its caller read it. The endpoint kept its slot and cuts off what stays unread. The slot is free when the endpoint has ended its part.

--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -86,7 +86,7 @@
 
 // enter makes the slot's endpoint that of the current attempt.
 func (t *transfer) enter(slot *allocator.Slot) {
-	t.endpoint, t.slotLoad, t.attemptBegun = slot.Endpoint, slot.Load, false
+	t.slot, t.endpoint, t.slotLoad, t.attemptBegun = slot, slot.Endpoint, slot.Load, false
 	t.attemptHealth = &attemptHealth{health: t.health, id: slot.Endpoint.ID}
 }
 
--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -12,6 +12,7 @@
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/endpoint/scanner"
 	"fescuebank/internal/entry/allocator"
+	"fescuebank/internal/entry/spooler"
 )
 
 // errCorrupted means that a response can't be relayed: it is a success without the
@@ -47,6 +48,12 @@
 	return resp.Info.Signed && resp.Header.Get("Content-Encoding") == ""
 }
 
+// spool returns the spooler of a response. The slot is free once the endpoint's part has ended, however long the
+// caller takes to read the rest.
+func (t *transfer) spool(resp *exchanger.Response) *spooler.Spooler {
+	return spooler.New(spooler.Config{From: resp, To: t.writer, Memory: t.memory, OnEnd: t.slot.Release})
+}
+
 // sendHeader sends the response header unless it was sent before.
 func (t *transfer) sendHeader(resp *exchanger.Response) {
 	if t.headerSent {
@@ -61,10 +68,12 @@
 // forwardEvents relays complete events as they arrive and records their ids.
 func (t *transfer) forwardEvents(ctx context.Context, resp *exchanger.Response) (done bool, err error) {
 	var events scanner.Scanner
+	spool := t.spool(resp)
+	defer spool.Close(resp.Abort)
 	buffer := make([]byte, readBufferBytes)
 	for {
 		t.stalls.wait(t.lastEvent)
-		complete, readErr := readEvents(resp, &events, buffer)
+		complete, readErr := readEvents(spool, &events, buffer)
 		if !t.stalls.pause() {
 			resp.Abort()
 			t.attemptHealth.record(false)
@@ -74,7 +83,7 @@
 			t.attemptBegun = true
 			t.begin()
 			t.sendHeader(resp)
-			if err := t.writer.Write(complete); err != nil {
+			if err := spool.Write(complete); err != nil {
 				resp.Abort()
 				return true, context.Canceled
 			}
@@ -159,15 +168,17 @@
 			return true, context.Canceled
 		}
 	}
+	spool := t.spool(resp)
+	defer spool.Close(resp.Abort)
 	buffer := make([]byte, readBufferBytes)
 	for {
-		n, readErr := resp.Read(buffer)
+		n, readErr := spool.Read(buffer)
 		if n > 0 || readErr == io.EOF {
 			t.attemptBegun = true
 			t.sendHeader(resp)
 		}
 		if n > 0 {
-			if err := t.writer.Write(buffer[:n]); err != nil {
+			if err := spool.Write(buffer[:n]); err != nil {
 				resp.Abort()
 				return true, context.Canceled
 			}
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -80,6 +80,7 @@
 	health        Health
 	guard         fescuebank.CrashGuard
 	begunStreams  BegunStreams
+	memory        fescuebank.MemoryBudget
 	inTouch       func() bool
 	log           hclog.Logger
 	watches       stallWatches
@@ -105,6 +106,8 @@
 	Health        Health
 	Guard         fescuebank.CrashGuard
 	BegunStreams  BegunStreams
+	// Memory holds what is read ahead of slow callers.
+	Memory fescuebank.MemoryBudget
 	// InTouch reports whether the list of endpoints is likely to be current.
 	InTouch func() bool
 	Log     hclog.Logger
@@ -115,7 +118,7 @@
 	return &Relayer{
 		allocator: c.Allocator, exchanger: c.Exchanger, protocol: c.Protocol, clock: c.Clock, meter: c.Meter,
 		versions: c.Versions, serviceLevels: c.ServiceLevels, health: c.Health, guard: c.Guard,
-		begunStreams: c.BegunStreams, inTouch: c.InTouch, log: c.Log,
+		begunStreams: c.BegunStreams, memory: c.Memory, inTouch: c.InTouch, log: c.Log,
 	}
 }
 
@@ -135,6 +138,8 @@
 	// attemptHealth reports the outcome of the current attempt, and stalls watches its progress.
 	attemptHealth *attemptHealth
 	stalls        *stallWatch
+	// slot is the slot of the current attempt.
+	slot *allocator.Slot
 	// guarded is the current run.
 	guarded fescuebank.GuardedRun
 	// lastEvent is the id of the last event sent to the caller, and headerSent whether
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -230,7 +230,7 @@
 		Relayer: relayer.New(relayer.Config{
 			Allocator: s.allocator, Exchanger: s.exchanger, Protocol: s.platform.Protocol, Clock: s.clock,
 			Meter: s.meter, Versions: s.versions, ServiceLevels: s.serviceLevels, Health: s.ejector, Guard: s.isolator,
-			BegunStreams: s.resumer, InTouch: s.inTouch, Log: s.logFor("entry"),
+			BegunStreams: s.resumer, Memory: s.memory, InTouch: s.inTouch, Log: s.logFor("entry"),
 		}),
 		Admitter: s.acquirer, Batch: batchClient, Memory: s.memory, Addresses: s.addresses, Ready: s.ready, Leaving: s.leaving.Load,
 		Clock: s.clock, Meter: s.meter, ServiceLevels: s.serviceLevels, Log: s.logFor("entry"),
