Leave time to end the process when the store doesn't reply at a shutdown

Cause, by reading: removing the member entry could take the whole grace period, at whose end the process is killed.

--- a/internal/operate/server/leave.go
+++ b/internal/operate/server/leave.go
@@ -18,6 +18,9 @@
 	// leaveMargin is the time reserved at the end of the grace period for shutting
 	// down the servers and removing the member entry.
 	leaveMargin = 900 * time.Millisecond
+	// exitMargin is the time left of the grace period when the instance has given up removing its member
+	// entry: the process has to end by itself.
+	exitMargin = 250 * time.Millisecond
 	// commitTimeout bounds the wait for commits before ownership is released.
 	commitTimeout = time.Second
 	// handoverTimeout bounds sending a team's progress to its next owner.
@@ -74,7 +77,7 @@
 	}
 	s.awaitTunnels(ctx, start.Add(s.settings.Timing.Grace-leaveMargin/2))
 	// The shutdown may have used up its time; the entry must be removed all the same.
-	leaveCtx, cancelLeave := context.WithDeadline(ctx, start.Add(s.settings.Timing.Grace))
+	leaveCtx, cancelLeave := context.WithDeadline(ctx, start.Add(s.settings.Timing.Grace-exitMargin))
 	defer cancelLeave()
 	s.gossiper.Leave(leaveCtx)
 }
