Send nothing to the endpoints of evacuated zones

Each instance now replicates the entries like the configuration: a few instances of each zone watch them, gossip states the newest version (field 29), all read them in turn. The allocator gives no slot in an evacuated zone, and requests that wait for it alone end at once. An instance that has not read the entries is not ready and sends nothing.

--- a/cmd/fescuebankd/objectplatform.go
+++ b/cmd/fescuebankd/objectplatform.go
@@ -59,6 +59,7 @@
 		Store:           store, Reconnect: store.Reconnect, OnRecovery: store.OnRecovery, StoreState: store.State,
 		ConfigKey: decoder.ConfigKey, ConfigPrefix: decoder.ConfigPrefix, EndpointPrefix: decoder.EndpointPrefix,
 		DecodeConfig: decoder.Decoder{}.Config, DecodeEndpoint: decoder.Decoder{}.Endpoint, Protocol: marshaler.Marshaler{},
+		EvacuationPrefix: decoder.EvacuationPrefix, DecodeEvacuation: decoder.Decoder{}.Evacuation,
 		RetirementPrefix: decoder.RetirementPrefix,
 		SetRetired: func(ctx context.Context, key string, completed bool) error {
 			state := decoder.RetirementRunning
--- a/gossip.go
+++ b/gossip.go
@@ -99,6 +99,9 @@
 	// connections to endpoints that it holds for other instances.
 	EndpointsLost bool `cbor:"27,keyasint,omitempty"`
 	Tunnels       int  `cbor:"28,keyasint,omitempty"`
+	// Zones is what the instance knows of zones; nil in messages of instances that don't
+	// know evacuations.
+	Zones *ZoneGossip `cbor:"29,keyasint,omitempty"`
 }
 
 // RelayedGossip is a gossip message of another instance. Origin and Sequence let a receiver
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -50,7 +50,9 @@
 	endpoints map[fescuebank.EndpointID]*endpoint
 	versions  versionHistory
 	// leaving holds the endpoints that stated in a response that they leave.
-	leaving      map[fescuebank.EndpointID]leavingStatement
+	leaving map[fescuebank.EndpointID]leavingStatement
+	// evacuated are the zones to whose endpoints nothing may be sent.
+	evacuated    map[fescuebank.Zone]bool
 	waiting      []*waiter
 	nextSequence uint64
 	// meanHold is the moving average of how long a slot is held.
--- a/internal/entry/allocator/endpoint.go
+++ b/internal/entry/allocator/endpoint.go
@@ -29,6 +29,8 @@
 	// deprioritizedUntil is the time until which deprioritizedPenalty applies.
 	deprioritizedUntil time.Time
 	removed            bool
+	// evacuated endpoints are in a zone to which nothing may be sent.
+	evacuated bool
 }
 
 // load returns the known number of requests at the endpoint.
@@ -60,9 +62,10 @@
 	return e.Service == service && (version == "" || e.Version == version)
 }
 
-// acceptsRequests reports whether the endpoint is registered and not leaving.
+// acceptsRequests reports whether the endpoint is registered, not leaving, and in a zone that is not
+// evacuated.
 func (e *endpoint) acceptsRequests() bool {
-	return !e.removed && !e.Leaving
+	return !e.removed && !e.Leaving && !e.evacuated
 }
 
 // SetEndpoints replaces the list of endpoints. Counts are kept for endpoints of the same
@@ -89,6 +92,7 @@
 		}
 	}
 	a.endpoints = next
+	a.markEvacuated()
 	a.forgetLeaving(a.clock.Now())
 	a.endHopelessWaits()
 	a.assignAllowed()
--- a/internal/entry/allocator/limit.go
+++ b/internal/entry/allocator/limit.go
@@ -107,9 +107,12 @@
 	a.assignAllowed()
 }
 
-// Limited reports whether the slot's endpoint states a request limit. Other instances can't use the
-// slot instead.
+// Limited reports whether the slot's endpoint states a request limit or is in an evacuated zone. Other
+// instances can't use the slot instead.
 func (s *Slot) Limited() bool {
+	if s.isEvacuated() {
+		return true
+	}
 	_, limited := s.allocator.limiter.Share(s.Endpoint.ID)
 	return limited
 }
--- a/internal/fleet/replicator/replica.go
+++ b/internal/fleet/replicator/replica.go
@@ -90,9 +90,14 @@
 	if r.following && complete {
 		r.asOf = max(r.asOf, delta.At)
 	}
-	r.listed = r.listed || len(delta.Versions) > 0
+	// A peer that has read the prefix states a version, also if there are no objects.
+	first := !r.listed && (len(delta.Versions) > 0 || delta.At > 0)
+	r.listed = r.listed || first
+	if first && len(delta.Versions) == 0 {
+		r.asOf = max(r.asOf, delta.At)
+	}
 	r.mu.Unlock()
-	if changed {
+	if changed || first {
 		r.notify()
 	}
 	return complete
--- a/internal/operate/server/catchup.go
+++ b/internal/operate/server/catchup.go
@@ -46,6 +46,11 @@
 		func(g *fescuebank.Gossip) bool { return g.MembersVersion >= members })
 	add(fescuebank.OwnerListPrefix, s.owners, func() bool { return epoch > s.elector.Epoch() },
 		func(g *fescuebank.Gossip) bool { return g.Epoch >= epoch })
+	if zones := g.Zones; zones != nil {
+		evacuations := zones.Evacuations
+		add(s.platform.EvacuationPrefix, s.evacuations, func() bool { return s.evacuations.IsBehind(evacuations) },
+			func(g *fescuebank.Gossip) bool { return g.Zones != nil && g.Zones.Evacuations >= evacuations })
+	}
 	return list
 }
 
@@ -164,6 +169,8 @@
 		return s.members
 	case fescuebank.OwnerListPrefix:
 		return s.owners
+	case s.platform.EvacuationPrefix:
+		return s.evacuations
 	}
 	return nil
 }
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -31,6 +31,7 @@
 	s.limiter.FillGossip(g, full)
 	g.OwnerListAgeMs = s.elector.ListAge().Milliseconds()
 	g.StoreUnreachable = s.storeUnreachable()
+	g.Zones = &fescuebank.ZoneGossip{Evacuations: s.evacuationsVersion()}
 	g.EndpointsLost, g.Tunnels = s.dialer.Lost(), s.tunneler.Active()
 }
 
@@ -93,6 +94,7 @@
 	s.meter.Gauge("relayedConnections", func() any { return s.dialer.Relayed() })
 	s.meter.Gauge("tunnels", func() any { return s.tunneler.Active() })
 	s.meter.Gauge("limitedEndpoints", func() any { return s.limiter.Limited() })
+	s.meter.Gauge("evacuatedZones", func() any { return s.evacuator.Zones() })
 	s.meter.Gauge("storeAnswers", func() any {
 		reachable, since := s.platform.StoreState()
 		return map[string]any{"answers": reachable, "sinceMs": since.Milliseconds()}
--- a/internal/operate/server/poll.go
+++ b/internal/operate/server/poll.go
@@ -44,19 +44,30 @@
 	return wait
 }
 
-// poll reads the configuration and the endpoints in turn with the other instances, in
+// polled is a replica with the time until its next turn.
+type polled struct {
+	replica *replicator.Replicator
+	wait    time.Duration
+}
+
+// poll reads the configuration, the endpoints and the evacuations in turn with the other instances, in
 // addition to the watches. The watches of all instances may miss the same change; when one
 // instance polls it, the others learn of it by gossip.
 func (s *Server) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		turns := s.pollTurns()
-		config, endpoints := turns.next(s.clock.Now(), 0), turns.next(s.clock.Now(), turns.period()/2)
-		replica := s.config
-		if endpoints < config {
-			replica = s.endpoints
+		now, quarter := s.clock.Now(), turns.period()/4
+		next := polled{replica: s.config, wait: turns.next(now, 0)}
+		for _, other := range []polled{
+			{replica: s.endpoints, wait: turns.next(now, 2*quarter)},
+			{replica: s.evacuations, wait: turns.next(now, quarter)},
+		} {
+			if other.wait < next.wait {
+				next = other
+			}
 		}
-		_ = fescuebank.Sleep(ctx, s.clock, min(config, endpoints))
-		s.pollReplica(ctx, replica)
+		_ = fescuebank.Sleep(ctx, s.clock, next.wait)
+		s.pollReplica(ctx, next.replica)
 	}
 }
 
--- a/internal/operate/server/replica.go
+++ b/internal/operate/server/replica.go
@@ -19,12 +19,17 @@
 	othersFirstPause  = 700 * time.Millisecond
 )
 
+// replicators returns the replicators whose prefixes a few instances of each zone watch for the others.
+func (s *Server) replicators() []*replicator.Replicator {
+	return []*replicator.Replicator{s.config, s.endpoints, s.members, s.owners, s.evacuations}
+}
+
 // setFollowing sets whether other instances watch the store for this one.
 func (s *Server) setFollowing(following bool) {
 	if s.owners.IsFollowing() != following {
 		s.log.Info("Watching of the store changed.", "following", following)
 	}
-	for _, r := range []*replicator.Replicator{s.config, s.endpoints, s.members, s.owners} {
+	for _, r := range s.replicators() {
 		r.SetFollowing(following)
 	}
 }
@@ -72,7 +77,7 @@
 
 // relistAll makes all replicators list their prefixes again.
 func (s *Server) relistAll() {
-	for _, r := range []*replicator.Replicator{s.config, s.endpoints, s.members, s.owners} {
+	for _, r := range s.replicators() {
 		r.Relist()
 	}
 }
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -29,6 +29,7 @@
 	"fescuebank/internal/entry/relayer"
 	"fescuebank/internal/entry/resumer"
 	"fescuebank/internal/fleet/elector"
+	"fescuebank/internal/fleet/evacuator"
 	"fescuebank/internal/fleet/gossiper"
 	"fescuebank/internal/fleet/replicator"
 	"fescuebank/internal/limit/acquirer"
@@ -59,6 +60,9 @@
 	DecodeConfig   func(value []byte) (table *fescuebank.RouteTable, skipped []error, err error)
 	DecodeEndpoint func(o fescuebank.Object) (fescuebank.ServedEndpoint, error)
 	Protocol       fescuebank.EndpointProtocol
+	// EvacuationPrefix is the prefix of the requests to evacuate a zone.
+	EvacuationPrefix string
+	DecodeEvacuation func(o fescuebank.Object) fescuebank.Evacuation
 	// RetirementPrefix is the prefix of the requests to retire an instance; each
 	// request is named after its instance. SetRetired records whether the instance
 	// has handed over all it owned.
@@ -118,6 +122,8 @@
 	endpoints     *replicator.Replicator
 	members       *replicator.Replicator
 	owners        *replicator.Replicator
+	evacuations   *replicator.Replicator
+	evacuator     *evacuator.Evacuator
 	elector       *elector.Elector
 	limiter       *limiter.Limiter
 	allocator     *allocator.Allocator
@@ -254,13 +260,15 @@
 	s.endpoints.SetMaxPause(s.maxWatchPause)
 	s.members.SetMaxPause(s.maxWatchPause)
 	s.owners = replicator.New(store, fescuebank.OwnerListPrefix, s.clock, s.logFor("owner"), s.applyOwners)
+	s.evacuator = evacuator.New(s.clock, s.logFor("zone"))
+	s.evacuations = replicator.New(store, s.platform.EvacuationPrefix, s.clock, s.logFor("zone"), s.applyEvacuations)
 	// The members are watched first: by them this instance learns whether it has to watch
 	// the rest at all.
 	s.members.SetFirstPause(membersFirstPause)
-	for _, r := range []*replicator.Replicator{s.config, s.endpoints, s.owners} {
+	for _, r := range []*replicator.Replicator{s.config, s.endpoints, s.owners, s.evacuations} {
 		r.SetFirstPause(othersFirstPause)
 	}
-	// The configuration must be current before the first request. Owners read their list
+	// The configuration and the evacuations must be current before the first request. Owners read their list
 	// again before they act by it.
 	for _, r := range []*replicator.Replicator{s.endpoints, s.members, s.owners} {
 		r.AllowStaleStart()
@@ -274,7 +282,7 @@
 	defer stop()
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
-		s.linker.Run, s.config.Run, s.endpoints.Run, s.members.Run, s.owners.Run, s.gossiper.Run, s.elector.Run, s.resumer.Run, s.isolator.Run, s.poll,
+		s.linker.Run, s.config.Run, s.endpoints.Run, s.members.Run, s.owners.Run, s.evacuations.Run, s.gossiper.Run, s.elector.Run, s.resumer.Run, s.isolator.Run, s.poll,
 	} {
 		group.Go(func() { run(componentCtx) })
 	}
@@ -339,6 +347,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.meter)
 	mux.Handle("/burn", s.aggregator)
+	mux.HandleFunc("/evacuations", s.serveEvacuations)
 	mux.Handle("/debug/vars", expvar.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = server.Serve(s.listeners.metrics) }()
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -34,6 +34,9 @@
 }
 
 func (s *Server) applyEndpoints(objects []fescuebank.Object) {
+	if !s.evacuator.Known() {
+		return // applyEvacuations applies them once it is known to which zones nothing may be sent.
+	}
 	var list []fescuebank.ServedEndpoint
 	for _, o := range objects {
 		e, err := s.platform.DecodeEndpoint(o)
@@ -90,7 +93,7 @@
 
 // ready reports whether this instance accepts requests.
 func (s *Server) ready() bool {
-	return s.settings.Roles.Entry && s.table.Load() != nil && s.endpoints.Listed() && !s.leaving.Load()
+	return s.settings.Roles.Entry && s.table.Load() != nil && s.endpoints.Listed() && s.evacuator.Known() && !s.leaving.Load()
 }
 
 // addresses returns the caller addresses of this instance and of its reachable peers, as
