--- a/cmd/fescuebankd/evacuation_test.go
+++ b/cmd/fescuebankd/evacuation_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"fescuebank"
 	"fescuebank/internal/standin/memorystorer"
 )
 
@@ -94,13 +93,3 @@
 		return status == http.StatusOK
 	})
 }
-
-// evacuations returns the status that the metrics address of an instance states.
-func (n *runningInstance) evacuations() (status fescuebank.EvacuationStatus, err error) {
-	resp, err := http.Get("http://" + n.settings.Listen.Metrics + "/evacuations")
-	if err != nil {
-		return status, err
-	}
-	defer resp.Body.Close()
-	return status, json.NewDecoder(resp.Body).Decode(&status)
-}
--- a/cmd/fescuectl/fleet.go
+++ b/cmd/fescuectl/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -106,19 +105,7 @@
 	if b.Metrics == "" {
 		return c.operator(ctx, http.MethodGet, "/api/burn", nil, report)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.Metrics+"/burn", nil)
-	if err != nil {
-		return err
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("metrics address responded with status %s", resp.Status)
-	}
-	return json.NewDecoder(resp.Body).Decode(report)
+	return c.metrics(ctx, b.Metrics, "/burn", report)
 }
 
 // reportCommand prints reports.
--- a/cmd/fescuectl/main.go
+++ b/cmd/fescuectl/main.go
@@ -14,16 +14,17 @@
 // arguments are the command-line arguments.
 type arguments struct {
 	connection
-	Apply     *applyCommand     `arg:"subcommand:apply" help:"put a document of desired state in force"`
-	Get       *getCommand       `arg:"subcommand:get" help:"print the desired state"`
-	Team      *teamCommand      `arg:"subcommand:team" help:"print one team"`
-	Key       *keyCommand       `arg:"subcommand:key" help:"grant or withdraw keys"`
-	Batch     *batchCommand     `arg:"subcommand:batch" help:"submit, show, fetch and cancel batch jobs"`
-	Instances *instancesCommand `arg:"subcommand:instances" help:"list the instances and their state"`
-	Endpoints *endpointsCommand `arg:"subcommand:endpoints" help:"list the endpoints and their load"`
-	Report    *reportCommand    `arg:"subcommand:report" help:"print reports"`
-	Load      *loadCommand      `arg:"subcommand:load" help:"measure a deployment under load"`
-	Explain   *explainCommand   `arg:"subcommand:explain" help:"tell from logs what happened to one request"`
+	Apply      *applyCommand      `arg:"subcommand:apply" help:"put a document of desired state in force"`
+	Get        *getCommand        `arg:"subcommand:get" help:"print the desired state"`
+	Team       *teamCommand       `arg:"subcommand:team" help:"print one team"`
+	Key        *keyCommand        `arg:"subcommand:key" help:"grant or withdraw keys"`
+	Batch      *batchCommand      `arg:"subcommand:batch" help:"submit, show, fetch and cancel batch jobs"`
+	Instances  *instancesCommand  `arg:"subcommand:instances" help:"list the instances and their state"`
+	Endpoints  *endpointsCommand  `arg:"subcommand:endpoints" help:"list the endpoints and their load"`
+	Evacuation *evacuationCommand `arg:"subcommand:evacuation" help:"send nothing to the endpoints of a zone, on platforms that list endpoints themselves"`
+	Report     *reportCommand     `arg:"subcommand:report" help:"print reports"`
+	Load       *loadCommand       `arg:"subcommand:load" help:"measure a deployment under load"`
+	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell from logs what happened to one request"`
 }
 
 // Description is shown by --help.
@@ -66,6 +67,8 @@
 		return a.Instances
 	case a.Endpoints != nil:
 		return a.Endpoints
+	case a.Evacuation != nil:
+		return a.Evacuation
 	case a.Report != nil:
 		return a.Report
 	case a.Load != nil:
