Learn evacuations only where the settings ask for it

Cause: each instance of each deployment listed, watched and polled another prefix, and waited for it at its start. Result: TestEvacuatedZoneGetsNoRequest with the setting; the other tests of server, allocator and fleet.

--- a/cmd/fescuebankd/objectplatform_test.go
+++ b/cmd/fescuebankd/objectplatform_test.go
@@ -97,7 +97,7 @@
 	s := &fescuebank.Settings{}
 	s.Defaults()
 	s.Instance.ID, s.Instance.Zone = fescuebank.InstanceID(name), "z"
-	s.Platform.Kind, s.Platform.URL = fescuebank.PlatformObjects, d.url
+	s.Platform.Kind, s.Platform.URL, s.Platform.Evacuations = fescuebank.PlatformObjects, d.url, true
 	s.Roles.Entry, s.Roles.Owner = entry, !entry
 	s.Timing.AddressTTL, s.Timing.Grace = 3*time.Second, 4*time.Second
 	s.Listen.Peers = anyAddr
--- a/internal/operate/server/catchup.go
+++ b/internal/operate/server/catchup.go
@@ -46,7 +46,7 @@
 		func(g *fescuebank.Gossip) bool { return g.MembersVersion >= members })
 	add(fescuebank.OwnerListPrefix, s.owners, func() bool { return epoch > s.elector.Epoch() },
 		func(g *fescuebank.Gossip) bool { return g.Epoch >= epoch })
-	if zones := g.Zones; zones != nil {
+	if zones := g.Zones; zones != nil && s.settings.Platform.Evacuations {
 		evacuations := zones.Evacuations
 		add(s.platform.EvacuationPrefix, s.evacuations, func() bool { return s.evacuations.IsBehind(evacuations) },
 			func(g *fescuebank.Gossip) bool { return g.Zones != nil && g.Zones.Evacuations >= evacuations })
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -32,7 +32,9 @@
 	s.allocator.FillGossip(g, full)
 	g.OwnerListAgeMs = s.elector.ListAge().Milliseconds()
 	g.StoreUnreachable = s.storeUnreachable()
-	g.Zones = &fescuebank.ZoneGossip{Evacuations: s.evacuationsVersion()}
+	if s.settings.Platform.Evacuations {
+		g.Zones = &fescuebank.ZoneGossip{Evacuations: s.evacuationsVersion()}
+	}
 	g.EndpointsLost, g.Tunnels = s.dialer.Lost(), s.tunneler.Active()
 }
 
--- a/internal/operate/server/poll.go
+++ b/internal/operate/server/poll.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -57,15 +58,11 @@
 	for ctx.Err() == nil {
 		turns := s.pollTurns()
 		now, quarter := s.clock.Now(), turns.period()/4
-		next := polled{replica: s.config, wait: turns.next(now, 0)}
-		for _, other := range []polled{
-			{replica: s.endpoints, wait: turns.next(now, 2*quarter)},
-			{replica: s.evacuations, wait: turns.next(now, quarter)},
-		} {
-			if other.wait < next.wait {
-				next = other
-			}
+		list := []polled{{replica: s.config, wait: turns.next(now, 0)}, {replica: s.endpoints, wait: turns.next(now, 2*quarter)}}
+		if s.settings.Platform.Evacuations {
+			list = append(list, polled{replica: s.evacuations, wait: turns.next(now, quarter)})
 		}
+		next := slices.MinFunc(list, func(a, b polled) int { return cmp.Compare(a.wait, b.wait) })
 		_ = fescuebank.Sleep(ctx, s.clock, next.wait)
 		s.pollReplica(ctx, next.replica)
 	}
--- a/internal/operate/server/replica.go
+++ b/internal/operate/server/replica.go
@@ -21,7 +21,11 @@
 
 // replicators returns the replicators whose prefixes a few instances of each zone watch for the others.
 func (s *Server) replicators() []*replicator.Replicator {
-	return []*replicator.Replicator{s.config, s.endpoints, s.members, s.owners, s.evacuations}
+	list := []*replicator.Replicator{s.config, s.endpoints, s.members, s.owners}
+	if s.settings.Platform.Evacuations {
+		list = append(list, s.evacuations)
+	}
+	return list
 }
 
 // setFollowing sets whether other instances watch the store for this one.
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -265,6 +265,9 @@
 	s.members.SetMaxPause(s.maxWatchPause)
 	s.owners = replicator.New(store, fescuebank.OwnerListPrefix, s.clock, s.logFor("owner"), s.applyOwners)
 	s.evacuator = evacuator.New(s.clock, s.logFor("zone"))
+	if !s.settings.Platform.Evacuations {
+		s.evacuator.Apply(nil)
+	}
 	s.evacuations = replicator.New(store, s.platform.EvacuationPrefix, s.clock, s.logFor("zone"), s.applyEvacuations)
 	// The members are watched first: by them this instance learns whether it has to watch
 	// the rest at all.
@@ -286,10 +289,13 @@
 	defer stop()
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
-		s.linker.Run, s.config.Run, s.endpoints.Run, s.members.Run, s.owners.Run, s.evacuations.Run, s.gossiper.Run, s.elector.Run, s.resumer.Run, s.isolator.Run, s.poll,
+		s.linker.Run, s.config.Run, s.endpoints.Run, s.members.Run, s.owners.Run, s.gossiper.Run, s.elector.Run, s.resumer.Run, s.isolator.Run, s.poll,
 	} {
 		group.Go(func() { run(componentCtx) })
 	}
+	if s.settings.Platform.Evacuations {
+		group.Go(func() { s.evacuations.Run(componentCtx) })
+	}
 	if s.settings.Roles.Owner {
 		group.Go(func() { s.runner.Run(componentCtx) })
 		retirements := replicator.New(s.platform.Store, s.platform.RetirementPrefix, s.clock, s.logFor("retire"), s.applyRetirements)
--- a/settings.go
+++ b/settings.go
@@ -55,6 +55,9 @@
 	URL string `ini:"url"`
 	// WeightsURL is the base address of the weight store.
 	WeightsURL string `ini:"weightsUrl"`
+	// Evacuations makes the instance learn which zones operators evacuate before it accepts requests.
+	// It is only used with the kind "objects".
+	Evacuations bool `ini:"evacuations"`
 	// Token authenticates the instance to the platform.
 	Token string `ini:"token"`
 }
