--- a/pace.go
+++ b/pace.go
@@ -6,6 +6,10 @@
 // endpoint of its service. It is above 0; at 2 work takes twice as long.
 type Pace float64
 
+// Slowdown is how long work takes at an endpoint for a moment, as a multiple of what it usually
+// takes at the same endpoint; 0 means unknown.
+type Slowdown float64
+
 // EndpointPaces knows how long work takes at each endpoint.
 type EndpointPaces interface {
 	// Pace returns the pace of an endpoint at this moment, 1 if nothing is known of it.
