Learn how long work takes at each endpoint, and reconcile load reports with counts

No part of the code knew that endpoints differ in speed. endpoint/profiler learns the lasting pace of each from the time per event of streams and batch items, relative to the typical endpoint of its service, and its momentary slowdown from load reports and from the latest events. Instances tell each other what they observe (gossip field 30); a lost message costs samples, a slowdown is forgotten within a second, a pace with the endpoint's incarnation. Metric endpointPaces, log line "Endpoint's pace has changed."

A load report was compared with the counts of other instances at once and kept for a second, so that requests that gossip counted a moment later counted twice. It is now compared with each message until these are as new as the report, and passed on to the other instances.

--- a/gossip.go
+++ b/gossip.go
@@ -99,6 +99,9 @@
 	// connections to endpoints that it holds for other instances.
 	EndpointsLost bool `cbor:"27,keyasint,omitempty"`
 	Tunnels       int  `cbor:"28,keyasint,omitempty"`
+	// Paces holds what the instance has observed since its previous message of how long work
+	// takes at endpoints.
+	Paces map[EndpointIncarnationTag]PaceStatement `cbor:"30,keyasint,omitempty"`
 }
 
 // RelayedGossip is a gossip message of another instance. Origin and Sequence let a receiver
--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -12,6 +12,7 @@
 	"fescuebank"
 	"fescuebank/internal/batch/manager"
 	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/endpoint/profiler"
 	"fescuebank/internal/endpoint/scanner"
 	"fescuebank/internal/entry/allocator"
 )
@@ -72,7 +73,7 @@
 		return manager.CauseInterrupted, errCorrupted
 	}
 	eventsBefore := progress.Events
-	if err := r.readEvents(response, progress); err != nil {
+	if err := r.readEvents(response, progress, r.Profiler.Begin(endpoint, request)); err != nil {
 		response.Abort()
 		cause := r.excludeEndpoint(ctx, endpoint, err)
 		if progress.Events == eventsBefore && exchange.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -154,14 +155,16 @@
 }
 
 // readEvents reads events until the response ends, which it must do after a complete
-// event.
-func (r *Runner) readEvents(response *exchanger.Response, progress *fescuebank.Progress) error {
+// event. work times them.
+func (r *Runner) readEvents(response *exchanger.Response, progress *fescuebank.Progress, work *profiler.Work) error {
 	var events scanner.Scanner
 	buffer := make([]byte, readBufferBytes)
 	for {
 		response.SetReadDeadline(r.Clock.Now().Add(idleTimeout))
 		count, err := response.Read(buffer)
-		for _, e := range scanner.Events(events.Feed(buffer[:count])) {
+		complete := scanner.Events(events.Feed(buffer[:count]))
+		work.Arrived(len(complete))
+		for _, e := range complete {
 			if err := appendEvent(progress, e); err != nil {
 				return err
 			}
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -14,6 +14,7 @@
 	"fescuebank/internal/batch/manager"
 	"fescuebank/internal/batch/pacer"
 	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/endpoint/profiler"
 	"fescuebank/internal/entry/allocator"
 )
 
@@ -36,8 +37,10 @@
 	Manager   *manager.Manager
 	Allocator *allocator.Allocator
 	Exchanger *exchanger.Exchanger
-	Protocol  fescuebank.EndpointProtocol
-	Guard     fescuebank.CrashGuard
+	// Profiler times the items; nil if they are not timed.
+	Profiler *profiler.Profiler
+	Protocol fescuebank.EndpointProtocol
+	Guard    fescuebank.CrashGuard
 	// PeerBatchItems returns the number of batch items that the other instances run.
 	PeerBatchItems func() int
 	// Owners returns the number of instances that run batch items.
--- a/internal/endpoint/scanner/scanner.go
+++ b/internal/endpoint/scanner/scanner.go
@@ -56,6 +56,11 @@
 	return nil
 }
 
+// Count returns the number of complete events.
+func Count(complete []byte) int {
+	return bytes.Count(complete, eventEnd)
+}
+
 // Events decodes complete events. Fields other than id and data are ignored.
 func Events(complete []byte) []Event {
 	var events []Event
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -27,11 +27,6 @@
 	// holdSmoothing is the weight of the newest sample in the moving average of hold
 	// times.
 	holdSmoothing = 0.05
-	// unaccountedTTL is how long an endpoint's report of unaccounted requests is used.
-	unaccountedTTL = time.Second
-	// unaccountedTolerance is the number of requests by which an endpoint's report may
-	// exceed the known counts, as the gossip that counts them may still be in transit.
-	unaccountedTolerance = 1
 	// retryBase is the minimum retry delay given to a refused caller.
 	retryBase = 300 * time.Millisecond
 	// retryJitter is the random time added to retryBase, so that refused callers don't
@@ -45,6 +40,7 @@
 	// onChange is called without the lock held when this instance's counts change.
 	onChange func()
 	limiter  fescuebank.RateLimiter
+	paces    Paces
 
 	mu        sync.Mutex
 	endpoints map[fescuebank.EndpointID]*endpoint
@@ -83,7 +79,7 @@
 // NewLimited returns an allocator without endpoints that keeps the request limits of the limiter.
 func NewLimited(clock fescuebank.Clock, onChange func(), limiter fescuebank.RateLimiter) *Allocator {
 	return &Allocator{
-		clock: clock, onChange: onChange, limiter: limiter, meanHold: initialHoldTime,
+		clock: clock, onChange: onChange, limiter: limiter, paces: noPaces{}, meanHold: initialHoldTime,
 		endpoints: make(map[fescuebank.EndpointID]*endpoint), heldSlots: make(map[*Slot]bool),
 		leaving: make(map[fescuebank.EndpointID]leavingStatement),
 	}
@@ -108,8 +104,10 @@
 func (a *Allocator) SetPeerCounts(counts fescuebank.EndpointCounts, waiting, batch int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.clock.Now()
 	for _, e := range a.endpoints {
 		e.otherRequests = counts[e.tag]
+		e.report.settle(e.otherRequests, now, a.peerLag)
 	}
 	a.peersWaiting, a.peerBatch = waiting, batch
 	a.assignShared()
--- a/internal/entry/allocator/endpoint.go
+++ b/internal/entry/allocator/endpoint.go
@@ -20,10 +20,8 @@
 	// the endpoint.
 	ownRequests   int
 	otherRequests int
-	// unaccounted is the number of requests that the endpoint reported beyond the known
-	// counts and the tolerance. It is used until unaccountedUntil.
-	unaccounted      int
-	unaccountedUntil time.Time
+	// report is the endpoint's last load report.
+	report loadReport
 	// excludedUntil is the time until which the endpoint gets no requests.
 	excludedUntil time.Time
 	// deprioritizedUntil is the time until which deprioritizedPenalty applies.
@@ -33,10 +31,7 @@
 
 // load returns the known number of requests at the endpoint.
 func (e *endpoint) load(now time.Time) int {
-	if now.Before(e.unaccountedUntil) {
-		return e.ownRequests + e.otherRequests + e.unaccounted
-	}
-	return e.ownRequests + e.otherRequests
+	return e.ownRequests + e.otherRequests + e.report.beyond(e.otherRequests, now)
 }
 
 // freeSlots returns the number of slots without a known request.
--- a/internal/entry/allocator/limit.go
+++ b/internal/entry/allocator/limit.go
@@ -119,6 +119,7 @@
 func (s *Slot) ObserveResponse(info fescuebank.ResponseInfo) (leaves bool) {
 	if info.Load != nil {
 		s.Observe(*info.Load)
+		s.allocator.paces.Observe(s.Endpoint, *info.Load)
 	}
 	if limit, ok := info.StatedRateLimit(s.Endpoint.ID); ok {
 		s.allocator.limiter.Observe(s.Endpoint.ID, limit)
--- a/internal/entry/allocator/slot.go
+++ b/internal/entry/allocator/slot.go
@@ -49,9 +49,8 @@
 	a := s.allocator
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	endpoint := s.endpoint
-	endpoint.unaccounted = max(0, report.Running+report.Waiting-endpoint.ownRequests-endpoint.otherRequests-unaccountedTolerance)
-	endpoint.unaccountedUntil = a.clock.Now().Add(unaccountedTTL)
+	now := a.clock.Now()
+	s.endpoint.report.apply(report.Running+report.Waiting-s.endpoint.ownRequests, now, a.reportTolerance(s.endpoint, now))
 }
 
 // Release frees the slot.
--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -10,6 +10,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/endpoint/profiler"
 	"fescuebank/internal/endpoint/scanner"
 	"fescuebank/internal/entry/allocator"
 )
@@ -61,6 +62,7 @@
 // forwardEvents relays complete events as they arrive and records their ids.
 func (t *transfer) forwardEvents(ctx context.Context, resp *exchanger.Response) (done bool, err error) {
 	var events scanner.Scanner
+	work := t.profiler.Begin(t.endpoint, t.request)
 	buffer := make([]byte, readBufferBytes)
 	for {
 		t.stalls.wait(t.lastEvent)
@@ -71,10 +73,11 @@
 			return false, errMoved
 		}
 		if complete := events.Feed(buffer[:n]); len(complete) > 0 {
+			work.Arrived(scanner.Count(complete))
 			t.attemptBegun = true
 			t.begin()
 			t.sendHeader(resp)
-			if err := t.writer.Write(complete); err != nil {
+			if err := t.writeEvents(complete, work); err != nil {
 				resp.Abort()
 				return true, context.Canceled
 			}
@@ -92,6 +95,17 @@
 	}
 }
 
+// writeEvents sends events to the caller. If that takes long, the next ones are not timed, as they may have
+// arrived meanwhile.
+func (t *transfer) writeEvents(events []byte, work *profiler.Work) error {
+	began := t.clock.Now()
+	err := t.writer.Write(events)
+	if t.clock.Now().Sub(began) > maxWriteTime {
+		work.Interrupt()
+	}
+	return err
+}
+
 // endEvents handles the end of a stream. Bytes after the last complete event mean that
 // the endpoint stopped within an event.
 func (t *transfer) endEvents(ctx context.Context, resp *exchanger.Response, partial bool) (done bool, err error) {
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -11,6 +11,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/endpoint/profiler"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/operate/meter"
 )
@@ -39,6 +40,9 @@
 	refusalBodyTimeout = 50 * time.Millisecond
 	// readBufferBytes is the size of the buffer for reads from an endpoint.
 	readBufferBytes = 4 << 10
+	// maxWriteTime is how long events may take to be written to the caller for the next ones to be
+	// timed.
+	maxWriteTime = 10 * time.Millisecond
 	// maxBufferedBytes bounds how much of a response is buffered before it is relayed, so
 	// that a truncated one can be retried.
 	maxBufferedBytes = 64 << 10
@@ -72,6 +76,7 @@
 type Relayer struct {
 	allocator     *allocator.Allocator
 	exchanger     *exchanger.Exchanger
+	profiler      *profiler.Profiler
 	protocol      fescuebank.EndpointProtocol
 	clock         fescuebank.Clock
 	meter         *meter.Meter
@@ -96,9 +101,11 @@
 type Config struct {
 	Allocator *allocator.Allocator
 	Exchanger *exchanger.Exchanger
-	Protocol  fescuebank.EndpointProtocol
-	Clock     fescuebank.Clock
-	Meter     *meter.Meter
+	// Profiler times the streams; nil if they are not timed.
+	Profiler *profiler.Profiler
+	Protocol fescuebank.EndpointProtocol
+	Clock    fescuebank.Clock
+	Meter    *meter.Meter
 	// Versions returns the versions in force; they are logged.
 	Versions      func() Versions
 	ServiceLevels ServiceLevelRecorder
@@ -113,7 +120,7 @@
 // New returns a relayer.
 func New(c Config) *Relayer {
 	return &Relayer{
-		allocator: c.Allocator, exchanger: c.Exchanger, protocol: c.Protocol, clock: c.Clock, meter: c.Meter,
+		allocator: c.Allocator, exchanger: c.Exchanger, profiler: c.Profiler, protocol: c.Protocol, clock: c.Clock, meter: c.Meter,
 		versions: c.Versions, serviceLevels: c.ServiceLevels, health: c.Health, guard: c.Guard,
 		begunStreams: c.BegunStreams, inTouch: c.InTouch, log: c.Log,
 	}
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -29,6 +29,7 @@
 	s.ejector.FillGossip(g)
 	s.isolator.FillGossip(g)
 	s.limiter.FillGossip(g, full)
+	s.profiler.FillGossip(g)
 	g.OwnerListAgeMs = s.elector.ListAge().Milliseconds()
 	g.StoreUnreachable = s.storeUnreachable()
 	g.EndpointsLost, g.Tunnels = s.dialer.Lost(), s.tunneler.Active()
@@ -49,6 +50,7 @@
 		s.ejector.ApplyGossip(g)
 		s.isolator.ApplyGossip(g)
 		s.limiter.ApplyGossip(g)
+		s.profiler.ApplyGossip(g)
 		s.catchUp(g)
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
@@ -89,6 +91,7 @@
 		return waiting
 	})
 	s.meter.Gauge("endpointsHere", func() any { return s.allocator.Loads() })
+	s.meter.Gauge("endpointPaces", func() any { return s.profiler.States() })
 	s.meter.Gauge("endpointsLost", func() any { return s.dialer.Lost() })
 	s.meter.Gauge("relayedConnections", func() any { return s.dialer.Relayed() })
 	s.meter.Gauge("tunnels", func() any { return s.tunneler.Active() })
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -24,6 +24,7 @@
 	"fescuebank/internal/endpoint/ejector"
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/endpoint/isolator"
+	"fescuebank/internal/endpoint/profiler"
 	"fescuebank/internal/endpoint/tunneler"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/entry/relayer"
@@ -121,6 +122,7 @@
 	elector       *elector.Elector
 	limiter       *limiter.Limiter
 	allocator     *allocator.Allocator
+	profiler      *profiler.Profiler
 	ejector       *ejector.Ejector
 	dialer        *dialer.Dialer
 	tunneler      *tunneler.Tunneler
@@ -178,6 +180,8 @@
 	s.linker.Handle(fescuebank.KindServiceLevels, s.aggregator.Handle)
 	s.limiter = limiter.New(limiter.Config{Self: s.self.ID, Clock: s.clock, Announce: s.gossiper.Wake, Log: s.logFor("endpoint")})
 	s.allocator = allocator.NewLimited(s.clock, s.gossiper.Wake, s.limiter)
+	s.profiler = profiler.New(profiler.Config{Clock: s.clock, OnReport: s.allocator.ObserveReport, Log: s.logFor("endpoint")})
+	s.allocator.SetPaces(s.profiler)
 	s.buildReach()
 	s.exchanger = exchanger.New(s.platform.Protocol, s.clock, s.dialer.Dial)
 	s.ejector = ejector.New(ejector.Config{
@@ -211,7 +215,7 @@
 	})
 	s.linker.Handle(fescuebank.KindProgressHandover, s.manager.HandleProgressHandover)
 	s.runner = runner.New(runner.Config{
-		Manager: s.manager, Allocator: s.allocator, Exchanger: s.exchanger, Protocol: s.platform.Protocol, Guard: s.isolator,
+		Manager: s.manager, Allocator: s.allocator, Exchanger: s.exchanger, Profiler: s.profiler, Protocol: s.platform.Protocol, Guard: s.isolator,
 		PeerBatchItems: s.peerBatchItems, Owners: s.ownerCount, Lag: s.gossiper.Lag, Clock: s.clock, Log: s.logFor("run"),
 	})
 	batchClient := client.New(client.Config{
@@ -224,7 +228,7 @@
 	s.entry = Entry{
 		Table: s.table.Load,
 		Relayer: relayer.New(relayer.Config{
-			Allocator: s.allocator, Exchanger: s.exchanger, Protocol: s.platform.Protocol, Clock: s.clock,
+			Allocator: s.allocator, Exchanger: s.exchanger, Profiler: s.profiler, Protocol: s.platform.Protocol, Clock: s.clock,
 			Meter: s.meter, Versions: s.versions, ServiceLevels: s.serviceLevels, Health: s.ejector, Guard: s.isolator,
 			BegunStreams: s.resumer, InTouch: s.inTouch, Log: s.logFor("entry"),
 		}),
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -43,6 +43,7 @@
 		}
 		list = append(list, e)
 	}
+	s.profiler.SetEndpoints(list)
 	s.allocator.SetEndpoints(list)
 	s.logFor("endpoint").Info("Endpoints updated.", "endpoints", len(list), "revision", uint64(s.endpoints.ChangedAt()))
 	s.gossiper.Wake()
