--- a/gossip.go
+++ b/gossip.go
@@ -105,6 +105,9 @@
 	// Zones is what the instance knows of zones; nil in messages of instances that don't
 	// know evacuations.
 	Zones *ZoneGossip `cbor:"29,keyasint,omitempty"`
+	// Paces holds what the instance has observed since its previous message of how long work
+	// takes at endpoints.
+	Paces map[EndpointIncarnationTag]PaceStatement `cbor:"30,keyasint,omitempty"`
 }
 
 // RelayedGossip is a gossip message of another instance. Origin and Sequence let a receiver
--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -10,6 +10,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/endpoint/profiler"
 	"fescuebank/internal/endpoint/scanner"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/entry/spooler"
@@ -70,6 +71,7 @@
 	var events scanner.Scanner
 	spool := t.spool(resp)
 	defer spool.Close(resp.Abort)
+	work := t.profiler.Begin(t.endpoint, t.request)
 	buffer := make([]byte, readBufferBytes)
 	for {
 		t.stalls.wait(t.lastEvent)
@@ -80,10 +82,11 @@
 			return false, errMoved
 		}
 		if len(complete) > 0 {
+			work.Arrived(scanner.Count(complete))
 			t.attemptBegun = true
 			t.begin()
 			t.sendHeader(resp)
-			if err := spool.Write(complete); err != nil {
+			if err := t.writeEvents(spool, complete, work); err != nil {
 				resp.Abort()
 				return true, context.Canceled
 			}
@@ -120,6 +123,17 @@
 	return complete, err
 }
 
+// writeEvents sends events to the caller. If that takes long, the next ones are not timed, as they may have
+// arrived meanwhile.
+func (t *transfer) writeEvents(spool *spooler.Spooler, events []byte, work *profiler.Work) error {
+	began := t.clock.Now()
+	err := spool.Write(events)
+	if t.clock.Now().Sub(began) > maxWriteTime {
+		work.Interrupt()
+	}
+	return err
+}
+
 // endEvents handles the end of a stream. Bytes after the last complete event mean that
 // the endpoint stopped within an event.
 func (t *transfer) endEvents(ctx context.Context, resp *exchanger.Response, partial bool) (done bool, err error) {
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -30,6 +30,7 @@
 	s.isolator.FillGossip(g)
 	s.limiter.FillGossip(g, full)
 	s.allocator.FillGossip(g, full)
+	s.profiler.FillGossip(g)
 	g.OwnerListAgeMs = s.elector.ListAge().Milliseconds()
 	g.StoreUnreachable = s.storeUnreachable()
 	if s.settings.Platform.Evacuations {
@@ -54,6 +55,7 @@
 		s.isolator.ApplyGossip(g)
 		s.limiter.ApplyGossip(g)
 		s.allocator.ApplyGossip(g)
+		s.profiler.ApplyGossip(g)
 		s.catchUp(g)
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
@@ -94,6 +96,7 @@
 		return waiting
 	})
 	s.meter.Gauge("endpointsHere", func() any { return s.allocator.Loads() })
+	s.meter.Gauge("endpointPaces", func() any { return s.profiler.States() })
 	s.meter.Gauge("endpointsLost", func() any { return s.dialer.Lost() })
 	s.meter.Gauge("relayedConnections", func() any { return s.dialer.Relayed() })
 	s.meter.Gauge("tunnels", func() any { return s.tunneler.Active() })
