Divide the rate of cold endpoints among holders

Endpoints that have just started, or are cold again, got as many requests as others. limit/throttler knows them by their entries, their responses, refused connections and ended evacuations, and divides their rate in fixed parts with at most one saved-up request each, so that all instances together stay within coldOverage and coldSlack.

--- a/evacuation.go
+++ b/evacuation.go
@@ -14,6 +14,9 @@
 	// Evacuations is the store version at which the instance last saw a change of the
 	// evacuations, 1 if it knows them and has seen none, and 0 if it doesn't know them.
 	Evacuations StoreVersion
+	// Cold holds the endpoints that the instance itself found to be cold, with the time for which
+	// they stay so at most, in milliseconds.
+	Cold map[EndpointTag]int64
 }
 
 // EvacuationStatus is what one instance knows of the evacuations and of who applies them.
--- a/exchange.go
+++ b/exchange.go
@@ -93,6 +93,14 @@
 	Endpoint EndpointID
 	// Leaving is set when the endpoint that responded states that it leaves.
 	Leaving bool
+	// ColdLeft is how much longer the endpoint that responded is cold, 0 if it doesn't say so.
+	ColdLeft time.Duration
+}
+
+// StatesCold reports whether the response states that the endpoint is cold to which the request was
+// sent.
+func (i ResponseInfo) StatesCold(sentTo EndpointID) bool {
+	return i.ColdLeft > 0 && i.isFrom(sentTo)
 }
 
 // StatesLeaving reports whether the response states that the endpoint leaves to which the
--- a/internal/endpoint/dialer/dialer.go
+++ b/internal/endpoint/dialer/dialer.go
@@ -39,8 +39,10 @@
 	Open func(ctx context.Context, peer, endpoint string) (net.Conn, fescuebank.DialReply, error)
 	// OnChange is called when this instance has lost all endpoints, and when it reaches them again.
 	OnChange func(lost bool)
-	Clock    fescuebank.Clock
-	Log      hclog.Logger
+	// OnRefused, if set, is called when an endpoint refused a direct connection.
+	OnRefused func(addr string)
+	Clock     fescuebank.Clock
+	Log       hclog.Logger
 }
 
 // Dialer connects to endpoints.
@@ -168,6 +170,9 @@
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		d.recordFailure(addr)
 	}
+	if d.OnRefused != nil && IsRefused(err) {
+		d.OnRefused(addr)
+	}
 	return nil, err
 }
 
--- a/internal/entry/allocator/limit.go
+++ b/internal/entry/allocator/limit.go
@@ -18,6 +18,7 @@
 	return fescuebank.RateShare{}, false
 }
 func (noLimits) Observe(fescuebank.EndpointID, fescuebank.RequestRate) {}
+func (noLimits) ObserveCold(fescuebank.EndpointID, time.Duration)      {}
 
 // hasRoomFor reports whether the request may be sent to a usable endpoint now: a slot is free there,
 // its limit allows one more request, and the request has not been tried there.
@@ -126,5 +127,8 @@
 	if limit, ok := info.StatedRateLimit(s.Endpoint.ID); ok {
 		s.allocator.limiter.Observe(s.Endpoint.ID, limit)
 	}
+	if info.StatesCold(s.Endpoint.ID) {
+		s.allocator.limiter.ObserveCold(s.Endpoint.ID, info.ColdLeft)
+	}
 	return info.StatesLeaving(s.Endpoint.ID) && s.MarkLeaving()
 }
--- a/internal/limit/limiter/limiter.go
+++ b/internal/limit/limiter/limiter.go
@@ -149,6 +149,9 @@
 	return s
 }
 
+// ObserveCold does nothing: a limiter keeps stated limits only.
+func (*Limiter) ObserveCold(fescuebank.EndpointID, time.Duration) {}
+
 // Take counts a request that is sent to the endpoint.
 func (l *Limiter) Take(id fescuebank.EndpointID) {
 	l.mu.Lock()
--- a/internal/operate/server/evacuate.go
+++ b/internal/operate/server/evacuate.go
@@ -18,6 +18,7 @@
 		list, zones = append(list, v), append(zones, v.Zone)
 	}
 	change := s.evacuator.Apply(list)
+	s.throttler.ObserveReturn(change.Ended)
 	s.allocator.SetEvacuated(zones)
 	if change.First && s.endpoints.Listed() {
 		s.applyEndpoints(s.endpoints.Objects())
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -32,6 +32,7 @@
 	g.OwnerListAgeMs = s.elector.ListAge().Milliseconds()
 	g.StoreUnreachable = s.storeUnreachable()
 	g.Zones = &fescuebank.ZoneGossip{Evacuations: s.evacuationsVersion()}
+	s.throttler.FillGossip(g.Zones)
 	g.EndpointsLost, g.Tunnels = s.dialer.Lost(), s.tunneler.Active()
 }
 
@@ -50,6 +51,7 @@
 		s.ejector.ApplyGossip(g)
 		s.isolator.ApplyGossip(g)
 		s.limiter.ApplyGossip(g)
+		s.throttler.ApplyGossip(g.Zones)
 		s.catchUp(g)
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
@@ -71,6 +73,22 @@
 	return storeReached && 2*alive >= len(peers)
 }
 
+// isolated reports whether this instance learns nothing new: the store can't be reached from here, and no
+// gossip arrives from most of the other instances.
+func (s *Server) isolated() bool {
+	if !s.storeUnreachable() {
+		return false
+	}
+	peers := s.gossiper.Peers()
+	alive := 0
+	for _, p := range peers {
+		if p.Alive {
+			alive++
+		}
+	}
+	return 2*alive < len(peers)
+}
+
 // versions returns the versions of the state that decisions are based on.
 func (s *Server) versions() relayer.Versions {
 	v := relayer.Versions{Epoch: s.elector.Epoch(), Endpoints: s.endpoints.ChangedAt()}
@@ -94,6 +112,7 @@
 	s.meter.Gauge("relayedConnections", func() any { return s.dialer.Relayed() })
 	s.meter.Gauge("tunnels", func() any { return s.tunneler.Active() })
 	s.meter.Gauge("limitedEndpoints", func() any { return s.limiter.Limited() })
+	s.meter.Gauge("coldEndpoints", func() any { return s.throttler.Cold() })
 	s.meter.Gauge("evacuatedZones", func() any { return s.evacuator.Zones() })
 	s.meter.Gauge("storeAnswers", func() any {
 		reachable, since := s.platform.StoreState()
--- a/internal/operate/server/poll.go
+++ b/internal/operate/server/poll.go
@@ -18,6 +18,9 @@
 	// pollPeriodPerInstance is what each instance adds to that period, so that a large
 	// fleet as a whole makes a bounded number of reads per second.
 	pollPeriodPerInstance = 500 * time.Millisecond
+	// evacuationPollPerInstance is the same for the evacuations: they change seldom, and have to
+	// be applied within seconds.
+	evacuationPollPerInstance = 2 * time.Second
 )
 
 // pollTurns divides the time into periods in which each live instance has one turn. The
@@ -26,9 +29,21 @@
 type pollTurns struct {
 	// rank is the position of this instance among count live instances.
 	rank, count int
+	// perInstance is what each instance adds to the period; 0 for pollPeriodPerInstance, with
+	// minPollPeriod as the least period.
+	perInstance time.Duration
+}
+
+// every returns the same turns with another period.
+func (t pollTurns) every(perInstance time.Duration) pollTurns {
+	t.perInstance = perInstance
+	return t
 }
 
 func (t pollTurns) period() time.Duration {
+	if t.perInstance > 0 {
+		return time.Duration(t.count) * t.perInstance
+	}
 	return max(minPollPeriod, time.Duration(t.count)*pollPeriodPerInstance)
 }
 
@@ -56,11 +71,11 @@
 func (s *Server) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		turns := s.pollTurns()
-		now, quarter := s.clock.Now(), turns.period()/4
+		now := s.clock.Now()
 		next := polled{replica: s.config, wait: turns.next(now, 0)}
 		for _, other := range []polled{
-			{replica: s.endpoints, wait: turns.next(now, 2*quarter)},
-			{replica: s.evacuations, wait: turns.next(now, quarter)},
+			{replica: s.endpoints, wait: turns.next(now, turns.period()/2)},
+			{replica: s.evacuations, wait: turns.every(evacuationPollPerInstance).next(now, turns.period()/4)},
 		} {
 			if other.wait < next.wait {
 				next = other
--- a/internal/operate/server/reach.go
+++ b/internal/operate/server/reach.go
@@ -16,7 +16,7 @@
 func (s *Server) buildReach() {
 	s.dialer = dialer.New(dialer.Config{
 		Zone: s.self.Zone, Endpoints: s.allocator.Endpoints, Relays: s.relays, Connect: s.platform.ConnectEndpoint, Open: s.openTunnel,
-		OnChange: s.applyReach, Clock: s.clock, Log: s.logFor("endpoint"),
+		OnChange: s.applyReach, OnRefused: s.applyRefused, Clock: s.clock, Log: s.logFor("endpoint"),
 	})
 	s.tunneler = tunneler.New(tunneler.Config{
 		Endpoints: s.openEndpoints, Connect: s.platform.ConnectEndpoint, Closed: s.opensNoTunnels, OnChange: s.gossiper.Wake, Log: s.logFor("endpoint"),
@@ -52,6 +52,12 @@
 	return c, reply, err
 }
 
+// applyRefused handles that an endpoint refused a connection. It counts for others only if this instance
+// reaches the other endpoints.
+func (s *Server) applyRefused(addr string) {
+	s.throttler.ObserveRefused(addr, !s.dialer.Doubtful())
+}
+
 // applyReach handles that this instance has lost all endpoints, or reaches them again. What it saw of
 // the endpoints before says nothing about them.
 func (s *Server) applyReach(lost bool) {
--- a/internal/operate/server/replica.go
+++ b/internal/operate/server/replica.go
@@ -19,6 +19,12 @@
 	othersFirstPause  = 700 * time.Millisecond
 )
 
+// applyTargets applies a new selection of the instances that this one exchanges gossip with.
+func (s *Server) applyTargets() {
+	s.setFollowing(!s.gossiper.Watching())
+	s.throttler.SetIsolated(s.isolated())
+}
+
 // replicators returns the replicators whose prefixes a few instances of each zone watch for the others.
 func (s *Server) replicators() []*replicator.Replicator {
 	return []*replicator.Replicator{s.config, s.endpoints, s.members, s.owners, s.evacuations}
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -35,6 +35,7 @@
 	"fescuebank/internal/limit/acquirer"
 	"fescuebank/internal/limit/issuer"
 	"fescuebank/internal/limit/limiter"
+	"fescuebank/internal/limit/throttler"
 	"fescuebank/internal/operate/aggregator"
 	"fescuebank/internal/operate/collector"
 	"fescuebank/internal/operate/meter"
@@ -126,6 +127,7 @@
 	evacuator     *evacuator.Evacuator
 	elector       *elector.Elector
 	limiter       *limiter.Limiter
+	throttler     *throttler.Throttler
 	allocator     *allocator.Allocator
 	ejector       *ejector.Ejector
 	dialer        *dialer.Dialer
@@ -183,7 +185,11 @@
 	s.aggregator = aggregator.New(s.gossiper, s.linker, s.serviceLevels)
 	s.linker.Handle(fescuebank.KindServiceLevels, s.aggregator.Handle)
 	s.limiter = limiter.New(limiter.Config{Self: s.self.ID, Clock: s.clock, Announce: s.gossiper.Wake, Log: s.logFor("endpoint")})
-	s.allocator = allocator.NewLimited(s.clock, s.gossiper.Wake, s.limiter)
+	s.throttler = throttler.New(throttler.Config{
+		Self: s.self.ID, Clock: s.clock, Limiter: s.limiter, Announce: s.gossiper.Wake, Log: s.logFor("endpoint"),
+		Bounds: fescuebank.ColdBounds{Overage: s.settings.Limits.ColdOverage, Slack: fescuebank.Requests(s.settings.Limits.ColdSlack)},
+	})
+	s.allocator = allocator.NewLimited(s.clock, s.gossiper.Wake, s.throttler)
 	s.buildReach()
 	s.exchanger = exchanger.New(s.platform.Protocol, s.clock, s.dialer.Dial)
 	s.ejector = ejector.New(ejector.Config{
@@ -246,7 +252,7 @@
 	s.gossiper = gossiper.New(gossiper.Config{
 		Self: s.self, Store: store, Linker: s.linker, Clock: s.clock, Log: s.logFor("fleet"),
 		Fill: s.fillGossip, OnGossip: s.handleGossip, OnConnectionsStalled: s.reconnect,
-		StoreUnreachable: s.storeUnreachable, OnTargets: func() { s.setFollowing(!s.gossiper.Watching()) },
+		StoreUnreachable: s.storeUnreachable, OnTargets: s.applyTargets,
 		OnAcknowledged: func(holder fescuebank.Holder, epoch fescuebank.FencingNumber) { s.elector.Acknowledge(holder, epoch) },
 	})
 	s.elector = elector.New(elector.Config{
@@ -268,9 +274,9 @@
 	for _, r := range []*replicator.Replicator{s.config, s.endpoints, s.owners, s.evacuations} {
 		r.SetFirstPause(othersFirstPause)
 	}
-	// The configuration and the evacuations must be current before the first request. Owners read their list
-	// again before they act by it.
-	for _, r := range []*replicator.Replicator{s.endpoints, s.members, s.owners} {
+	// The configuration must be current before the first request. Owners read their list
+	// again before they act by it. What a list of the evacuations lacks comes with the first gossip.
+	for _, r := range []*replicator.Replicator{s.endpoints, s.members, s.owners, s.evacuations} {
 		r.AllowStaleStart()
 	}
 }
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -27,6 +27,7 @@
 			return
 		}
 		s.table.Store(table)
+		s.throttler.SetServices(table.Services)
 		s.logFor("config").Info("Configuration in force.", "version", uint64(table.Version), "revision", uint64(o.Version), "teams", len(table.Teams))
 		s.gossiper.Wake()
 		s.applyOwnership()
@@ -46,6 +47,7 @@
 		}
 		list = append(list, e)
 	}
+	s.throttler.SetEndpoints(list)
 	s.allocator.SetEndpoints(list)
 	s.logFor("endpoint").Info("Endpoints updated.", "endpoints", len(list), "revision", uint64(s.endpoints.ChangedAt()))
 	s.gossiper.Wake()
@@ -60,6 +62,7 @@
 		ids = append(ids, p.ID)
 	}
 	s.limiter.SetMembers(ids)
+	s.throttler.SetMembers(ids)
 }
 
 func (s *Server) applyOwners(objects []fescuebank.Object) {
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -1,5 +1,7 @@
 package fescuebank
 
+import "time"
+
 // RateLimitStatement is what an endpoint last stated about the requests that it takes, as one
 // instance tells others.
 type RateLimitStatement struct {
@@ -20,6 +22,8 @@
 	Share(id EndpointID) (RateShare, bool)
 	// Observe applies the limit that the endpoint states in a response, 0 for none.
 	Observe(id EndpointID, limit RequestRate)
+	// ObserveCold applies how much longer the endpoint states in a response that it is cold.
+	ObserveCold(id EndpointID, left time.Duration)
 }
 
 // RateShare is one instance's part of an endpoint's limit.
--- a/route.go
+++ b/route.go
@@ -94,6 +94,11 @@
 	// CacheTokens is the size of one endpoint's KV cache in tokens; 0 if it runs no
 	// model.
 	CacheTokens Tokens
+	// ColdRate is the number of requests per second that an endpoint bears from all
+	// instances together while it is cold; 0 means no limit. ColdTime is how long it is cold
+	// after a start.
+	ColdRate RequestRate
+	ColdTime time.Duration
 }
 
 // TeamSettings holds a team's quota and priority.
@@ -177,4 +182,8 @@
 	// StartedUnixMilli is when this incarnation of the endpoint started, in Unix milliseconds.
 	// A later incarnation with the same id has no state of the earlier one.
 	StartedUnixMilli int64
+	// ColdLeft is how much longer the endpoint is cold, as of when it wrote its entry.
+	ColdLeft time.Duration
+	// EntryVersion is the store version of the entry.
+	EntryVersion StoreVersion
 }
--- a/settings.go
+++ b/settings.go
@@ -102,6 +102,11 @@
 	// BatchHeadroom is the share of an endpoint's slots that batch work always leaves
 	// free. It must be the same on all instances.
 	BatchHeadroom float64 `ini:"batchHeadroom"`
+	// ColdOverage and ColdSlack bound what a cold endpoint may get from all instances
+	// together in one second: its rate times ColdOverage, and ColdSlack requests more. They must
+	// be the same on all instances.
+	ColdOverage float64 `ini:"coldOverage"`
+	ColdSlack   float64 `ini:"coldSlack"`
 	// ClockError bounds how far clock rates differ between instances, as a share.
 	ClockError float64 `ini:"clockError"`
 	// MemoryMiB is the memory of the machine; 0 means unknown.
@@ -160,6 +165,7 @@
 	s.Limits = LimitSettings{
 		BodyBytes: 4 * MiB, FileBytes: 256 * MiB, HeaderBytes: 32 * KiB,
 		QueueLength: 512, Homes: 4, Attempts: 4, StoreCallsPerSecond: 40, BatchHeadroom: 0.08, ClockError: 0.001,
+		ColdOverage: 1, ColdSlack: 1,
 	}
 	s.Timing = TimingSettings{
 		LeaseTTL: 10 * time.Second, LeaseRenew: 3 * time.Second, LeaseMargin: time.Second,
@@ -229,6 +235,8 @@
 	f.Check(s.Log.Lines >= 1, "[log] lines", "want 1 or more")
 	f.Check(s.Log.Ordinary >= 0, "[log] ordinary", "want 0 or more")
 	checkURL(&f, "[platform] url", s.Platform.URL)
+	f.Check(s.Limits.ColdOverage > 0, "[limits] coldOverage", "want above 0")
+	f.Check(s.Limits.ColdSlack >= 0, "[limits] coldSlack", "want 0 or more")
 	f.Check(s.Limits.MemoryMiB >= 0, "[limits] memoryMiB", "want 0 or more")
 	f.Check(s.Timing.Grace > 0, "[timing] grace", "want a duration above 0, such as 8s")
 	f.Check(s.Timing.AddressTTL > 0, "[timing] addressTtl", "want a duration above 0, such as 5s")
