--- a/evacuation.go
+++ b/evacuation.go
@@ -10,13 +10,12 @@
 
 // ZoneGossip is what an instance tells others about evacuations.
 type ZoneGossip struct {
-	_ struct{} `cbor:",toarray"`
 	// Evacuations is the store version at which the instance last saw a change of the
 	// evacuations, 1 if it knows them and has seen none, and 0 if it doesn't know them.
-	Evacuations StoreVersion
+	Evacuations StoreVersion `cbor:"1,keyasint,omitempty"`
 	// Cold holds the endpoints that the instance itself found to be cold, with the time for which
 	// they stay so at most, in milliseconds.
-	Cold map[EndpointTag]int64
+	Cold map[EndpointTag]int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // EvacuationStatus is what one instance knows of the evacuations and of who applies them.
--- a/internal/fleet/replicator/replicator_test.go
+++ b/internal/fleet/replicator/replicator_test.go
@@ -305,6 +305,30 @@
 	})
 }
 
+// TestEmptyPrefixIsLearntFromAPeer checks that an instance that starts while the store is away learns from
+// a peer that there are no objects, and doesn't take a peer for one that knows that which has read nothing.
+func TestEmptyPrefixIsLearntFromAPeer(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		at   fescuebank.StoreVersion
+		want int
+	}{
+		{"peer that has read the prefix", 7, 1},
+		{"peer that has read nothing", 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			notified := 0
+			r := replicator.New(&memorystorer.MemoryStorer{}, "k/", timekeeper.Timekeeper{}, hclog.NewNullLogger(), func([]fescuebank.Object) { notified++ })
+			for range 2 {
+				r.ApplyDelta(wholeReplica(tt.at))
+			}
+			if r.Listed() != (tt.want > 0) || notified != tt.want || r.AsOf() != tt.at {
+				t.Errorf("got listed %v, %d notifications and version %d, want %d notifications and version %d", r.Listed(), notified, r.AsOf(), tt.want, tt.at)
+			}
+		})
+	}
+}
+
 // TestRemovalIsAppliedFromPeerReplica checks that an instance that can't reach the store
 // removes objects at once that a peer's newer replica lacks. Otherwise it keeps sending
 // requests to endpoints that have left.
--- a/internal/operate/server/poll_test.go
+++ b/internal/operate/server/poll_test.go
@@ -63,3 +63,38 @@
 		t.Errorf("got %v until the next turn, want %v", got, want)
 	}
 }
+
+// TestLongestGapBetweenPollsOfEvacuations checks the same for the evacuations, which have to be in force
+// within 5 s.
+func TestLongestGapBetweenPollsOfEvacuations(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		count int
+		lost  func(rank int) bool
+		want  time.Duration
+	}{
+		{"alone", 1, func(int) bool { return false }, 2 * time.Second},
+		{"small fleet", 11, func(int) bool { return false }, 2 * time.Second},
+		{"73 instances", 73, func(int) bool { return false }, 2 * time.Second},
+		{"every second instance cut off", 73, func(rank int) bool { return rank%2 == 1 }, 4 * time.Second},
+	} {
+		start := time.Unix(1_000_000, 0)
+		longest, last := time.Duration(0), start
+		for at := start; at.Before(start.Add(time.Duration(3*tt.count) * evacuationPollPerInstance)); {
+			wait := time.Hour
+			for rank := range tt.count {
+				if !tt.lost(rank) {
+					wait = min(wait, pollTurns{rank: rank, count: tt.count}.every(evacuationPollPerInstance).next(at, time.Second))
+				}
+			}
+			at = at.Add(wait)
+			if last != start {
+				longest = max(longest, at.Sub(last))
+			}
+			last = at
+		}
+		if longest > tt.want+time.Millisecond {
+			t.Errorf("%s: got a gap of %v, want at most %v", tt.name, longest, tt.want)
+		}
+	}
+}
