--- a/internal/operate/server/poll.go
+++ b/internal/operate/server/poll.go
@@ -19,6 +19,9 @@
 	// pollPeriodPerInstance is what each instance adds to that period, so that a large
 	// fleet as a whole makes a bounded number of reads per second.
 	pollPeriodPerInstance = 500 * time.Millisecond
+	// evacuationPollPerInstance is the same for the evacuations: they change seldom, and have to
+	// be applied within seconds.
+	evacuationPollPerInstance = 2 * time.Second
 )
 
 // pollTurns divides the time into periods in which each live instance has one turn. The
@@ -27,9 +30,21 @@
 type pollTurns struct {
 	// rank is the position of this instance among count live instances.
 	rank, count int
+	// perInstance is what each instance adds to the period; 0 for pollPeriodPerInstance, with
+	// minPollPeriod as the least period.
+	perInstance time.Duration
+}
+
+// every returns the same turns with another period.
+func (t pollTurns) every(perInstance time.Duration) pollTurns {
+	t.perInstance = perInstance
+	return t
 }
 
 func (t pollTurns) period() time.Duration {
+	if t.perInstance > 0 {
+		return time.Duration(t.count) * t.perInstance
+	}
 	return max(minPollPeriod, time.Duration(t.count)*pollPeriodPerInstance)
 }
 
@@ -57,10 +72,14 @@
 func (s *Server) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		turns := s.pollTurns()
-		now, quarter := s.clock.Now(), turns.period()/4
-		list := []polled{{replica: s.config, wait: turns.next(now, 0)}, {replica: s.endpoints, wait: turns.next(now, 2*quarter)}}
+		now := s.clock.Now()
+		list := []polled{
+			{replica: s.config, wait: turns.next(now, 0)},
+			{replica: s.endpoints, wait: turns.next(now, turns.period()/2)},
+		}
 		if s.settings.Platform.Evacuations {
-			list = append(list, polled{replica: s.evacuations, wait: turns.next(now, quarter)})
+			wait := turns.every(evacuationPollPerInstance).next(now, turns.period()/4)
+			list = append(list, polled{replica: s.evacuations, wait: wait})
 		}
 		next := slices.MinFunc(list, func(a, b polled) int { return cmp.Compare(a.wait, b.wait) })
 		_ = fescuebank.Sleep(ctx, s.clock, next.wait)
