Wait for the progress of a team's former owner

The next owner loads a team's jobs as soon as it applies the list of owners, and started their items 250 ms later. Attempts that took more than 40 ms to end weren't part of it at all, and a leaving owner could stop before it was sent.

Former owners state who they are and send a handover also without progress; while one lives the items wait for it, at most 2 s. Attempts have 500 ms to end. A leaving owner waits until its handovers are sent.

--- a/internal/batch/manager/fuzz_test.go
+++ b/internal/batch/manager/fuzz_test.go
@@ -50,7 +50,9 @@
 	// manager with the higher one is the owner by the newest list.
 	epochs [2]fescuebank.FencingNumber
 	epoch  fescuebank.FencingNumber
-	tasks  [2][]*manager.Task
+	// formerOwnerAlive is whether a manager knows that the other one lives and sends its progress.
+	formerOwnerAlive bool
+	tasks            [2][]*manager.Task
 	// accepted holds the number of items of each job that a submission was accepted
 	// for. refused is true for jobs whose submissions were all refused as not run, and
 	// false for jobs whose outcome is unknown.
@@ -95,7 +97,11 @@
 		},
 		TookOver: func(fescuebank.TeamID) bool { return true }, Persister: jobStore, Table: table,
 		Clock: timekeeper.Timekeeper{}, Log: hclog.NewNullLogger(), OnItemsAvailable: func() {},
-		SendHandover: p.sendHandover,
+		SendHandover: p.sendHandover, Self: managerID(i), FormerOwner: func(fescuebank.TeamID) (fescuebank.InstanceID, bool) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return managerID(1 - i), p.formerOwnerAlive
+		},
 	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -105,6 +111,18 @@
 	p.epochs[i] = p.epoch
 }
 
+// managerID returns the id of the instance of a manager.
+func managerID(i int) fescuebank.InstanceID {
+	return fescuebank.InstanceID(fmt.Sprintf("owner-%d", i))
+}
+
+// setFormerOwnerAlive sets whether the managers know that the team's former owner lives.
+func (p *ownerPair) setFormerOwnerAlive(alive bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.formerOwnerAlive = alive
+}
+
 func (p *ownerPair) manager(i int) *manager.Manager {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -262,6 +280,7 @@
 				p.ended[id] = true
 			}
 		},
+		"former owner": func(t *rapid.T) { p.setFormerOwnerAlive(rapid.Bool().Draw(t, "alive")) },
 		"faults": func(t *rapid.T) {
 			p.store.SetFaults(memorystorer.Faults{
 				Down: rapid.IntRange(0, 5).Draw(t, "down") == 0, LoseReplies: rapid.IntRange(0, 2).Draw(t, "lose") == 0,
--- a/internal/batch/manager/handover.go
+++ b/internal/batch/manager/handover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"fescuebank"
@@ -10,10 +12,15 @@
 const (
 	// attemptStopWait is how long running attempts have to end after they are
 	// cancelled, so that their progress is part of the handover.
-	attemptStopWait = 40 * time.Millisecond
-	// handoverWait is how long a new owner waits for the former owner's progress
-	// before it starts the items of a loaded job.
+	attemptStopWait = 500 * time.Millisecond
+	// attemptPollInterval is how often it is checked whether they have ended.
+	attemptPollInterval = 10 * time.Millisecond
+	// handoverWait is how long the items of a loaded job wait if no handover is expected: the
+	// former owner may send one all the same.
 	handoverWait = 250 * time.Millisecond
+	// maxHandoverWait is how long they wait for the handover of a former owner that is alive.
+	// It may apply the list of owners later than the next one.
+	maxHandoverWait = 2 * time.Second
 )
 
 // ItemProgress is the progress of one item at the former owner.
@@ -24,27 +31,106 @@
 }
 
 // ProgressHandover is sent by a team's former owner to its next owner, so that
-// started items continue instead of starting over.
+// started items continue instead of starting over. It is sent also if none has progress, so that
+// the next owner doesn't wait.
 type ProgressHandover struct {
 	Team  fescuebank.TeamID `cbor:"1,keyasint"`
 	Items []ItemProgress    `cbor:"2,keyasint"`
+	// From is the former owner; empty if its version doesn't send it.
+	From fescuebank.InstanceID `cbor:"3,keyasint,omitempty"`
 }
 
 // handOver sends the progress of started items without a result to the team's
-// next owner.
+// next owner, once their attempts have ended. The caller has counted it in handovers.
 func (m *Manager) handOver(tj *teamJobs) {
-	_ = fescuebank.Sleep(context.Background(), m.Clock, attemptStopWait)
-	h := ProgressHandover{Team: tj.team}
-	tj.mu.Lock()
-	for _, j := range tj.jobs {
+	defer m.handovers.Add(-1)
+	m.awaitAttempts(tj)
+	h := ProgressHandover{Team: tj.team, From: m.Self}
+	open := 0
+	for _, j := range tj.list() {
+		if j.isEnded() || j.isDone() {
+			continue
+		}
+		open++
 		h.Items = append(h.Items, j.startedItems()...)
 	}
-	tj.mu.Unlock()
-	if len(h.Items) > 0 {
+	if open > 0 || !tj.isLoaded() {
 		m.SendHandover(h)
 	}
 }
 
+// IsHandingOver reports whether progress is being sent to a next owner.
+func (m *Manager) IsHandingOver() bool {
+	return m.handovers.Load() > 0
+}
+
+// awaitAttempts waits until the cancelled attempts of a team's items have ended, for up to
+// attemptStopWait.
+func (m *Manager) awaitAttempts(tj *teamJobs) {
+	for until := m.Clock.Now().Add(attemptStopWait); tj.hasRunning() && m.Clock.Now().Before(until); {
+		_ = fescuebank.Sleep(context.Background(), m.Clock, attemptPollInterval)
+	}
+}
+
+// list returns the team's jobs.
+func (tj *teamJobs) list() []*job {
+	tj.mu.Lock()
+	defer tj.mu.Unlock()
+	return slices.Collect(maps.Values(tj.jobs))
+}
+
+// hasRunning reports whether an attempt at one of the team's items is in progress.
+func (tj *teamJobs) hasRunning() bool {
+	return slices.ContainsFunc(tj.list(), (*job).hasRunning)
+}
+
+func (j *job) hasRunning() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, it := range j.items {
+		if it.phase == phaseRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// expectHandover makes the items of the jobs that are loaded next wait for the progress from the
+// team's former owner: long if it is alive.
+func (m *Manager) expectHandover(tj *teamJobs) {
+	wait := handoverWait
+	var from fescuebank.InstanceID
+	if m.FormerOwner != nil && m.TookOver(tj.team) {
+		if id, alive := m.FormerOwner(tj.team); alive {
+			wait, from = maxHandoverWait, id
+		}
+	}
+	tj.mu.Lock()
+	defer tj.mu.Unlock()
+	tj.expectedFrom, tj.expectedUntil = from, m.Clock.Now().Add(wait)
+}
+
+// itemsDelayedUntil returns when the items of a job that is loaded now may start without a handover.
+func (tj *teamJobs) itemsDelayedUntil(now time.Time) time.Time {
+	tj.mu.Lock()
+	defer tj.mu.Unlock()
+	return fescuebank.Latest(tj.expectedUntil, now.Add(handoverWait))
+}
+
+// endHandoverWait lets all items start that wait for a handover, if it is from the owner from which
+// one is expected.
+func (tj *teamJobs) endHandoverWait(from fescuebank.InstanceID) {
+	tj.mu.Lock()
+	defer tj.mu.Unlock()
+	if tj.expectedFrom == "" || (from != "" && from != tj.expectedFrom) {
+		return
+	}
+	for _, j := range tj.jobs {
+		j.endDelay(tj.expectedUntil)
+	}
+	tj.expectedFrom, tj.expectedUntil = "", time.Time{}
+}
+
 // startedItems returns the progress of those waiting items that earlier attempts
 // have started, unless the job has ended.
 func (j *job) startedItems() []ItemProgress {
@@ -80,6 +166,7 @@
 		}
 	}
 	tj.mu.Unlock()
+	tj.endHandoverWait(h.From)
 	m.Log.Info("Progress received from the former owner.", "team", string(h.Team), "items", len(h.Items), "taken", applied)
 	m.OnItemsAvailable()
 	return &struct{}{}, nil
@@ -108,3 +195,14 @@
 		it.notBefore = until
 	}
 }
+
+// endDelay lets those items start that were delayed until a time.
+func (j *job) endDelay(until time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, it := range j.items {
+		if it.notBefore.Equal(until) {
+			it.notBefore = time.Time{}
+		}
+	}
+}
--- a/internal/batch/manager/manager.go
+++ b/internal/batch/manager/manager.go
@@ -54,8 +54,13 @@
 	OnItemEnd func(team fescuebank.TeamID, failed, onTime bool)
 	// OnItemsAvailable is called when items may be waiting.
 	OnItemsAvailable func()
+	// Self is this instance's id.
+	Self fescuebank.InstanceID
 	// SendHandover sends the progress of a team's items to the team's next owner.
 	SendHandover func(ProgressHandover)
+	// FormerOwner returns the instance that owned a team by the list of owners before, if it is
+	// alive, so that it sends the progress of the team's items. Nil means that none is known.
+	FormerOwner func(fescuebank.TeamID) (fescuebank.InstanceID, bool)
 }
 
 // Manager holds the jobs of each owned team.
@@ -64,6 +69,8 @@
 
 	// uncommitted is the number of jobs with outcomes that are not committed yet.
 	uncommitted atomic.Int64
+	// handovers is the number of teams whose progress is being sent to the next owner.
+	handovers atomic.Int64
 
 	mu    sync.Mutex
 	teams map[fescuebank.TeamID]*teamJobs
@@ -86,6 +93,10 @@
 	jobs    map[fescuebank.JobID]*job
 	// closed is set when this incarnation no longer owns the team.
 	closed bool
+	// expectedFrom is the former owner from which a handover is expected, else empty. Items that
+	// are loaded meanwhile wait for it until expectedUntil.
+	expectedFrom  fescuebank.InstanceID
+	expectedUntil time.Time
 }
 
 // New returns a manager without jobs.
@@ -105,6 +116,7 @@
 	if tj == nil {
 		tj = &teamJobs{team: team, epoch: epoch, jobs: make(map[fescuebank.JobID]*job), ledgerLock: make(chan struct{}, 1)}
 		m.teams[team] = tj
+		m.expectHandover(tj)
 	}
 	m.mu.Unlock()
 	if tj.isLoaded() {
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -62,7 +62,7 @@
 		return nil, err
 	}
 	j := newJob(tj, spec)
-	j.delayItems(m.Clock.Now().Add(handoverWait))
+	j.delayItems(tj.itemsDelayedUntil(m.Clock.Now()))
 	if e.Ended {
 		j.end()
 	}
@@ -116,6 +116,7 @@
 		}
 		delete(m.teams, team)
 		tj.close()
+		m.handovers.Add(1)
 		go m.handOver(tj)
 		m.Log.Info("Jobs released: ownership of the team changed.", "team", string(team))
 	}
--- a/internal/operate/server/leave.go
+++ b/internal/operate/server/leave.go
@@ -94,9 +94,10 @@
 	group.Wait()
 }
 
-// awaitHandover waits until the instance has handed over all it owned, or until the deadline.
+// awaitHandover waits until the instance has handed over all it owned, also the progress of items, or
+// until the deadline.
 func (s *Server) awaitHandover(ctx context.Context, deadline time.Time) {
-	for s.clock.Now().Before(deadline) && !s.hasHandedOver() {
+	for s.clock.Now().Before(deadline) && (!s.hasHandedOver() || s.manager.IsHandingOver()) {
 		_ = fescuebank.Sleep(ctx, s.clock, idlePollInterval)
 	}
 	_ = fescuebank.Sleep(ctx, s.clock, 3*idlePollInterval)
@@ -114,3 +115,18 @@
 	l := s.elector.List()
 	return l == nil || !l.Has(fescuebank.Holder{ID: s.self.ID, Incarnation: s.self.Incarnation})
 }
+
+// formerOwner returns the instance that owned a team by the list of owners before, if its
+// incarnation is alive.
+func (s *Server) formerOwner(team fescuebank.TeamID) (fescuebank.InstanceID, bool) {
+	l := s.elector.List()
+	if l == nil {
+		return "", false
+	}
+	former, ok := l.PreviousOwner(team)
+	if !ok {
+		return "", false
+	}
+	peer, known := s.gossiper.Find(former.ID)
+	return former.ID, known && peer.Reachable && peer.Incarnation == former.Incarnation
+}
--- a/internal/operate/server/leave_test.go
+++ b/internal/operate/server/leave_test.go
@@ -4,9 +4,17 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"fescuebank"
+	"fescuebank/internal/batch/estimator"
+	"fescuebank/internal/batch/manager"
+	"fescuebank/internal/batch/persister"
+	"fescuebank/internal/fleet/elector"
+	"fescuebank/internal/standin/memorystorer"
 	"fescuebank/internal/timing/timekeeper"
 )
 
@@ -56,3 +64,45 @@
 		t.Errorf("got %d requests accepted, want only the early one", len(handled))
 	}
 }
+
+// TestLeavingInstanceWaitsForItsHandover guards against progress that is lost because the instance
+// stops while it sends it: the next owner may apply the list of owners later.
+func TestLeavingInstanceWaitsForItsHandover(t *testing.T) {
+	const (
+		sending = 900 * time.Millisecond
+		grace   = 3 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		clock := timekeeper.Timekeeper{}
+		jobs, err := persister.New(&memorystorer.MemoryStorer{}, clock)
+		if err != nil {
+			t.Fatal(err)
+		}
+		owns, sent := true, make(chan struct{})
+		table := &fescuebank.RouteTable{Version: 1, Teams: map[fescuebank.TeamID]fescuebank.TeamSettings{"team": {ID: "team"}}}
+		table.SetRoutes([]fescuebank.Route{{Name: "batch", Host: "h", Prefix: "/b/", Kind: fescuebank.RouteBatch, CompletionObjective: time.Minute}})
+		m := manager.New(manager.Config{
+			Owns:     func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, owns },
+			TookOver: func(fescuebank.TeamID) bool { return false }, Persister: jobs, Estimator: estimator.New(),
+			Table: func() *fescuebank.RouteTable { return table }, Clock: clock, Log: hclog.NewNullLogger(), OnItemsAvailable: func() {},
+			SendHandover: func(manager.ProgressHandover) {
+				time.Sleep(sending)
+				close(sent)
+			},
+		})
+		spec := &fescuebank.RoutedJob{ID: "job", Team: "team", Route: "batch", Host: "h", Path: "/b/x", Submitted: clock.Now(), Items: []fescuebank.RoutedItem{{ID: "item"}}}
+		if err := m.Submit(t.Context(), spec); err != nil {
+			t.Fatal(err)
+		}
+		s := &Server{clock: clock, manager: m, elector: elector.New(elector.Config{Clock: clock})}
+		owns = false
+		m.UpdateOwnership()
+		s.awaitHandover(t.Context(), clock.Now().Add(grace))
+		select {
+		case <-sent:
+		default:
+			t.Errorf("got the end of the wait before the progress was sent, want it after %v", sending)
+		}
+		time.Sleep(grace)
+	})
+}
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -207,7 +207,7 @@
 	s.manager = manager.New(manager.Config{
 		Owns: s.owns, TookOver: s.elector.TookOver,
 		Persister: batchPersister, Table: s.table.Load, Estimator: estimator.New(), Clock: s.clock, Log: s.logFor("batch"),
-		OnItemEnd: s.serviceLevels.BatchItem, OnItemsAvailable: func() { s.runner.Wake() }, SendHandover: func(p manager.ProgressHandover) { s.sendHandover(caller, p) },
+		Self: s.self.ID, FormerOwner: s.formerOwner, OnItemEnd: s.serviceLevels.BatchItem, OnItemsAvailable: func() { s.runner.Wake() }, SendHandover: func(p manager.ProgressHandover) { s.sendHandover(caller, p) },
 	})
 	s.linker.Handle(fescuebank.KindProgressHandover, s.manager.HandleProgressHandover)
 	s.runner = runner.New(runner.Config{
