Renew the list of owners soon after a restart of all instances

After a loss of power the list named incarnations that had ended for 1.5 to 2.3 s, so that no request of a team with a quota was served: the instance that writes the list learned the others' new entries from peers, half a second a round, and the others fetched the new list behind other state. Announced lists of owners are fetched at once. An owner's bucket starts with what accrued since its start if nobody else can have granted tokens. A list of members older than the own entry no longer counts as its loss. While an owner grants nothing, callers are refused at once instead of after 150 ms.

Fewer calls to the store: parts of batch jobs and results, which never change, are read stale first; the first write of the member entry knows the version that it replaces; instances that start together no longer take the same turn to read.

--- a/internal/batch/persister/persister.go
+++ b/internal/batch/persister/persister.go
@@ -249,13 +249,25 @@
 
 func (p *Persister) read(ctx context.Context, key string) (part, error) {
 	var piece part
-	o, err := p.store.Get(ctx, key)
+	o, err := p.getCreated(ctx, key)
 	if err != nil {
 		return piece, err
 	}
 	return piece, json.Unmarshal(o.Value, &piece)
 }
 
+// getCreated reads an object that never changes once it was created. A stale read finds all but the
+// newest ones.
+func (p *Persister) getCreated(ctx context.Context, key string) (fescuebank.Object, error) {
+	if getter, ok := p.store.(fescuebank.StaleGetter); ok {
+		o, err := getter.GetStale(ctx, key)
+		if !errors.Is(err, fescuebank.ErrAbsent) {
+			return o, err
+		}
+	}
+	return p.store.Get(ctx, key)
+}
+
 func (p *Persister) encode(value any) ([]byte, error) {
 	b, err := cbor.Marshal(value)
 	if err != nil {
--- a/internal/fleet/elector/authority.go
+++ b/internal/fleet/elector/authority.go
@@ -40,6 +40,20 @@
 	return e.list.Epoch, true
 }
 
+// VacantSince returns the time since which no other incarnation can have acted as the owner of a
+// team that this incarnation owns, or false if that isn't known. It is known if the team belonged
+// to the incarnation before, which ended before this one started, and nobody else may have acted by the
+// lists in between.
+func (e *Elector) VacantSince(team fescuebank.TeamID) (time.Time, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.replaced == nil || e.replaced.Epoch+1 != e.list.Epoch || len(e.replaced.Former) > 0 || len(e.list.Former) > 0 {
+		return time.Time{}, false
+	}
+	before, ok := e.replaced.Owner(team)
+	return e.started, ok && before.ID == e.holder.ID && before.Incarnation != e.holder.Incarnation
+}
+
 // IsOwner reports whether this incarnation still owns a team that it has started to act
 // for.
 func (e *Elector) IsOwner(team fescuebank.TeamID) bool {
--- a/internal/fleet/elector/elector.go
+++ b/internal/fleet/elector/elector.go
@@ -79,6 +79,8 @@
 
 	mu   sync.Mutex
 	list *fescuebank.OwnerList
+	// replaced is the list that list replaced here.
+	replaced *fescuebank.OwnerList
 	// version is the store version of the list.
 	version fescuebank.StoreVersion
 	// slotCountSeenAt is when this instance first saw the current number of floor
@@ -100,6 +102,8 @@
 	// membersReadEpoch is the newest epoch after whose arrival the members were read
 	// from the store.
 	membersReadEpoch fescuebank.FencingNumber
+	// renewalReadAt is when the members were last read because owners had restarted.
+	renewalReadAt time.Time
 	// leaving is set when this incarnation has to leave the list.
 	leaving bool
 }
@@ -168,7 +172,7 @@
 		if e.list == nil || e.list.FloorsSince != next.FloorsSince {
 			e.slotCountSeenAt = e.Clock.Now()
 		}
-		e.list, e.version = &next, o.Version
+		e.replaced, e.list, e.version = e.list, &next, o.Version
 		e.recordRemoved()
 	}
 	e.mu.Unlock()
@@ -250,13 +254,14 @@
 			}
 		}
 		e.readMembers(ctx)
+		e.readRestarted(ctx)
 		if err := e.reconcile(ctx); err != nil {
 			e.Log.Warn("List of owners not written.", "err", err.Error())
 		}
 		select {
 		case <-ctx.Done():
 		case <-e.wake:
-		case <-e.Clock.After(reconcileInterval):
+		case <-e.Clock.After(e.checkInterval()):
 		}
 	}
 }
--- a/internal/fleet/elector/elector_test.go
+++ b/internal/fleet/elector/elector_test.go
@@ -30,6 +30,9 @@
 	down        map[fescuebank.InstanceID]bool
 	// isolated instances receive no gossip yet.
 	isolated map[fescuebank.InstanceID]bool
+	// lateEntries is set while instances learn of others' new entries only by reading the
+	// members, as from their start the entries that they know are out of date.
+	lateEntries bool
 }
 
 type instance struct {
@@ -37,6 +40,10 @@
 	entry   fescuebank.MemberEntry
 	elector *elector.Elector
 	stop    context.CancelFunc
+	// known are the entries of all instances as of the last read of the members, and reads counts
+	// those reads.
+	known map[fescuebank.InstanceID]fescuebank.MemberEntry
+	reads int
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -60,12 +67,13 @@
 		ReadThroughPeer: func(context.Context) (fescuebank.Object, error) {
 			return fescuebank.Object{}, fescuebank.ErrPeerUnreachable
 		},
-		ReadMembers: func(context.Context) bool { return true }, MembersKnown: func() bool { return true },
+		ReadMembers: n.readMembers, MembersKnown: func() bool { return true },
 		StoreState: func() (bool, time.Duration) { return true, time.Hour },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	f.mu.Lock()
+	n.known = f.entries()
 	f.instances[id] = n
 	delete(f.down, id)
 	f.mu.Unlock()
@@ -74,6 +82,23 @@
 	return n
 }
 
+// entries returns the current entries of all instances. The caller holds the lock.
+func (f *fleet) entries() map[fescuebank.InstanceID]fescuebank.MemberEntry {
+	entries := make(map[fescuebank.InstanceID]fescuebank.MemberEntry, len(f.instances))
+	for id, n := range f.instances {
+		entries[id] = n.entry
+	}
+	return entries
+}
+
+func (n *instance) readMembers(context.Context) bool {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	n.known = n.fleet.entries()
+	n.reads++
+	return true
+}
+
 // kill stops an instance without a graceful shutdown.
 func (f *fleet) kill(id fescuebank.InstanceID) {
 	f.mu.Lock()
@@ -131,9 +156,13 @@
 		if id == n.entry.ID {
 			continue
 		}
+		entry := other.entry
+		if n.fleet.lateEntries {
+			entry = n.known[id]
+		}
 		down := n.fleet.down[id] || n.fleet.isolated[n.entry.ID]
 		list = append(list, gossiper.Peer{
-			MemberEntry: other.entry, Reachable: !down,
+			MemberEntry: entry, Reachable: !down,
 			Alive:  !down && !n.fleet.partitioned[[2]fescuebank.InstanceID{n.entry.ID, id}],
 			Gossip: fescuebank.Gossip{Incarnation: other.entry.Incarnation},
 		})
@@ -291,6 +320,75 @@
 	})
 }
 
+// TestRestartOfAllRenewsTheListSoon restarts all instances at once. Until the list names the new
+// incarnations, no request of a team with a quota is served, so the instance that writes it must not
+// wait until others pass the new entries on, and it must name all owners at once: a list of some would
+// move teams away and back.
+func TestRestartOfAllRenewsTheListSoon(t *testing.T) {
+	const want = 300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		owners := []fescuebank.InstanceID{"s1", "s2", "s3", "s4", "s5"}
+		for _, id := range owners {
+			f.start(id, true)
+		}
+		f.start("e1", false)
+		time.Sleep(formationTime)
+		before := f.ownerList().Epoch
+		for _, id := range append(owners, "e1") {
+			f.kill(id)
+		}
+		f.lateEntries = true
+		time.Sleep(time.Second)
+		for _, id := range append(owners, "e1") {
+			f.start(id, id != "e1")
+		}
+		time.Sleep(want)
+		list := f.ownerList()
+		if got := list.Epoch; got != before+1 {
+			t.Errorf("got epoch %d %v after the restart, want %d", got, want, before+1)
+		}
+		for _, id := range owners {
+			if !list.Has(f.instances[id].holder()) {
+				t.Errorf("got a list without the new incarnation of %s after %v, want it", id, want)
+			}
+		}
+		reads := 0
+		for _, n := range f.instances {
+			reads += n.reads
+		}
+		if reads > 2*len(owners) {
+			t.Errorf("got %d reads of the members, want at most %d", reads, 2*len(owners))
+		}
+	})
+}
+
+// TestVacantSince checks what is known of the time before an owner's restart: nobody acted for the teams
+// of its former incarnation, unless a former owner may have.
+func TestVacantSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		f.start("s1", true)
+		f.start("s2", true)
+		f.start("e1", false)
+		time.Sleep(formationTime)
+		team := f.teamOf("s2")
+		f.kill("s2")
+		time.Sleep(100 * time.Millisecond)
+		startedAt := time.Now()
+		n := f.start("s2", true)
+		time.Sleep(2 * time.Second)
+		if got, ok := n.elector.VacantSince(team); !ok || !got.Equal(startedAt) {
+			t.Errorf("got the team vacant since %v, known %v, want since the start at %v", got, ok, startedAt)
+		}
+		if _, ok := f.instances["s1"].elector.VacantSince(f.teamOf("s1")); ok {
+			t.Error("got a time since which the team of an owner that runs on was vacant, want none")
+		}
+	})
+}
+
 // TestEntryKeepsItsFloorSlotWhileOwnersReadTheList checks that an owner's read of the list
 // keeps the floor slot of an entry instance valid, for 25 s at most.
 func TestEntryKeepsItsFloorSlotWhileOwnersReadTheList(t *testing.T) {
--- a/internal/fleet/elector/reconcile.go
+++ b/internal/fleet/elector/reconcile.go
@@ -25,9 +25,10 @@
 	e.recordUnreachable(peers, now)
 	e.recordAbsent(peers, now)
 	next, changed := e.nextList(peers, now)
+	mustWait := !leaving && e.renewal(peers, now).MustWait()
 	e.mu.Unlock()
 	isForming := current == nil && now.Sub(e.started) < formationDelay
-	if !e.MembersKnown() || !changed || isForming || (!leaving && !e.isFirst(peers)) {
+	if !e.MembersKnown() || !changed || isForming || mustWait || (!leaving && !e.isFirst(peers)) {
 		return nil
 	}
 	value, err := json.Marshal(next)
--- a/internal/fleet/gossiper/entry.go
+++ b/internal/fleet/gossiper/entry.go
@@ -20,11 +20,19 @@
 	entryHeartbeatWindow = 15 * time.Second
 	// registerRetry is the pause between attempts to write the member entry.
 	registerRetry = 300 * time.Millisecond
+	// maxListWait is how long the first write of the member entry waits at most for the first list
+	// of the members, which tells the version of the entry that it replaces.
+	maxListWait = 100 * time.Millisecond
 )
 
 // register writes the member entry of this incarnation whenever the store doesn't contain
 // it, and periodically while mustHeartbeat requires it.
 func (g *Gossiper) register(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-g.listed:
+	case <-g.Clock.After(maxListWait):
+	}
 	for ctx.Err() == nil {
 		if g.isEntryLost() || g.mustHeartbeat() {
 			err := g.writeEntry(ctx)
--- a/internal/fleet/gossiper/entry_test.go
+++ b/internal/fleet/gossiper/entry_test.go
@@ -38,3 +38,32 @@
 		}
 	})
 }
+
+// TestOldListDoesNotUnregister checks that a list of the members that is older than this instance's
+// last write of its entry doesn't count as the loss of the entry: callers would be refused until it
+// has been written once more.
+func TestOldListDoesNotUnregister(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		own   string
+		asOf  fescuebank.StoreVersion
+		wants bool
+	}{
+		{"entry of the former incarnation, older than the write", "before", 5, true},
+		{"no entry, list older than the write", "", 5, true},
+		{"entry of another incarnation, newer than the write", "after", 20, false},
+		{"no entry any more", "", 20, false},
+		{"own entry", "me1", 20, true},
+	} {
+		g, _ := newGossiper(t, false)
+		g.version, g.entryLost = 10, false
+		var list []fescuebank.MemberEntry
+		if tt.own != "" {
+			list = append(list, fescuebank.MemberEntry{ID: "me", Incarnation: fescuebank.Incarnation(tt.own)})
+		}
+		applyEntries(g, tt.asOf, list...)
+		if got := g.Registered(); got != tt.wants {
+			t.Errorf("%s: got registered %v, want %v", tt.name, got, tt.wants)
+		}
+	}
+}
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -57,6 +57,10 @@
 	// changed is set when this instance's state has changed since its last message.
 	changed atomic.Bool
 
+	// listed is closed once the members were listed.
+	listed     chan struct{}
+	markListed sync.Once
+
 	// tag is the tag of this incarnation.
 	tag fescuebank.IncarnationTag
 
@@ -95,7 +99,7 @@
 // New returns a gossiper without members.
 func New(c Config) *Gossiper {
 	g := &Gossiper{
-		Config: c, wake: make(chan struct{}, 1), entryLost: true,
+		Config: c, wake: make(chan struct{}, 1), listed: make(chan struct{}), entryLost: true,
 		tag:     fescuebank.Holder{ID: c.Self.ID, Incarnation: c.Self.Incarnation}.Tag(),
 		members: make(map[fescuebank.InstanceID]*member), totals: totals{counts: make(fescuebank.EndpointCounts)},
 	}
--- a/internal/fleet/gossiper/gossiper_test.go
+++ b/internal/fleet/gossiper/gossiper_test.go
@@ -44,7 +44,7 @@
 		value, _ := json.Marshal(e)
 		objects = append(objects, fescuebank.Object{Key: fescuebank.MemberPrefix + string(e.ID), Value: value, Version: version})
 	}
-	g.ApplyObjects(objects)
+	g.ApplyObjects(objects, version)
 }
 
 // receive applies a gossip message as if it had arrived from a peer.
--- a/internal/fleet/gossiper/member.go
+++ b/internal/fleet/gossiper/member.go
@@ -51,13 +51,15 @@
 	silent bool
 }
 
-// ApplyObjects replaces the members by the member entries of the store.
-func (g *Gossiper) ApplyObjects(objects []fescuebank.Object) {
+// ApplyObjects replaces the members by the member entries of the store as of a version. The entry
+// of this instance counts as lost unless the entries are older than its last write.
+func (g *Gossiper) ApplyObjects(objects []fescuebank.Object, asOf fescuebank.StoreVersion) {
+	defer g.markListed.Do(func() { close(g.listed) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
 	seen := make(map[fescuebank.InstanceID]bool)
-	g.entryLost = true
+	lost := g.entryLost || asOf >= g.version
 	for _, o := range objects {
 		var e fescuebank.MemberEntry
 		if err := json.Unmarshal(o.Value, &e); err != nil || o.Key != fescuebank.MemberPrefix+string(e.ID) {
@@ -65,13 +67,13 @@
 			continue
 		}
 		if e.ID == g.Self.ID {
-			g.entryLost = e.Incarnation != g.Self.Incarnation
-			g.version = max(g.version, o.Version)
+			lost = g.isReplaced(e, o.Version)
 			continue
 		}
 		seen[e.ID] = true
 		g.applyEntry(e, o.Version, now)
 	}
+	g.entryLost = lost
 	for id, m := range g.members {
 		if !seen[id] {
 			g.Log.Info("Instance removed from the members.", "peer", string(id))
@@ -84,6 +86,16 @@
 	g.selectTargets(now)
 }
 
+// isReplaced reports whether the entry of this instance is that of another incarnation. An entry
+// older than the last write of this one says nothing. The caller holds the lock.
+func (g *Gossiper) isReplaced(e fescuebank.MemberEntry, version fescuebank.StoreVersion) bool {
+	if version < g.version {
+		return g.entryLost
+	}
+	g.version = version
+	return e.Incarnation != g.Self.Incarnation
+}
+
 // index rebuilds byTag and reportOrder from the members. The caller holds the lock.
 func (g *Gossiper) index() {
 	g.byTag = make(map[fescuebank.IncarnationTag]*member, len(g.members))
--- a/internal/limit/acquirer/acquirer.go
+++ b/internal/limit/acquirer/acquirer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 
 	"fescuebank"
 	"fescuebank/internal/limit/issuer"
@@ -52,6 +53,9 @@
 	// IsOwner reports whether this incarnation still owns a team that it acted for
 	// before.
 	IsOwner(team fescuebank.TeamID) bool
+	// VacantSince returns the time since which no other incarnation can have granted tokens of a
+	// team that this incarnation owns, or false if that isn't known.
+	VacantSince(team fescuebank.TeamID) (time.Time, bool)
 	// FloorSlot returns this instance's floor slot and the number of slots, or false
 	// if it may not use a floor.
 	FloorSlot() (slot, slots int, ok bool)
@@ -75,7 +79,8 @@
 // Acquirer holds this instance's unspent tokens and its floors, by team.
 type Acquirer struct {
 	Config
-	shards [shardCount]shard
+	shards     [shardCount]shard
+	idleOwners idleOwners
 }
 
 type shard struct {
@@ -192,13 +197,17 @@
 
 // acquire requests a token from the owner. It tries again after a short wait if the next
 // token accrues soon, the bucket is warming up or the first call failed. It refuses the
-// request at once if the owner's circuit is open.
+// request at once if the owner's circuit is open, or if it granted nothing to requests before.
 func (a *Acquirer) acquire(ctx context.Context, id fescuebank.TeamID, q fescuebank.Quota, expected int) error {
 	started := a.Clock.Now()
 	for attempt := 0; ; attempt++ {
 		var reply fescuebank.AcquireReply
 		requestedAt := a.Clock.Now()
+		owner, _ := a.Owners.Owner(id)
 		err := a.requestTokens(ctx, id, expected, attempt > 0, &reply)
+		if err == nil {
+			a.idleOwners.remove(owner)
+		}
 		if err == nil && reply.Count > 0 {
 			a.addTokens(id, reply.Count-1, requestedAt.Add(issuer.TokenLifetime))
 			return nil
@@ -208,7 +217,10 @@
 		}
 		wait := max(time.Duration(reply.WaitNanos), minOwnerCallGap)
 		switch {
-		case errors.Is(err, breaker.ErrOpen) || err != nil && attempt > 0:
+		case errors.Is(err, breaker.ErrOpen) || err != nil && (attempt > 0 || a.idleOwners.has(owner, a.Clock.Now())):
+			if isIdle(err) {
+				a.idleOwners.add(owner, a.Clock.Now())
+			}
 			return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeLimitUnknown,
 				"nobody can tell now whether the team is within its rate").WithRetryAfter(limitUnknownRetryAfter).WithDetails(a.refusalDetails(id, q, err.Error())...)
 		case err != nil:
@@ -304,8 +316,7 @@
 		if !mayAct {
 			return nil, errFormerOwnerMayGrant
 		}
-		a.Issuer.CreateBucket(r.Team, epoch, quota, epoch == 1)
-		a.Log.Info("Bucket begins.", "team", string(r.Team), "epoch", uint64(epoch))
+		a.createBucket(r.Team, epoch, quota)
 	}
 	count, wait := a.Issuer.Grant(r.Team, quota, r.Need, r.Expected)
 	reply := &fescuebank.AcquireReply{Count: count, WaitNanos: int64(wait), WarmingUp: a.Issuer.WarmingUp(r.Team)}
@@ -315,8 +326,21 @@
 	return reply, nil
 }
 
+// createBucket creates the bucket of a team: full under the first list of owners, and otherwise
+// with what accrued while nobody granted tokens.
+func (a *Acquirer) createBucket(id fescuebank.TeamID, epoch fescuebank.FencingNumber, q fescuebank.Quota) {
+	since, isVacant := a.Owners.VacantSince(id)
+	if isVacant && epoch > 1 {
+		a.Issuer.CreateVacantBucket(id, epoch, since)
+	} else {
+		since = a.Clock.Now()
+		a.Issuer.CreateBucket(id, epoch, q, epoch == 1)
+	}
+	a.Log.Info("Bucket begins.", "team", string(id), "epoch", uint64(epoch), "vacantMs", a.Clock.Now().Sub(since).Milliseconds())
+}
+
 // errFormerOwnerMayGrant means that a former owner may still grant tokens of the team.
-var errFormerOwnerMayGrant = errors.New("former owner may still grant tokens")
+var errFormerOwnerMayGrant = eris.Wrap(fescuebank.ErrNotOwner, "former owner may still grant tokens")
 
 // UpdateOwnership drops the buckets of teams that this incarnation no longer owns. It is
 // called before a new list of owners is acknowledged: from then on the new owner may
--- a/internal/limit/acquirer/fuzz_test.go
+++ b/internal/limit/acquirer/fuzz_test.go
@@ -37,6 +37,10 @@
 	owner   int
 	epoch   fescuebank.FencingNumber
 	stalled bool
+	// restarted is set while the owner's team belonged to its former incarnation, which ended at
+	// restartedAt.
+	restarted   bool
+	restartedAt time.Time
 	// disconnected is set for each instance that is disconnected from all others.
 	disconnected []bool
 	// slots is the number of floor slots.
@@ -64,7 +68,10 @@
 	return v.epoch, v.owner == v.self && !v.stalled
 }
 func (v instanceView) IsOwner(fescuebank.TeamID) bool { return v.owner == v.self }
-func (v instanceView) FloorSlot() (int, int, bool)    { return v.self, v.slots, v.self < v.slots }
+func (v instanceView) VacantSince(fescuebank.TeamID) (time.Time, bool) {
+	return v.restartedAt, v.owner == v.self && v.restarted
+}
+func (v instanceView) FloorSlot() (int, int, bool) { return v.self, v.slots, v.self < v.slots }
 func (v instanceView) Call(ctx context.Context, _ fescuebank.InstanceID, _ fescuebank.MessageKind, message, reply any) error {
 	if v.disconnected[v.self] || v.disconnected[v.owner] {
 		return fescuebank.ErrPeerUnreachable
@@ -87,16 +94,20 @@
 		table: &fescuebank.RouteTable{Teams: map[fescuebank.TeamID]fescuebank.TeamSettings{testTeam: {ID: testTeam, Quota: q}}},
 	}
 	for i := range count {
-		v := instanceView{fleet: f, self: i}
-		f.instances = append(f.instances, acquirer.New(acquirer.Config{
-			Self: holder(i), Owners: v, Caller: v, Issuer: issuer.New(f.clock),
-			Registered: func() bool { return true }, Table: func() *fescuebank.RouteTable { return f.table },
-			Clock: f.clock, Log: hclog.NewNullLogger(),
-		}))
+		f.instances = append(f.instances, f.newInstance(i))
 	}
 	return f
 }
 
+func (f *fleet) newInstance(i int) *acquirer.Acquirer {
+	v := instanceView{fleet: f, self: i}
+	return acquirer.New(acquirer.Config{
+		Self: holder(i), Owners: v, Caller: v, Issuer: issuer.New(f.clock),
+		Registered: func() bool { return true }, Table: func() *fescuebank.RouteTable { return f.table },
+		Clock: f.clock, Log: hclog.NewNullLogger(),
+	})
+}
+
 func (f *fleet) admit(instance int) {
 	err := f.instances[instance].Admit(context.Background(), testTeam)
 	if err == nil {
@@ -109,11 +120,21 @@
 func (f *fleet) move(to int) {
 	f.owner = to
 	f.epoch++
+	f.restarted = false
 	for _, n := range f.instances {
 		n.UpdateOwnership()
 	}
 }
 
+// restartOwner replaces the owner's incarnation. The next list names the new one after a while.
+func (f *fleet) restartOwner(listedAfter time.Duration) {
+	f.instances[f.owner] = f.newInstance(f.owner)
+	restartedAt := f.clock.now
+	f.clock.now = f.clock.now.Add(listedAfter)
+	f.move(f.owner)
+	f.restarted, f.restartedAt = true, restartedAt
+}
+
 // excess returns the largest excess over rate and burst in any time window.
 func (f *fleet) excess(q fescuebank.Quota) float64 {
 	worst := 0.0
@@ -146,7 +167,11 @@
 				ms := rapid.IntRange(1, 1500).Draw(t, "ms")
 				f.clock.now = f.clock.now.Add(time.Duration(ms) * time.Millisecond)
 			},
-			"move":  func(t *rapid.T) { f.move(rapid.IntRange(0, 3).Draw(t, "owner")) },
+			"move": func(t *rapid.T) { f.move(rapid.IntRange(0, 3).Draw(t, "owner")) },
+			"restart": func(t *rapid.T) {
+				ms := rapid.IntRange(0, 3000).Draw(t, "listedAfter")
+				f.restartOwner(time.Duration(ms) * time.Millisecond)
+			},
 			"stall": func(t *rapid.T) { f.stalled = rapid.Bool().Draw(t, "stalled") },
 			"cut":   func(t *rapid.T) { f.disconnected[rapid.IntRange(0, 3).Draw(t, "node")] = rapid.Bool().Draw(t, "cut") },
 			"":      func(t *rapid.T) { check(t, f, q) },
@@ -219,6 +244,29 @@
 	}
 }
 
+// TestRestartedOwnerGrantsWhatAccruedSinceItsStart restarts the owner of a team that sends nothing
+// until the new list of owners names the new incarnation, 2 s later. Nobody granted tokens
+// meanwhile, so the callers who return all at once find those that accrued.
+func TestRestartedOwnerGrantsWhatAccruedSinceItsStart(t *testing.T) {
+	q := fescuebank.Quota{Rate: 20, Burst: 20}
+	f := newFleet(q, 4, 0)
+	for range 20 {
+		f.admit(0)
+	}
+	f.restartOwner(2 * time.Second)
+	before := len(f.admitted)
+	for range 16 {
+		f.admit(1)
+	}
+	// Without floor slots, the owner grants four fifths of the quota, so its bucket holds 16.
+	if got, want := len(f.admitted)-before, 16; got != want {
+		t.Errorf("got %d requests admitted, want %d", got, want)
+	}
+	if got := f.excess(q); got > 1e-6 {
+		t.Errorf("got %f requests over rate and burst, want none", got)
+	}
+}
+
 func TestRefusalHasRetryAfter(t *testing.T) {
 	f := newFleet(fescuebank.Quota{Rate: 2, Burst: 1}, 1, 0)
 	f.admit(0)
--- a/internal/limit/acquirer/outage_test.go
+++ b/internal/limit/acquirer/outage_test.go
@@ -29,7 +29,10 @@
 	return 1, false
 }
 func (o *unresponsiveOwner) IsOwner(fescuebank.TeamID) bool { return false }
-func (o *unresponsiveOwner) FloorSlot() (int, int, bool)    { return 0, 0, false }
+func (o *unresponsiveOwner) VacantSince(fescuebank.TeamID) (time.Time, bool) {
+	return time.Time{}, false
+}
+func (o *unresponsiveOwner) FloorSlot() (int, int, bool) { return 0, 0, false }
 
 func (o *unresponsiveOwner) Call(ctx context.Context, _ fescuebank.InstanceID, _ fescuebank.MessageKind, _, reply any) error {
 	o.mu.Lock()
--- a/internal/limit/issuer/issuer.go
+++ b/internal/limit/issuer/issuer.go
@@ -73,15 +73,26 @@
 
 // CreateBucket replaces the bucket of a team by a new one, full or empty.
 func (i *Issuer) CreateBucket(team fescuebank.TeamID, epoch fescuebank.FencingNumber, q fescuebank.Quota, full bool) {
-	s := i.shard(team)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	b := &bucket{epoch: epoch, refilledAt: i.clock.Now()}
+	now := i.clock.Now()
+	b := &bucket{epoch: epoch, refilledAt: now}
 	if full {
 		b.level = float64(q.Burst)
 	} else {
-		b.createdEmptyAt = b.refilledAt
+		b.createdEmptyAt = now
 	}
+	i.setBucket(team, b)
+}
+
+// CreateVacantBucket replaces the bucket of a team by one that was empty at a time since which
+// nobody granted tokens of the team.
+func (i *Issuer) CreateVacantBucket(team fescuebank.TeamID, epoch fescuebank.FencingNumber, since time.Time) {
+	i.setBucket(team, &bucket{epoch: epoch, refilledAt: since, createdEmptyAt: i.clock.Now()})
+}
+
+func (i *Issuer) setBucket(team fescuebank.TeamID, b *bucket) {
+	s := i.shard(team)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.buckets[team] = b
 }
 
--- a/internal/operate/server/catchup.go
+++ b/internal/operate/server/catchup.go
@@ -15,6 +15,9 @@
 	catchUpDelay = 150 * time.Millisecond
 	// catchUpTimeout bounds a call to a peer.
 	catchUpTimeout = 500 * time.Millisecond
+	// ownersFetchTime is the time over which the instances that accept requests spread their
+	// fetches of a new list of owners.
+	ownersFetchTime = 80 * time.Millisecond
 )
 
 // missingState is state of which a peer announced a newer version than this instance has.
@@ -44,11 +47,44 @@
 	// soon they learn of a change.
 	add(fescuebank.MemberPrefix, s.members, func() bool { return s.members.IsFollowing() && s.members.IsBehind(members) },
 		func(g *fescuebank.Gossip) bool { return g.MembersVersion >= members })
-	add(fescuebank.OwnerListPrefix, s.owners, func() bool { return epoch > s.elector.Epoch() },
-		func(g *fescuebank.Gossip) bool { return g.Epoch >= epoch })
+	owners := s.missingOwners(epoch)
+	add(owners.prefix, owners.replica, owners.isMissing, owners.has)
 	return list
 }
 
+// missingOwners returns the list of owners of an epoch as state that this instance lacks.
+func (s *Server) missingOwners(epoch fescuebank.FencingNumber) missingState {
+	return missingState{
+		prefix: fescuebank.OwnerListPrefix, replica: s.owners, isMissing: func() bool { return epoch > s.elector.Epoch() },
+		has: func(g *fescuebank.Gossip) bool { return g.Epoch >= epoch },
+	}
+}
+
+// catchUpOwners fetches a list of owners that a peer's gossip message announces, if other instances
+// watch the store for this one. Until it has the list, requests of teams that moved are refused, so it doesn't wait for other state.
+// Owners fetch it at once, the others spread over ownersFetchTime.
+func (s *Server) catchUpOwners(g *fescuebank.Gossip) {
+	m := s.missingOwners(g.Epoch)
+	if !m.isMissing() || !m.replica.IsFollowing() || !s.fetchingOwners.CompareAndSwap(false, true) {
+		return
+	}
+	from := g.From
+	go func() {
+		defer s.fetchingOwners.Store(false)
+		ctx := context.Background()
+		if !s.self.Owner {
+			_ = fescuebank.Sleep(ctx, s.clock, rand.N(ownersFetchTime))
+		}
+		if source, ok := s.findSource(m); ok {
+			from = source
+		}
+		s.fetchReplica(ctx, from, m)
+		if m.isMissing() {
+			_ = fescuebank.Sleep(ctx, s.clock, catchUpDelay)
+		}
+	}()
+}
+
 // catchUp fetches the state that a peer's gossip message announces and this instance lacks.
 func (s *Server) catchUp(g *fescuebank.Gossip) {
 	list := s.missing(g)
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -49,6 +49,7 @@
 		s.ejector.ApplyGossip(g)
 		s.isolator.ApplyGossip(g)
 		s.limiter.ApplyGossip(g)
+		s.catchUpOwners(g)
 		s.catchUp(g)
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
--- a/internal/operate/server/poll.go
+++ b/internal/operate/server/poll.go
@@ -18,6 +18,9 @@
 	// pollPeriodPerInstance is what each instance adds to that period, so that a large
 	// fleet as a whole makes a bounded number of reads per second.
 	pollPeriodPerInstance = 500 * time.Millisecond
+	// firstPollDelay is the time from the start to the first turn. Without gossip from the others,
+	// all instances that start together would take the same turn.
+	firstPollDelay = 2 * time.Second
 )
 
 // pollTurns divides the time into periods in which each live instance has one turn. The
@@ -48,6 +51,7 @@
 // addition to the watches. The watches of all instances may miss the same change; when one
 // instance polls it, the others learn of it by gossip.
 func (s *Server) poll(ctx context.Context) {
+	_ = fescuebank.Sleep(ctx, s.clock, firstPollDelay)
 	for ctx.Err() == nil {
 		turns := s.pollTurns()
 		config, endpoints := turns.next(s.clock.Now(), 0), turns.next(s.clock.Now(), turns.period()/2)
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -133,8 +133,9 @@
 	serviceLevels *collector.Collector
 	aggregator    *aggregator.Aggregator
 	entry         Entry
-	// catchingUp is set while catchUp runs.
-	catchingUp atomic.Bool
+	// catchingUp is set while catchUp runs, and fetchingOwners while catchUpOwners does.
+	catchingUp     atomic.Bool
+	fetchingOwners atomic.Bool
 }
 
 // New returns a server and opens its addresses. It replaces port 0 in the settings by the
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -50,7 +50,7 @@
 }
 
 func (s *Server) applyMembers(objects []fescuebank.Object) {
-	s.gossiper.ApplyObjects(objects)
+	s.gossiper.ApplyObjects(objects, s.members.AsOf())
 	peers := s.gossiper.Peers()
 	ids := make([]fescuebank.InstanceID, 0, len(peers))
 	for _, p := range peers {
--- a/store.go
+++ b/store.go
@@ -69,3 +69,10 @@
 type StaleLister interface {
 	ListStale(ctx context.Context, prefix string) ([]Object, StoreVersion, error)
 }
+
+// StaleGetter is an ObjectStore that also offers reads of one object that may be seconds old, at a
+// lower cost than Get. Objects that never change need no others, except that ErrAbsent may be out
+// of date.
+type StaleGetter interface {
+	GetStale(ctx context.Context, key string) (Object, error)
+}
