--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -62,6 +62,7 @@
 		s.allocator.ApplyGossip(g)
 		s.profiler.ApplyGossip(g)
 		s.throttler.ApplyGossip(g.Zones)
+		s.catchUpOwners(g)
 		s.catchUp(g)
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
--- a/internal/operate/server/poll.go
+++ b/internal/operate/server/poll.go
@@ -22,6 +22,9 @@
 	// evacuationPollPerInstance is the same for the evacuations: they change seldom, and have to
 	// be applied within seconds.
 	evacuationPollPerInstance = 2 * time.Second
+	// firstPollDelay is the time from the start to the first turn. Without gossip from the others,
+	// all instances that start together would take the same turn.
+	firstPollDelay = 2 * time.Second
 )
 
 // pollTurns divides the time into periods in which each live instance has one turn. The
@@ -70,6 +73,7 @@
 // addition to the watches. The watches of all instances may miss the same change; when one
 // instance polls it, the others learn of it by gossip.
 func (s *Server) poll(ctx context.Context) {
+	_ = fescuebank.Sleep(ctx, s.clock, firstPollDelay)
 	for ctx.Err() == nil {
 		turns := s.pollTurns()
 		now := s.clock.Now()
