Divide the rate of a cold endpoint among as many holders as it has requests a second

With little excess allowed there was a single holder, and if that was an instance without requests, the whole rate stayed unused: in a deployment of four instances an endpoint that had started got no request while cold. A holder whose part is at most one request a second sends no more than one in a second, so that many holders keep the bound too.

--- a/internal/limit/throttler/part.go
+++ b/internal/limit/throttler/part.go
@@ -11,27 +11,31 @@
 )
 
 // partOf returns the part of a cold endpoint's rate that an instance of the fleet may use, 0 if it is no
-// holder. Each holder may save up one request, so that in any second all together send at most the rate
-// and one request per holder. There are as many holders as the bounds bear, the first by a rendezvous
-// hash: all instances with the same members select the same ones.
+// holder. The holders are the first by a rendezvous hash: all instances with the same members select the
+// same ones.
 func partOf(self fescuebank.InstanceID, members []fescuebank.InstanceID, tag fescuebank.EndpointTag, limit fescuebank.RequestRate, bounds fescuebank.ColdBounds) fescuebank.RequestRate {
 	if limit <= 0 || len(members) == 0 {
 		return 0
 	}
-	limit, holders := divided(limit, bounds)
-	holders = min(holders, len(members))
+	shared, holders := divide(limit, bounds, len(members))
 	if ahead(self, members, tag) >= holders {
 		return 0
 	}
-	return limit / fescuebank.RequestRate(holders)
+	return shared / fescuebank.RequestRate(holders)
 }
 
-// divided returns the rate that the holders divide and how many holders may divide it. Both together
-// are at most limit x Overage + Slack, as far as one holder allows it.
-func divided(limit fescuebank.RequestRate, bounds fescuebank.ColdBounds) (fescuebank.RequestRate, int) {
+// divide returns the rate that the holders share and how many holders there are, so that in any second all
+// together send at most limit x Overage + Slack, as far as a single holder can keep that. Each may save
+// up one request: it sends at most its part and that one in a second, and only one if its part is at
+// most one a second.
+func divide(limit fescuebank.RequestRate, bounds fescuebank.ColdBounds, members int) (shared fescuebank.RequestRate, holders int) {
 	most := float64(limit)*bounds.Overage + float64(bounds.Slack)
-	shared := min(float64(limit), max(most-1, 0))
-	return fescuebank.RequestRate(shared), max(1, int(math.Floor(most-shared)))
+	rate := min(float64(limit), max(most-1, 0))
+	holders = min(max(1, int(most-rate)), members)
+	if single := int(math.Ceil(rate)); single <= members && float64(single) <= most {
+		holders = max(holders, single)
+	}
+	return fescuebank.RequestRate(rate), holders
 }
 
 // ahead returns the number of members that precede an instance in the order of an endpoint.
--- a/internal/limit/throttler/throttler_test.go
+++ b/internal/limit/throttler/throttler_test.go
@@ -175,6 +175,16 @@
 			f.readEntries(indices(size)...)
 			f.run(coldTime)
 		}, 0.8},
+		{"hardly any excess", 4, fescuebank.ColdBounds{Overage: 1, Slack: 1}, 4, func(f *fleet) {
+			f.chill()
+			f.readEntries(indices(4)...)
+			f.run(coldTime)
+		}, 0.8},
+		{"hardly any excess, fewer instances than requests", 4, fescuebank.ColdBounds{Overage: 1, Slack: 1}, 3, func(f *fleet) {
+			f.chill()
+			f.readEntries(indices(3)...)
+			f.run(coldTime)
+		}, 0.8},
 		{"small rate", 0.8, fescuebank.ColdBounds{Overage: 1.5, Slack: 1}, size, func(f *fleet) {
 			f.chill()
 			f.readEntries(indices(size)...)
