Learn the rhythm of the online load, and place batch items by it

Batch items outlast the troughs of a load with crests. Nothing knew the next crest: owners left a tenth of the slots free in troughs and cut those due last once requests waited, and slots went to items that the crest or, after a restart of all instances, their unknown length made late.

A forecaster learns the period from the counts in gossip, without assuming one. Batch items leave the least reserve free in troughs and clear the room of a crest shortly before it. Items yield in an order of their own: what is nearly done or would be late is kept. Items that a crest would make late run last. New incarnations learn the lengths of items from results in the store.

TestItemsYieldToAStreamOfTheirVersion gives its runner a manager and its items a route, which the order of yielding needs; what it checks is unchanged.

--- a/internal/batch/manager/manager.go
+++ b/internal/batch/manager/manager.go
@@ -50,6 +50,9 @@
 	Estimator *estimator.Estimator
 	Clock     fescuebank.Clock
 	Log       hclog.Logger
+	// TimeToEnd returns how long an item of a service takes from now on to run for a time; nil means
+	// that it is never interrupted.
+	TimeToEnd func(service fescuebank.ServiceName, run time.Duration) time.Duration
 	// OnItemEnd is called when Finish records an item's outcome.
 	OnItemEnd func(team fescuebank.TeamID, failed, onTime bool)
 	// OnItemsAvailable is called when items may be waiting.
@@ -114,9 +117,7 @@
 	m.mu.Lock()
 	tj := m.teams[team]
 	if tj == nil {
-		tj = &teamJobs{team: team, epoch: epoch, jobs: make(map[fescuebank.JobID]*job), ledgerLock: make(chan struct{}, 1)}
-		m.teams[team] = tj
-		m.expectHandover(tj)
+		tj = m.newTeam(team, epoch)
 	}
 	m.mu.Unlock()
 	if tj.isLoaded() {
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"bytes"
 	"context"
 	"errors"
 
@@ -90,6 +91,17 @@
 			return nil, fescuebank.ErrNotOwner
 		}
 		j.applySegment(segment.Results)
+		m.learnLengths(spec.Route, segment.Results)
+	}
+}
+
+// learnLengths estimates the lengths of a route's items from results of earlier owners: an incarnation
+// that has just started has seen no item end.
+func (m *Manager) learnLengths(route string, results []fescuebank.RoutedResult) {
+	for _, r := range results {
+		if !r.Failed {
+			m.Estimator.ObserveItem(route, bytes.Count(r.Output, []byte{'\n'})+1)
+		}
 	}
 }
 
@@ -126,16 +138,30 @@
 		return
 	}
 	for team := range t.Teams {
-		if _, owns := m.Owns(team); owns && !m.hasTeam(team) {
+		if epoch, owns := m.Owns(team); owns && m.addTeam(team, epoch) {
 			go m.preload(team)
 		}
 	}
 }
 
-func (m *Manager) hasTeam(team fescuebank.TeamID) bool {
+// addTeam adds a team that this incarnation owns now, and reports whether it was missing. The list of
+// owners that moved it here tells from whom a handover is expected, which the next one may not.
+func (m *Manager) addTeam(team fescuebank.TeamID, epoch fescuebank.FencingNumber) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.teams[team] != nil
+	if m.teams[team] != nil {
+		return false
+	}
+	m.newTeam(team, epoch)
+	return true
+}
+
+// newTeam adds a team without loaded jobs. The caller holds the lock.
+func (m *Manager) newTeam(team fescuebank.TeamID, epoch fescuebank.FencingNumber) *teamJobs {
+	tj := &teamJobs{team: team, epoch: epoch, jobs: make(map[fescuebank.JobID]*job), ledgerLock: make(chan struct{}, 1)}
+	m.teams[team] = tj
+	m.expectHandover(tj)
+	return tj
 }
 
 // preload loads a team's jobs. It retries until it succeeds or the team has another
--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -76,7 +76,7 @@
 		if it == nil {
 			continue
 		}
-		u := urgency{due: j.spec.Submitted.Add(route.CompletionObjective), remaining: m.Estimator.Remaining(route.Name, events)}
+		u := m.urgency(j, route, events)
 		if best == nil || u.before(bestUrgency, now) {
 			best, bestUrgency = &Task{job: j, item: it, Due: u.due, Request: m.newRequest(j, it, route, now)}, u
 		}
@@ -84,11 +84,32 @@
 	return best
 }
 
+// urgency returns the urgency of an item of a job that has generated some events.
+func (m *Manager) urgency(j *job, route *fescuebank.Route, events int) urgency {
+	u := urgency{due: j.spec.Submitted.Add(route.CompletionObjective), remaining: m.Estimator.Remaining(route.Name, events)}
+	if m.TimeToEnd != nil && u.remaining > 0 {
+		u.pauses = max(0, m.TimeToEnd(route.PickService(0), u.remaining)-u.remaining)
+	}
+	return u
+}
+
+// Remaining returns how long a running item that has generated some events is expected to run until its
+// outcome is committed, or 0 if nothing is known.
+func (m *Manager) Remaining(t *Task, events int) time.Duration {
+	run := m.Estimator.Remaining(t.Request.Route.Name, events)
+	if run == 0 {
+		return 0
+	}
+	return run + commitTime
+}
+
 // urgency orders waiting items.
 type urgency struct {
 	due time.Time
 	// remaining is how long the item is expected to run; 0 if unknown.
 	remaining time.Duration
+	// pauses is how long it is expected to be interrupted before its end, if it starts now.
+	pauses time.Duration
 }
 
 // before reports whether an item runs before another one: by due time, those that can't be done
@@ -104,7 +125,7 @@
 // isLate reports whether the item is not expected to be committed in time, with a margin for an
 // attempt that is preempted or slower than others.
 func (u urgency) isLate(now time.Time) bool {
-	needed := commitTime + time.Duration(runTimeMargin*float64(u.remaining))
+	needed := commitTime + time.Duration(runTimeMargin*float64(u.remaining)) + u.pauses
 	return u.due.Add(-needed).Before(now)
 }
 
--- a/internal/batch/manager/urgency_test.go
+++ b/internal/batch/manager/urgency_test.go
@@ -22,6 +22,8 @@
 		{"nearly done", urgency{due: at(3), remaining: time.Second}, urgency{due: at(9), remaining: 4 * time.Second}, true},
 		{"both too late", urgency{due: at(-5), remaining: 4 * time.Second}, urgency{due: at(1), remaining: 4 * time.Second}, true},
 		{"nothing known of the run time", urgency{due: at(3)}, urgency{due: at(9)}, true},
+		{"done only after a crest", urgency{due: at(7), remaining: 4 * time.Second, pauses: 2 * time.Second}, urgency{due: at(9), remaining: time.Second}, false},
+		{"done in spite of a crest", urgency{due: at(8), remaining: 4 * time.Second, pauses: 2 * time.Second}, urgency{due: at(9), remaining: time.Second}, true},
 		{"past due", urgency{due: at(-1)}, urgency{due: at(9)}, false},
 	} {
 		if got := tt.a.before(tt.b, now); got != tt.want {
--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"fescuebank"
@@ -23,6 +24,8 @@
 	// cancel ends the attempt; preempted is set when it was called for a preemption.
 	cancel    context.CancelFunc
 	preempted bool
+	// events is the number of events that the item has generated.
+	events atomic.Int64
 }
 
 // attempt runs an item once and appends the generated output to progress.
@@ -72,7 +75,7 @@
 		return manager.CauseInterrupted, errCorrupted
 	}
 	eventsBefore := progress.Events
-	if err := r.readEvents(response, progress); err != nil {
+	if err := r.readEvents(response, a, progress); err != nil {
 		response.Abort()
 		cause := r.excludeEndpoint(ctx, endpoint, err)
 		if progress.Events == eventsBefore && exchange.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -92,6 +95,7 @@
 	a.task.Progress = a.task.Progress.ContinuedAt(a.slot.Endpoint.Version)
 	progress := a.task.Progress
 	progress.Output = slices.Clip(progress.Output)
+	a.events.Store(int64(progress.Events))
 	cause, err := r.attempt(ctx, a, &progress)
 	a.cancel()
 	a.slot.Release()
@@ -155,7 +159,7 @@
 
 // readEvents reads events until the response ends, which it must do after a complete
 // event.
-func (r *Runner) readEvents(response *exchanger.Response, progress *fescuebank.Progress) error {
+func (r *Runner) readEvents(response *exchanger.Response, a *attempt, progress *fescuebank.Progress) error {
 	var events scanner.Scanner
 	buffer := make([]byte, readBufferBytes)
 	for {
@@ -166,6 +170,7 @@
 				return err
 			}
 		}
+		a.events.Store(int64(progress.Events))
 		if err := events.Err(); err != nil {
 			return err
 		}
--- a/internal/batch/runner/preempt_test.go
+++ b/internal/batch/runner/preempt_test.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"fescuebank"
+	"fescuebank/internal/batch/estimator"
 	"fescuebank/internal/batch/manager"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/timing/timekeeper"
@@ -32,13 +33,13 @@
 				{ID: "i-1", Service: "s", Version: "v1", Slots: 4}, {ID: "i-2", Service: "s", Version: "v2", Slots: 8},
 			})
 			r := New(Config{
-				Allocator: a, Clock: clock, Log: hclog.NewNullLogger(),
+				Manager: manager.New(manager.Config{Estimator: estimator.New()}), Allocator: a, Clock: clock, Log: hclog.NewNullLogger(),
 				PeerBatchItems: func() int { return 0 }, Lag: func() time.Duration { return time.Millisecond },
 			})
 			cancelled := map[string]int{}
 			for _, version := range []string{"v1", "v2", "v1", "v2", "v1", "v1"} {
 				slot := a.AcquireBatch("s", version, 0)
-				task := &manager.Task{Request: &fescuebank.Request{Service: "s"}, Due: clock.Now()}
+				task := &manager.Task{Request: &fescuebank.Request{Service: "s", Route: &fescuebank.Route{}}, Due: clock.Now()}
 				r.running = append(r.running, &attempt{task: task, slot: slot, cancel: func() { cancelled[slot.Endpoint.Version]++ }})
 			}
 			a.SetPeerCounts(nil, tt.waiting, 0)
@@ -51,3 +52,36 @@
 		})
 	}
 }
+
+// TestNearlyDoneItemsYieldLast checks that items that are nearly done go on when online requests need
+// slots, and that an item that is due first doesn't yield only for having begun.
+func TestNearlyDoneItemsYieldLast(t *testing.T) {
+	const (
+		events   = 100
+		perEvent = 50 * time.Millisecond
+	)
+	clock := timekeeper.Timekeeper{}
+	known := estimator.New()
+	known.ObserveItem("batch", events)
+	known.ObserveAttempt("batch", events, perEvent*events)
+	r := New(Config{
+		Manager:   manager.New(manager.Config{Estimator: known}),
+		Allocator: allocator.New(clock, func() {}), Clock: clock, Log: hclog.NewNullLogger(),
+	})
+	var running []*attempt
+	for _, item := range []struct {
+		events int64
+		due    time.Duration
+	}{{10, 18 * time.Second}, {90, 16 * time.Second}, {50, 17 * time.Second}, {20, 3 * time.Second}} {
+		a := &attempt{task: &manager.Task{Request: &fescuebank.Request{Service: "s", Route: &fescuebank.Route{Name: "batch"}}, Due: clock.Now().Add(item.due)}}
+		a.events.Store(item.events)
+		running = append(running, a)
+	}
+	got := r.firstToYield("s", running, 3)
+	// The last one can't be done in time any more.
+	for i, want := range []*attempt{running[3], running[0], running[2]} {
+		if got[i] != want {
+			t.Errorf("place %d: got the item with %d events, want the one with %d", i, got[i].events.Load(), want.events.Load())
+		}
+	}
+}
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -13,8 +13,10 @@
 	"fescuebank"
 	"fescuebank/internal/batch/manager"
 	"fescuebank/internal/batch/pacer"
+	"fescuebank/internal/batch/planner"
 	"fescuebank/internal/endpoint/exchanger"
 	"fescuebank/internal/entry/allocator"
+	"fescuebank/internal/load/forecaster"
 )
 
 const (
@@ -43,9 +45,13 @@
 	// Owners returns the number of instances that run batch items.
 	Owners func() int
 	// Lag returns the maximum age of the counts of the other instances.
-	Lag   func() time.Duration
-	Clock fescuebank.Clock
-	Log   hclog.Logger
+	Lag func() time.Duration
+	// Forecaster predicts the online load, and Planner the pauses of batch work. Without them nothing is
+	// predicted.
+	Forecaster fescuebank.LoadForecaster
+	Planner    *planner.Planner
+	Clock      fescuebank.Clock
+	Log        hclog.Logger
 }
 
 // Runner takes items from the manager and runs them at endpoints.
@@ -57,12 +63,20 @@
 	// running are the attempts in progress.
 	running []*attempt
 	pacer   *pacer.Pacer
+	// preempted counts the items that were cancelled for online requests.
+	preempted uint64
 	// stopped is set when no further item may start.
 	stopped bool
 }
 
 // New returns a runner.
 func New(c Config) *Runner {
+	if c.Forecaster == nil {
+		c.Forecaster = forecaster.New(c.Clock)
+	}
+	if c.Planner == nil {
+		c.Planner = planner.New(c.Forecaster, c.Allocator.BatchSlots, c.Clock)
+	}
 	return &Runner{Config: c, wake: make(chan struct{}, 1), pacer: pacer.New()}
 }
 
@@ -106,8 +120,15 @@
 	return len(r.running)
 }
 
+// Preempted returns how many runs of items were cancelled for online requests so far.
+func (r *Runner) Preempted() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.preempted
+}
+
 // preempt cancels items of services that run more batch items than their reserve allows, or
-// whose slots of one software version are all taken while requests wait, those due last first.
+// whose slots of one software version are all taken while requests wait, in planner.Order.
 // Each instance cancels its share of the excess, in proportion to the items that it runs. Items at
 // endpoints with a request limit go on: requests couldn't be sent there in their place.
 func (r *Runner) preempt() {
@@ -127,18 +148,41 @@
 			Excess: excess, Running: len(running),
 			Cancelled: len(list) - len(running), Others: peerItems, Lag: r.Lag() + releaseTime,
 		})
-		slices.SortFunc(running, func(a, b *attempt) int { return b.task.Due.Compare(a.task.Due) })
-		for _, a := range running[:count] {
+		for _, a := range r.firstToYield(service, running, count) {
 			a.preempted = true
+			r.preempted++
 			a.cancel()
 		}
 	}
 }
 
+// firstToYield returns those count items of a service that yield first.
+func (r *Runner) firstToYield(service fescuebank.ServiceName, running []*attempt, count int) []*attempt {
+	if count == 0 {
+		return nil
+	}
+	candidates := make([]planner.Candidate, len(running))
+	for i, a := range running {
+		candidates[i] = planner.Candidate{Index: i, Due: a.task.Due, Remaining: r.Manager.Remaining(a.task, int(a.events.Load()))}
+	}
+	planner.Order(candidates, r.Clock.Now(), r.Planner.Pause(service))
+	list := make([]*attempt, count)
+	for i := range list {
+		list[i] = running[candidates[i].Index]
+	}
+	return list
+}
+
+// reserve returns what batch items of a service leave free now.
+func (r *Runner) reserve(service fescuebank.ServiceName) pacer.Reserve {
+	rise, known := pacer.ForecastRise(r.Forecaster, service, r.Clock.Now(), r.Lag()+releaseTime)
+	return pacer.NewReserve(r.Allocator.BatchSlots(service), rise, known)
+}
+
 // excess returns how many slots of a service batch items must release, and which of this
 // instance's items hold such slots.
 func (r *Runner) excess(service fescuebank.ServiceName, list []*attempt) (int, []*attempt) {
-	if excess := r.Allocator.BatchExcess(service, pacer.MinReservedShare); excess > 0 {
+	if excess := r.Allocator.BatchExcess(service, r.reserve(service).Keep); excess > 0 {
 		return excess, list
 	}
 	full, waiting := r.Allocator.FullVersions(service)
@@ -148,8 +192,7 @@
 	return waiting, slices.DeleteFunc(list, func(a *attempt) bool { return !slices.Contains(full, a.slot.Endpoint.Version) })
 }
 
-// startItems starts items while items wait and pacer.StartReservedShare of their service's slots
-// stays free.
+// startItems starts items while items wait and the reserve of their service's slots stays free.
 func (r *Runner) startItems() {
 	for {
 		r.mu.Lock()
@@ -188,13 +231,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
+	reserve := r.reserve(service)
 	room := pacer.Room{
-		Free: r.Allocator.BatchRoom(service, pacer.StartReservedShare), Instances: r.Owners(), Lag: r.Lag(),
+		Free: r.Allocator.BatchRoom(service, reserve.Start), Instances: r.Owners(), Lag: r.Lag(),
 	}
 	if !r.pacer.MayStart(service, now, room) {
 		return nil
 	}
-	slot := r.Allocator.AcquireBatch(service, version, pacer.StartReservedShare)
+	slot := r.Allocator.AcquireBatch(service, version, reserve.Start)
 	if slot != nil {
 		r.pacer.RecordStart(service, now)
 	}
--- a/internal/entry/allocator/batch.go
+++ b/internal/entry/allocator/batch.go
@@ -86,6 +86,41 @@
 	return versions, a.peersWaiting
 }
 
+// SetPeerOnline sets the other instances' online requests at each endpoint.
+func (a *Allocator) SetPeerOnline(counts fescuebank.EndpointCounts) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.peerOnline = counts
+}
+
+// OnlineDemands returns, for each service, the number of slots that the other instances' online
+// requests hold or wait for. Waiting requests are divided in proportion to those at endpoints.
+func (a *Allocator) OnlineDemands() map[fescuebank.ServiceName]float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	demands := make(map[fescuebank.ServiceName]float64)
+	sum := 0.0
+	for _, e := range a.endpoints {
+		held := float64(a.peerOnline[e.tag])
+		demands[e.Service] += held
+		sum += held
+	}
+	for service, held := range demands {
+		if sum > 0 {
+			demands[service] += float64(a.peersWaiting) * held / sum
+		}
+	}
+	return demands
+}
+
+// BatchSlots returns the number of slots of a service that batch items and online requests share.
+func (a *Allocator) BatchSlots(service fescuebank.ServiceName) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	slots, _ := a.batchCapacity(service, a.clock.Now())
+	return slots
+}
+
 // batchCapacity returns the slots of a service's usable endpoints and how many of them
 // are free, without deprioritized endpoints and those with a request limit. The caller holds the
 // lock.
--- a/internal/entry/allocator/wave_test.go
+++ b/internal/entry/allocator/wave_test.go
@@ -12,6 +12,7 @@
 	"fescuebank"
 	"fescuebank/internal/batch/pacer"
 	"fescuebank/internal/entry/allocator"
+	"fescuebank/internal/load/forecaster"
 	"fescuebank/internal/timing/timekeeper"
 )
 
@@ -48,6 +49,10 @@
 	lag  time.Duration
 	// itemInterval is the time between two batch items of one owner.
 	itemInterval time.Duration
+	// length is how long the wave is played.
+	length time.Duration
+	// forecaster observes the online load as the owners know it; nil if they don't use it.
+	forecaster *forecaster.Forecaster
 
 	mu        sync.Mutex
 	endpoints map[fescuebank.EndpointID]*simulatedEndpoint
@@ -69,6 +74,8 @@
 	refusedFree int
 	itemsDone   int
 	preempted   int
+	// itemTime is the sum of the times from the arrival of the items that are done to their end.
+	itemTime time.Duration
 }
 
 func (r waveResult) share(n int) float64 {
@@ -120,21 +127,28 @@
 	others    int
 	// pending holds what is left to do of the items that wait for a slot, and nextItem is
 	// when the next one arrives.
-	pending  []time.Duration
+	pending  []pendingItem
 	nextItem time.Time
 }
 
+// pendingItem is an item that waits for a slot.
+type pendingItem struct {
+	left    time.Duration
+	arrived time.Time
+}
+
 type simulatedItem struct {
 	slot      *allocator.Slot
 	arrival   *arrival
 	cancelled bool
 	startedAt time.Time
 	left      time.Duration
+	arrived   time.Time
 	done      *time.Timer
 }
 
 func newWaveFleet(entries, owners, endpointCount int, lag time.Duration) *waveFleet {
-	f := &waveFleet{random: rand.New(rand.NewPCG(7, 7)), lag: lag, endpoints: make(map[fescuebank.EndpointID]*simulatedEndpoint)}
+	f := &waveFleet{random: rand.New(rand.NewPCG(7, 7)), lag: lag, length: waveLength, endpoints: make(map[fescuebank.EndpointID]*simulatedEndpoint)}
 	list := endpoints(endpointCount, 8)
 	for _, e := range list {
 		f.endpoints[e.ID] = &simulatedEndpoint{slots: e.Slots}
@@ -190,7 +204,11 @@
 		others[tag] = max(0, n)
 	}
 	if batch {
-		f.owners[i-len(f.entries)].others = max(0, known.batch-before.batch)
+		o := f.owners[i-len(f.entries)]
+		o.others = max(0, known.batch-before.batch)
+		if f.forecaster != nil {
+			f.forecaster.Observe("s", float64(known.counts.Sum()-known.batch+known.waiting))
+		}
 	}
 	a.SetPeerStarts(known.starts, f.lag)
 	a.SetPeerCounts(others, max(0, known.waiting-before.waiting), max(0, known.batch-before.batch))
@@ -255,8 +273,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	running := slices.DeleteFunc(slices.Clone(o.running), func(i *simulatedItem) bool { return i.cancelled })
+	reserve := f.reserve(now)
 	count := o.pacer.Cancel("s", now, pacer.Load{
-		Excess: o.allocator.BatchExcess("s", pacer.MinReservedShare), Running: len(running), Cancelled: len(o.running) - len(running),
+		Excess: o.allocator.BatchExcess("s", reserve.Keep), Running: len(running), Cancelled: len(o.running) - len(running),
 		Others: o.others, Lag: f.lag + 4*cancelTime,
 	})
 	for _, item := range running[:count] {
@@ -269,19 +288,19 @@
 		time.AfterFunc(cancelTime, func() { f.endItem(o, item) })
 	}
 	for ; !o.nextItem.After(now); o.nextItem = o.nextItem.Add(f.itemInterval) {
-		o.pending = append(o.pending, batchHold)
+		o.pending = append(o.pending, pendingItem{left: batchHold, arrived: o.nextItem})
 	}
 	for len(o.pending) > 0 {
-		room := pacer.Room{Free: o.allocator.BatchRoom("s", pacer.StartReservedShare), Instances: len(f.owners), Lag: f.lag}
+		room := pacer.Room{Free: o.allocator.BatchRoom("s", reserve.Start), Instances: len(f.owners), Lag: f.lag}
 		if !o.pacer.MayStart("s", now, room) {
 			return
 		}
-		slot := o.allocator.AcquireBatch("s", "", pacer.StartReservedShare)
+		slot := o.allocator.AcquireBatch("s", "", reserve.Start)
 		if slot == nil {
 			return
 		}
 		o.pacer.RecordStart("s", now)
-		item := &simulatedItem{slot: slot, left: o.pending[0], arrival: &arrival{}}
+		item := &simulatedItem{slot: slot, left: o.pending[0].left, arrived: o.pending[0].arrived, arrival: &arrival{}}
 		o.pending = o.pending[1:]
 		o.running = append(o.running, item)
 		item.arrival.start = func() {
@@ -292,14 +311,25 @@
 	}
 }
 
+// reserve returns what batch items leave free.
+func (f *waveFleet) reserve(now time.Time) pacer.Reserve {
+	if f.forecaster == nil {
+		return pacer.NewReserve(0, pacer.Rise{}, false)
+	}
+	rise, known := pacer.ForecastRise(f.forecaster, "s", now, f.lag)
+	return pacer.NewReserve(8*len(f.endpoints), rise, known)
+}
+
 func (f *waveFleet) endItem(o *simulatedOwner, item *simulatedItem) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	o.running = slices.DeleteFunc(o.running, func(i *simulatedItem) bool { return i == item })
 	if item.cancelled {
-		o.pending = append(o.pending, item.left)
+		o.pending = append(o.pending, pendingItem{left: item.left, arrived: item.arrived})
+		slices.SortFunc(o.pending, func(a, b pendingItem) int { return a.arrived.Compare(b.arrived) })
 	} else {
 		f.result.itemsDone++
+		f.result.itemTime += time.Since(item.arrived)
 	}
 	f.endpoints[item.slot.Endpoint.ID].leave(item.arrival)
 	item.slot.Release()
@@ -312,7 +342,7 @@
 	instances := len(f.own)
 	step := f.lag / 3 / time.Duration(instances)
 	nextRequest := began
-	for n := 0; time.Since(began) < waveLength; n++ {
+	for n := 0; time.Since(began) < f.length; n++ {
 		now := time.Now()
 		i := n % instances
 		f.mu.Lock()
@@ -373,3 +403,37 @@
 		})
 	}
 }
+
+// TestForecastOfCrests plays five periods of the wave over a fleet of 66 entries and 13 owners with 60
+// endpoints. At its crests online requests need five sixths of the slots. With the load known in
+// advance more of them must begin in time than without, and no fewer batch items may be done.
+func TestForecastOfCrests(t *testing.T) {
+	const (
+		lag = 140 * time.Millisecond
+		// minItems is the least part of the items that are done without a forecast.
+		minItems = 0.95
+	)
+	results := make(map[bool]waveResult)
+	for _, forecast := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newWaveFleet(66, 13, 60, lag)
+			f.length = 5 * (troughTime + crestTime)
+			f.itemInterval = 13 * time.Second / 34
+			if forecast {
+				f.forecaster = forecaster.New(timekeeper.Timekeeper{})
+			}
+			got := f.play(300)
+			results[forecast] = got
+			t.Logf("forecast %v: in time %.3f, late %.3f, refused %.3f, %d items done in %v on average, %d preempted",
+				forecast, got.share(got.inTime), got.share(got.late), got.share(got.refused), got.itemsDone,
+				got.itemTime/time.Duration(max(1, got.itemsDone)), got.preempted)
+			time.Sleep(20 * time.Second) // Lets all requests end.
+		})
+	}
+	if got, want := results[true].share(results[true].inTime), results[false].share(results[false].inTime); got < want {
+		t.Errorf("got %.3f of the requests in time with a forecast, want at least the %.3f without", got, want)
+	}
+	if got, want := results[true].itemsDone, int(minItems*float64(results[false].itemsDone)); got < want {
+		t.Errorf("got %d items done with a forecast, want at least %d", got, want)
+	}
+}
--- a/internal/fleet/gossiper/gossip.go
+++ b/internal/fleet/gossiper/gossip.go
@@ -175,6 +175,13 @@
 	return maps.Clone(g.totals.counts), g.totals.waiting, g.totals.batch
 }
 
+// PeerOnline returns the online requests of the live peers at endpoints.
+func (g *Gossiper) PeerOnline() fescuebank.EndpointCounts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.totals.online)
+}
+
 // subtract removes a member's counts from the totals. The caller holds the lock.
 func (g *Gossiper) subtract(m *member) {
 	if m.counted {
@@ -189,12 +196,15 @@
 	// them.
 	counts fescuebank.EndpointCounts
 	batch  int
+	// online holds the online requests among counts.
+	online fescuebank.EndpointCounts
 	// waiting is the number of online requests that wait for a slot at an endpoint.
 	waiting int
 }
 
 func (t *totals) add(msg *fescuebank.Gossip) {
 	t.counts.Add(msg.Online)
+	t.online.Add(msg.Online)
 	t.counts.Add(msg.Batch)
 	t.batch += msg.Batch.Sum()
 	t.waiting += msg.Waiting
@@ -202,6 +212,7 @@
 
 func (t *totals) subtract(msg *fescuebank.Gossip) {
 	t.counts.Subtract(msg.Online)
+	t.online.Subtract(msg.Online)
 	t.counts.Subtract(msg.Batch)
 	t.batch -= msg.Batch.Sum()
 	t.waiting -= msg.Waiting
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -53,9 +53,21 @@
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
 	s.allocator.SetPeerCounts(s.gossiper.PeerTotals())
+	s.observeLoad()
 	s.runner.Wake()
 }
 
+// observeLoad passes the online load of each service to the forecaster, where batch items run.
+func (s *Server) observeLoad() {
+	if !s.settings.Roles.Owner {
+		return
+	}
+	s.allocator.SetPeerOnline(s.gossiper.PeerOnline())
+	for service, slots := range s.allocator.OnlineDemands() {
+		s.forecaster.Observe(service, slots)
+	}
+}
+
 // inTouch reports whether this instance is likely to know all endpoints: gossip arrives from most of
 // the other instances, and this instance or one of those reaches the store.
 func (s *Server) inTouch() bool {
@@ -98,6 +110,8 @@
 		return map[string]any{"answers": reachable, "sinceMs": since.Milliseconds()}
 	})
 	s.meter.Gauge("batchRunning", func() any { return s.runner.Running() })
+	s.meter.Gauge("batchPreempted", func() any { return s.runner.Preempted() })
+	s.meter.Gauge("loadPeriodsMs", func() any { return s.forecaster.Periods() })
 	s.meter.Gauge("batch", func() any { return s.manager.Status() })
 }
 
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -19,6 +19,7 @@
 	"fescuebank/internal/batch/estimator"
 	"fescuebank/internal/batch/manager"
 	"fescuebank/internal/batch/persister"
+	"fescuebank/internal/batch/planner"
 	"fescuebank/internal/batch/runner"
 	"fescuebank/internal/endpoint/dialer"
 	"fescuebank/internal/endpoint/ejector"
@@ -34,6 +35,7 @@
 	"fescuebank/internal/limit/acquirer"
 	"fescuebank/internal/limit/issuer"
 	"fescuebank/internal/limit/limiter"
+	"fescuebank/internal/load/forecaster"
 	"fescuebank/internal/operate/aggregator"
 	"fescuebank/internal/operate/collector"
 	"fescuebank/internal/operate/meter"
@@ -129,6 +131,8 @@
 	resumer       *resumer.Resumer
 	acquirer      *acquirer.Acquirer
 	manager       *manager.Manager
+	forecaster    *forecaster.Forecaster
+	planner       *planner.Planner
 	runner        *runner.Runner
 	serviceLevels *collector.Collector
 	aggregator    *aggregator.Aggregator
@@ -204,15 +208,18 @@
 	if err != nil {
 		return err
 	}
+	s.forecaster = forecaster.New(s.clock)
+	s.planner = planner.New(s.forecaster, s.allocator.BatchSlots, s.clock)
 	s.manager = manager.New(manager.Config{
 		Owns: s.owns, TookOver: s.elector.TookOver,
 		Persister: batchPersister, Table: s.table.Load, Estimator: estimator.New(), Clock: s.clock, Log: s.logFor("batch"),
-		Self: s.self.ID, FormerOwner: s.formerOwner, OnItemEnd: s.serviceLevels.BatchItem, OnItemsAvailable: func() { s.runner.Wake() }, SendHandover: func(p manager.ProgressHandover) { s.sendHandover(caller, p) },
+		Self: s.self.ID, FormerOwner: s.formerOwner, TimeToEnd: s.planner.TimeToEnd, OnItemEnd: s.serviceLevels.BatchItem, OnItemsAvailable: func() { s.runner.Wake() }, SendHandover: func(p manager.ProgressHandover) { s.sendHandover(caller, p) },
 	})
 	s.linker.Handle(fescuebank.KindProgressHandover, s.manager.HandleProgressHandover)
 	s.runner = runner.New(runner.Config{
 		Manager: s.manager, Allocator: s.allocator, Exchanger: s.exchanger, Protocol: s.platform.Protocol, Guard: s.isolator,
-		PeerBatchItems: s.peerBatchItems, Owners: s.ownerCount, Lag: s.gossiper.Lag, Clock: s.clock, Log: s.logFor("run"),
+		PeerBatchItems: s.peerBatchItems, Owners: s.ownerCount, Lag: s.gossiper.Lag, Forecaster: s.forecaster, Planner: s.planner,
+		Clock: s.clock, Log: s.logFor("run"),
 	})
 	batchClient := client.New(client.Config{
 		Self: self, Owners: s.elector, Caller: caller, Manager: s.manager, Persister: batchPersister, Clock: s.clock, Log: s.logFor("batch"),
