--- a/internal/batch/manager/handover.go
+++ b/internal/batch/manager/handover.go
@@ -28,6 +28,14 @@
 	Job      fescuebank.JobID    `cbor:"1,keyasint"`
 	Item     string              `cbor:"2,keyasint"`
 	Progress fescuebank.Progress `cbor:"3,keyasint"`
+	// Outcome is set for an item that ended at the former owner but whose result isn't committed.
+	Outcome *ItemOutcome `cbor:"4,keyasint,omitempty"`
+}
+
+// ItemOutcome is how an item ended.
+type ItemOutcome struct {
+	Failed bool   `cbor:"1,keyasint,omitempty"`
+	Output []byte `cbor:"2,keyasint,omitempty"`
 }
 
 // ProgressHandover is sent by a team's former owner to its next owner, so that
@@ -53,6 +61,7 @@
 		}
 		open++
 		h.Items = append(h.Items, j.startedItems()...)
+		h.Items = append(h.Items, j.uncommittedItems()...)
 	}
 	if open > 0 || !tj.isLoaded() {
 		m.SendHandover(h)
@@ -148,6 +157,20 @@
 	return list
 }
 
+// uncommittedItems returns the outcomes that are not committed, unless the job has ended.
+func (j *job) uncommittedItems() []ItemProgress {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.ended {
+		return nil
+	}
+	list := make([]ItemProgress, 0, len(j.pending))
+	for _, r := range j.pending {
+		list = append(list, ItemProgress{Job: j.spec.ID, Item: r.Item, Outcome: &ItemOutcome{Failed: r.Failed, Output: r.Output}})
+	}
+	return list
+}
+
 // HandleProgressHandover applies the progress that a former owner sent.
 func (m *Manager) HandleProgressHandover(ctx context.Context, decode func(into any) error) (any, error) {
 	var h ProgressHandover
@@ -161,7 +184,7 @@
 	applied := 0
 	tj.mu.Lock()
 	for _, p := range h.Items {
-		if j := tj.jobs[p.Job]; j != nil && j.applyProgress(p) {
+		if j := tj.jobs[p.Job]; j != nil && m.applyHandover(j, p) {
 			applied++
 		}
 	}
@@ -172,6 +195,37 @@
 	return &struct{}{}, nil
 }
 
+// applyHandover applies what a former owner sent of an item. It reports whether the item had less.
+func (m *Manager) applyHandover(j *job, p ItemProgress) bool {
+	if p.Outcome == nil {
+		return j.applyProgress(p)
+	}
+	applied, start := j.applyOutcome(p.Item, p.Outcome, m.Clock.Now())
+	if start {
+		go m.commit(j)
+	}
+	return applied
+}
+
+// applyOutcome records the outcome of an item that has none here. start is set if the caller has to
+// commit it.
+func (j *job) applyOutcome(id string, outcome *ItemOutcome, now time.Time) (applied, start bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	it := j.items[id]
+	if it == nil || (it.phase != phaseWaiting && it.phase != phaseRunning) {
+		return false, false
+	}
+	if it.stop != nil {
+		it.stop()
+		it.stop = nil
+	}
+	j.recordOutcome(it, outcome.Failed, outcome.Output, now)
+	start = !j.committing
+	j.committing = true
+	return true, start
+}
+
 // applyProgress updates a waiting item if the handover has more of its output, and
 // lets it start at once. It reports whether it did.
 func (j *job) applyProgress(p ItemProgress) bool {
--- a/internal/batch/manager/handover_test.go
+++ b/internal/batch/manager/handover_test.go
@@ -128,3 +128,39 @@
 		}
 	})
 }
+
+// TestOutcomesThatAreNotCommittedAreHandedOver guards against items that run again because their team
+// moved to another owner between their end and their commit.
+func TestOutcomesThatAreNotCommittedAreHandedOver(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		failed bool
+		output string
+	}{{"completed", false, "text"}, {"failed", true, ""}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newOwnerPair()
+				p.submit(1, "job", 2)
+				done := awaitTask(p.manager(1))
+				p.manager(1).Finish(done, tt.failed, []byte(tt.output))
+				p.setFormerOwnerAlive(true)
+				p.moveTeam(0)
+				p.releaseTeam(1)
+				other := awaitTask(p.manager(0))
+				if other == nil || other.Request.ID == done.Request.ID {
+					t.Fatalf("got %+v, want the other item", other)
+				}
+				if again := awaitTask(p.manager(0)); again != nil {
+					t.Errorf("got the item %s once more, want it to be done", again.Request.ID)
+				}
+				page, err := p.manager(0).Read(t.Context(), team, "job", 0, 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(page.Results) != 1 || page.Results[0].Failed != tt.failed || string(page.Results[0].Output) != tt.output {
+					t.Errorf("got results %+v, want the one of the former owner", page.Results)
+				}
+			})
+		})
+	}
+}
--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -341,8 +341,8 @@
 }
 
 // nextSegment returns the outcomes to commit next and the number of their segment,
-// or false if none is left. If this incarnation no longer owns the team it drops the
-// outcomes.
+// or false if none is left. If this incarnation no longer owns the team it keeps the outcomes for the
+// handover.
 func (j *job) nextSegment() (batch []fescuebank.RoutedResult, segment int, ok bool) {
 	j.team.mu.Lock()
 	closed := j.team.closed
@@ -350,7 +350,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if len(j.pending) == 0 || closed {
-		j.pending, j.committing = nil, false
+		j.committing = false
 		return nil, 0, false
 	}
 	return append(batch, LimitToPage(j.pending)...), j.segments, true
