Send requests where they end soonest, and predict waits by endpoint and kind of work

Endpoints were compared by their load alone, and one average hold time served for all services, kinds of work and endpoints. A free slot now counts by the pace of its endpoint, at most twice or half, and the less the fuller the endpoints are, so that stale counts don't crowd the fast ones; online requests look at moments, batch items at what lasts. Waits are predicted from the hold time of each service and kind of work, times the pace of the endpoint that holds the slot.

--- a/exchange.go
+++ b/exchange.go
@@ -71,8 +71,8 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Slowdown is how long work takes there at this moment, as a multiple of the usual time at
-	// the same endpoint; 0 if the endpoint doesn't state it.
+	// Slowdown is how long work takes there at this moment, as a multiple of the usual time; 0 if
+	// the endpoint doesn't state it.
 	Slowdown Slowdown
 }
 
--- a/internal/endpoint/profiler/gossip.go
+++ b/internal/endpoint/profiler/gossip.go
@@ -29,7 +29,7 @@
 
 func (n news) statement(now time.Time) fescuebank.PaceStatement {
 	s := fescuebank.PaceStatement{
-		Samples: n.samples, Slowdown: int(math.Round(n.slowdown * percent)), Requests: n.requests,
+		Samples: n.samples, Slowdown: int(math.Round(n.stated * percent)), Requests: n.requests,
 	}
 	if n.samples > 0 {
 		s.Percent = int(math.Round(ratio(n.sum/float64(n.samples)) * percent))
@@ -70,14 +70,16 @@
 			continue
 		}
 		if s.Samples > 0 && s.Percent > 0 {
-			e.pace.add(min(max(math.Log(float64(s.Percent)/percent), math.Log(minRatio)), math.Log(maxRatio)), min(s.Samples, maxMemory))
+			sample := min(max(math.Log(float64(s.Percent)/percent), math.Log(minRatio)), math.Log(maxRatio))
+			e.observeEvents(sample, now)
+			e.pace.add(sample, min(s.Samples, maxMemory))
 		}
 		age := time.Duration(s.AgeMs) * time.Millisecond
 		if age < 0 || age > slowdownTime {
 			continue
 		}
-		if at := now.Add(-age); s.Slowdown > 0 && at.After(e.slowdownAt) {
-			e.slowdown, e.slowdownAt = min(max(float64(s.Slowdown)/percent, minRatio), maxRatio), at
+		if s.Slowdown > 0 {
+			e.applyStatement(min(max(float64(s.Slowdown)/percent, minRatio), maxRatio), now.Add(-age))
 		}
 		if s.Requests > 0 {
 			reports = append(reports, report{id: e.id, requests: s.Requests, age: age})
--- a/internal/endpoint/profiler/profiler.go
+++ b/internal/endpoint/profiler/profiler.go
@@ -26,6 +26,10 @@
 	maxStep = 0.4
 	// maxKinds bounds the kinds of work that are told apart.
 	maxKinds = 1024
+	// maxStatements is the number of the latest stated slowdowns of an endpoint of which the median is
+	// taken for what lasts, and minStatements the least number of them.
+	maxStatements = 15
+	minStatements = 5
 	// loggedChange is the factor by which a pace changes for a log line.
 	loggedChange = 1.5
 	// normalizeInterval is the time between two calculations of the typical endpoint's pace.
@@ -50,8 +54,8 @@
 // Profiler knows how long work takes at each endpoint, for a fleet whose endpoints differ in
 // speed, lastingly and for moments, and whose instances see too little of each endpoint on their
 // own. The lasting pace is learned from the time per event of streams and batch items, the
-// momentary slowdown from load reports and from the latest events. Instances tell each other
-// what they observe; what is lost or late makes the pace less exact and no more. A slowdown is
+// momentary slowdown from what the endpoint states in load reports, compared with what it mostly
+// states, or from the latest events if it states nothing. Instances tell each other what they observe; what is lost or late makes the pace less exact and no more. A slowdown is
 // forgotten within a second, a pace when the endpoint starts again.
 type Profiler struct {
 	Config
@@ -80,10 +84,11 @@
 	tag     fescuebank.EndpointIncarnationTag
 	// pace is the logarithm of the lasting pace.
 	pace average
-	// slowdown is the last known one, as of slowdownAt; reported is set if the endpoint states it.
+	// slowdown is how much longer than usual work took at slowdownAt; 0 means unknown.
 	slowdown   float64
 	slowdownAt time.Time
-	reported   bool
+	// stated are the last statements of the endpoint, in the order of arrival.
+	stated []float64
 	// news is what other instances have not been told.
 	news news
 	// logged is the pace in the last log line, or 1.
@@ -95,8 +100,8 @@
 	samples int
 	// sum is that of the logarithms of the samples.
 	sum float64
-	// slowdown and requests are 0 if none were observed.
-	slowdown float64
+	// stated and requests are 0 if the endpoint stated none.
+	stated   float64
 	requests int
 	at       time.Time
 }
@@ -241,15 +246,31 @@
 	now := p.Clock.Now()
 	known.news.requests, known.news.at = load.Running+load.Waiting, now
 	if load.Slowdown > 0 {
-		known.reported = true
-		known.observeSlowdown(min(max(float64(load.Slowdown), minRatio), maxRatio), now)
+		known.news.stated = min(max(float64(load.Slowdown), minRatio), maxRatio)
+		known.applyStatement(known.news.stated, now)
 	}
 }
 
-// observeSlowdown applies a slowdown that this instance has observed.
-func (e *profile) observeSlowdown(slowdown float64, now time.Time) {
-	e.slowdown, e.slowdownAt = slowdown, now
-	e.news.slowdown, e.news.at = slowdown, now
+// applyStatement applies what the endpoint stated at a time, unless something later is known.
+func (e *profile) applyStatement(stated float64, at time.Time) {
+	if at.Before(e.slowdownAt) {
+		return
+	}
+	if len(e.stated) == maxStatements {
+		e.stated = slices.Delete(e.stated, 0, 1)
+	}
+	e.stated = append(e.stated, stated)
+	e.slowdown, e.slowdownAt = stated/e.usual(), at
+}
+
+// usual returns what the endpoint mostly states, 1 until that is known.
+func (e *profile) usual() float64 {
+	if len(e.stated) < minStatements {
+		return 1
+	}
+	sorted := slices.Clone(e.stated)
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2]
 }
 
 // State is what is known of an endpoint, for metrics.
--- a/internal/endpoint/profiler/profiler_test.go
+++ b/internal/endpoint/profiler/profiler_test.go
@@ -257,3 +257,37 @@
 		})
 	}
 }
+
+// TestStatedSlowdownIsComparedWithTheUsualOne checks that only what an endpoint states beyond what it mostly
+// states is taken for a moment, as the rest is in its lasting pace.
+func TestStatedSlowdownIsComparedWithTheUsualOne(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		stated []fescuebank.Slowdown
+		want   fescuebank.Pace
+	}{
+		{"nothing", nil, 1},
+		{"first statement", []fescuebank.Slowdown{1.2}, 1.2},
+		{"as always", []fescuebank.Slowdown{1.2, 1.2, 1.2, 1.2, 1.2, 1.2}, 1},
+		{"slow for a moment", []fescuebank.Slowdown{0.5, 0.5, 0.5, 0.5, 0.5, 1.25}, 2.5},
+		{"as always again", []fescuebank.Slowdown{0.5, 0.5, 0.5, 0.5, 0.5, 1.25, 1.25, 0.5}, 1},
+		{"out of range", []fescuebank.Slowdown{1e9}, 16},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				list := endpoints(2, 1)
+				fleet := []*profiler.Profiler{newProfiler(list), newProfiler(list)}
+				for _, s := range tt.stated {
+					time.Sleep(10 * time.Millisecond)
+					fleet[0].Observe(list[0], fescuebank.EndpointLoad{Running: 1, Slots: 8, Slowdown: s})
+					exchange(fleet)
+				}
+				for i, p := range fleet {
+					if got := p.Pace(list[0].ID); math.Abs(float64(got/tt.want)-1) > 0.01 {
+						t.Errorf("instance %d: got pace %.3f, want %.3f", i, got, tt.want)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/endpoint/profiler/work.go
+++ b/internal/endpoint/profiler/work.go
@@ -89,16 +89,14 @@
 // observeEvents takes the latest events of a stream for a slowdown, or for the end of one, unless the
 // endpoint states its slowdown.
 func (e *profile) observeEvents(sample float64, now time.Time) {
-	if e.reported || !e.pace.known() {
+	if len(e.stated) > 0 || !e.pace.known() {
 		return
 	}
 	slowdown := ratio(sample - e.pace.value)
-	switch {
-	case slowdown >= minSlowdown:
-		e.observeSlowdown(slowdown, now)
-	case e.currentSlowdown(now) > 1:
-		e.observeSlowdown(1, now)
+	if slowdown < minSlowdown {
+		slowdown = 1
 	}
+	e.slowdown, e.slowdownAt = slowdown, now
 }
 
 // kind returns the average of a kind of work. The caller holds the lock.
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -21,12 +21,6 @@
 )
 
 const (
-	// initialHoldTime is the assumed time that a request occupies its slot until the
-	// first one has ended.
-	initialHoldTime = 700 * time.Millisecond
-	// holdSmoothing is the weight of the newest sample in the moving average of hold
-	// times.
-	holdSmoothing = 0.05
 	// retryBase is the minimum retry delay given to a refused caller.
 	retryBase = 300 * time.Millisecond
 	// retryJitter is the random time added to retryBase, so that refused callers don't
@@ -49,8 +43,8 @@
 	leaving      map[fescuebank.EndpointID]leavingStatement
 	waiting      []*waiter
 	nextSequence uint64
-	// meanHold is the moving average of how long a slot is held.
-	meanHold time.Duration
+	// holds is how long the slots of each kind of work are held at the typical endpoint, on average.
+	holds map[work]time.Duration
 	// heldSlots are the slots held by this instance's requests.
 	heldSlots map[*Slot]bool
 	// started counts the slots assigned to online requests.
@@ -79,7 +73,7 @@
 // NewLimited returns an allocator without endpoints that keeps the request limits of the limiter.
 func NewLimited(clock fescuebank.Clock, onChange func(), limiter fescuebank.RateLimiter) *Allocator {
 	return &Allocator{
-		clock: clock, onChange: onChange, limiter: limiter, paces: noPaces{}, meanHold: initialHoldTime,
+		clock: clock, onChange: onChange, limiter: limiter, paces: noPaces{}, holds: make(map[work]time.Duration),
 		endpoints: make(map[fescuebank.EndpointID]*endpoint), heldSlots: make(map[*Slot]bool),
 		leaving: make(map[fescuebank.EndpointID]leavingStatement),
 	}
@@ -168,7 +162,7 @@
 	wait, _ := a.predictWait(SlotRequest{Service: service}, now, len(a.waiting))
 	return []any{
 		"service", string(service), "places", slots, "freePlaces", free, "waitingHere", len(a.waiting),
-		"waitingElsewhere", a.peersWaiting, "yielding", a.peerBatch, "predictedWaitMs", wait.Milliseconds(), "holdMs", a.meanHold.Milliseconds(),
+		"waitingElsewhere", a.peersWaiting, "yielding", a.peerBatch, "predictedWaitMs", wait.Milliseconds(), "holdMs", a.holdTime(work{service: service}).Milliseconds(),
 	}
 }
 
@@ -188,7 +182,7 @@
 	}
 	a.limiter.Take(best.ID)
 	best.ownRequests++
-	slot := &Slot{Endpoint: best.ServedEndpoint, Load: best.load(now), acquiredAt: now, endpoint: best, allocator: a}
+	slot := &Slot{Endpoint: best.ServedEndpoint, Load: best.load(now), acquiredAt: now, batch: request.batch, endpoint: best, allocator: a}
 	a.heldSlots[slot] = true
 	return slot
 }
--- a/internal/entry/allocator/pick.go
+++ b/internal/entry/allocator/pick.go
@@ -17,6 +17,9 @@
 	// counts are taken for unreported. Too many only spread requests more widely; too few
 	// send them to the same endpoints.
 	unreportedFactor = 2
+	// maxPaceWeight bounds how much a free slot of a fast endpoint is preferred, as its count of free
+	// slots may be out of date.
+	maxPaceWeight = 2.0
 )
 
 // SetPeerStarts sets the number of slots that the other instances have assigned to online
@@ -47,14 +50,14 @@
 	return a.currentPeerRate(now) * a.peerLag.Seconds()
 }
 
-// pick returns a usable endpoint with room for the request, or nil: the least loaded one, or one
-// sampled by load while the other instances are expected to have unreported requests.
+// pick returns a usable endpoint with room for the request, or nil: the best one, or one sampled by
+// load while the other instances are expected to have unreported requests.
 func (a *Allocator) pick(request SlotRequest, now time.Time) *endpoint {
 	list := a.candidates(request, now)
 	if unreported := unreportedFactor * a.estimateUnreported(now); unreported >= 1 {
-		return pickSampled(list, now, unreported)
+		return a.pickSampled(list, request, now, unreported)
 	}
-	return pickLeastLoaded(list, request.Prefix, now)
+	return a.pickBest(list, request, now)
 }
 
 // candidates returns the usable endpoints with room for the request. Batch work goes to endpoints with
@@ -79,10 +82,10 @@
 }
 
 // pickSampled picks among endpoints with a free slot by loads that are out of date.
-func pickSampled(list []*endpoint, now time.Time, unreported float64) *endpoint {
+func (a *Allocator) pickSampled(list []*endpoint, request SlotRequest, now time.Time, unreported float64) *endpoint {
 	var s sampler.Sampler
 	for i, e := range list {
-		s.Add(i, e.utilization(now), e.Slots)
+		s.Add(i, e.utilization(now), e.Slots, a.weight(e, request))
 	}
 	i := s.Pick(unreported, rand.Float64())
 	if i < 0 {
@@ -91,13 +94,16 @@
 	return list[i]
 }
 
-// pickLeastLoaded returns the endpoint with the lowest utilization. The hash of prefix
-// and endpoint breaks ties.
-func pickLeastLoaded(list []*endpoint, prefix string, now time.Time) *endpoint {
+// pickBest returns the endpoint with the largest weighted free share. The hash of the prompt's prefix
+// and the endpoint breaks ties.
+func (a *Allocator) pickBest(list []*endpoint, request SlotRequest, now time.Time) *endpoint {
 	var best *endpoint
 	var bestKey loadKey
 	for _, e := range list {
-		key := loadKey{utilization: e.utilization(now), hash: xxhash.Sum64String(prefix + "/" + string(e.ID))}
+		key := loadKey{
+			level: sampler.Level(e.utilization(now), a.weight(e, request)),
+			hash:  xxhash.Sum64String(request.Prefix + "/" + string(e.ID)),
+		}
 		if best == nil || key.less(bestKey) {
 			best, bestKey = e, key
 		}
@@ -105,15 +111,26 @@
 	return best
 }
 
-// loadKey orders endpoints by utilization, then by hash.
+// loadKey orders endpoints by level, then by hash.
 type loadKey struct {
-	utilization float64
-	hash        uint64
+	level float64
+	hash  uint64
 }
 
 func (k loadKey) less(other loadKey) bool {
-	if k.utilization != other.utilization {
-		return k.utilization < other.utilization
+	if k.level != other.level {
+		return k.level < other.level
 	}
 	return k.hash < other.hash
 }
+
+// weight returns how much a free slot of an endpoint is preferred for the request to one of the typical
+// endpoint. Online requests go where they end soonest. Batch items, which would hold a slot of
+// a slow endpoint for long, do so too, and don't look at moments.
+func (a *Allocator) weight(e *endpoint, request SlotRequest) float64 {
+	pace := a.paces.Pace
+	if request.batch {
+		pace = a.paces.LastingPace
+	}
+	return min(max(1/float64(pace(e.ID)), 1/maxPaceWeight), maxPaceWeight)
+}
--- a/internal/entry/allocator/predict.go
+++ b/internal/entry/allocator/predict.go
@@ -3,9 +3,19 @@
 import (
 	"slices"
 	"time"
+
+	"fescuebank"
 )
 
 const (
+	// initialHoldTime is the assumed time that a request occupies its slot until the
+	// first one has ended.
+	initialHoldTime = 700 * time.Millisecond
+	// minHoldTime is the shortest time for which a slot is expected to be held.
+	minHoldTime = time.Millisecond
+	// holdSmoothing is the weight of the newest sample in the moving average of hold
+	// times.
+	holdSmoothing = 0.05
 	// preemptionTime is how long it takes until a slot of preempted batch work is free.
 	preemptionTime = 60 * time.Millisecond
 	// maxSlotsPerRelease is the largest number of slots for which one slot of this instance
@@ -15,6 +25,34 @@
 	noAllowanceWait = time.Hour
 )
 
+// work is a kind of work whose slots are held about equally long at one endpoint.
+type work struct {
+	service fescuebank.ServiceName
+	batch   bool
+}
+
+// holdTime returns how long a slot is held at the typical endpoint. The caller holds the lock.
+func (a *Allocator) holdTime(w work) time.Duration {
+	if hold, ok := a.holds[w]; ok {
+		return hold
+	}
+	return initialHoldTime
+}
+
+// holdTimeAt returns how long a slot of an endpoint is held. The caller holds the lock.
+func (a *Allocator) holdTimeAt(e *endpoint, batch bool) time.Duration {
+	hold := a.holdTime(work{service: e.Service, batch: batch})
+	return max(minHoldTime, time.Duration(float64(hold)*float64(a.paces.Pace(e.ID))))
+}
+
+// observeHold applies how long a slot was held. The caller holds the lock.
+func (a *Allocator) observeHold(s *Slot, heldFor time.Duration) {
+	w := work{service: s.Endpoint.Service, batch: s.batch}
+	hold := a.holdTime(w)
+	sample := float64(heldFor) / float64(a.paces.LastingPace(s.Endpoint.ID))
+	a.holds[w] = hold + time.Duration(holdSmoothing*(sample-float64(hold)))
+}
+
 // predictWait estimates the wait of a request behind ownAhead requests of this instance: for a
 // slot at an endpoint without a request limit, or until a limit allows it, whichever comes
 // first. It reports false if there is no endpoint.
@@ -39,12 +77,14 @@
 // the slots are assumed to be released one after the other at equal intervals.
 func (a *Allocator) predictSlotWait(request SlotRequest, now time.Time, ownAhead int) (time.Duration, bool) {
 	slots, taken, free := 0, 0, 0
+	releaseRate := 0.0 // Per second.
 	for _, e := range a.usable(request.Service, request.Version, now) {
 		if _, limited := a.limiter.Share(e.ID); limited || slices.Contains(request.Tried, e.ID) {
 			continue
 		}
 		slots += e.Slots
 		taken += e.load(now)
+		releaseRate += float64(e.load(now)) / a.holdTimeAt(e, false).Seconds()
 		free += e.freeSlots(now)
 	}
 	if slots == 0 {
@@ -61,10 +101,11 @@
 		return preemptionTime, true
 	}
 	missing -= a.peerBatch
+	meanHold := time.Duration(float64(taken) / releaseRate * float64(time.Second))
 	releases := a.expectedReleases(request, now)
 	online := max(1, taken-a.peerBatch)
 	if len(releases)*maxSlotsPerRelease < online {
-		return a.meanHold * time.Duration(missing) / time.Duration(online), true
+		return meanHold * time.Duration(missing) / time.Duration(online), true
 	}
 	// Each slot of this instance stands for slotsPerRelease slots of all instances.
 	slotsPerRelease := max(1, float64(online)/float64(len(releases)))
@@ -73,7 +114,7 @@
 		index -= len(releases)
 		rounds++
 	}
-	return releases[index] + time.Duration(rounds)*a.meanHold, true
+	return releases[index] + time.Duration(rounds)*meanHold, true
 }
 
 // expectedReleases returns the expected times until this instance's slots that suit the
@@ -83,7 +124,7 @@
 	list := make([]time.Duration, 0, len(a.heldSlots))
 	for slot := range a.heldSlots {
 		if slot.endpoint.serves(request.Service, request.Version) && slot.endpoint.acceptsRequests() {
-			list = append(list, max(0, a.meanHold-now.Sub(slot.acquiredAt)))
+			list = append(list, max(0, a.holdTimeAt(slot.endpoint, slot.batch)-now.Sub(slot.acquiredAt)))
 		}
 	}
 	slices.Sort(list)
--- a/internal/entry/allocator/slot.go
+++ b/internal/entry/allocator/slot.go
@@ -38,6 +38,7 @@
 	// Load is the number of requests at the endpoint as known here, including this one.
 	Load       int
 	acquiredAt time.Time
+	batch      bool
 	endpoint   *endpoint
 	allocator  *Allocator
 	once       sync.Once
@@ -60,8 +61,7 @@
 		a.mu.Lock()
 		s.endpoint.ownRequests--
 		delete(a.heldSlots, s)
-		heldFor := a.clock.Now().Sub(s.acquiredAt)
-		a.meanHold += time.Duration(holdSmoothing * float64(heldFor-a.meanHold))
+		a.observeHold(s, a.clock.Now().Sub(s.acquiredAt))
 		a.assignReleased(s.endpoint.Service)
 		a.mu.Unlock()
 		a.onChange()
--- a/internal/entry/sampler/sampler_test.go
+++ b/internal/entry/sampler/sampler_test.go
@@ -23,7 +23,7 @@
 	for i := range tries {
 		var s sampler.Sampler
 		for j := range loads {
-			s.Add(j, float64(loads[j])/float64(slots[j]), slots[j])
+			s.Add(j, float64(loads[j])/float64(slots[j]), slots[j], 1)
 		}
 		got[s.Pick(unreported, (float64(i)+0.5)/tries)] += 1.0 / tries
 	}
--- a/pace.go
+++ b/pace.go
@@ -11,8 +11,8 @@
 // endpoint of its service. It is above 0; at 2 work takes twice as long.
 type Pace float64
 
-// Slowdown is how long work takes at an endpoint for a moment, as a multiple of what it usually
-// takes at the same endpoint; 0 means unknown.
+// Slowdown is how long work takes at an endpoint at a moment, as a multiple of what is usual; 0 means
+// unknown.
 type Slowdown float64
 
 // EndpointPaces knows how long work takes at each endpoint.
@@ -44,7 +44,7 @@
 	// of the time at the typical endpoint. A message that is lost costs only these samples.
 	Samples int
 	Percent int
-	// Slowdown is the last known one in percent, 0 if none was observed, and Requests the number
+	// Slowdown is the last stated one in percent, 0 if none was stated, and Requests the number
 	// of requests that the endpoint reported with it, running and waiting, 0 if it reported none.
 	// Both are AgeMs milliseconds old.
 	Slowdown int
