--- a/internal/entry/allocator/predict.go
+++ b/internal/entry/allocator/predict.go
@@ -101,7 +101,10 @@
 		return preemptionTime, true
 	}
 	missing -= a.peerBatch
-	meanHold := time.Duration(float64(taken) / releaseRate * float64(time.Second))
+	meanHold := a.holdTime(work{service: request.Service})
+	if releaseRate > 0 {
+		meanHold = time.Duration(float64(taken) / releaseRate * float64(time.Second))
+	}
 	releases := a.expectedReleases(request, now)
 	online := max(1, taken-a.peerBatch)
 	if len(releases)*maxSlotsPerRelease < online {
