Order waiting requests by their teams' shares of the slots

Cause: the queue knew no team. While slots were short, a team at many times its usual rate slowed all others, and its requests waited like theirs.

Change: entry/ranker computes each team's share of the slots, weighted by its rate limit, and its use over all instances, which gossip states while slots are short (field 31). Requests of a team above its share go behind the others, get only what those leave, and are refused after a fifth of the objective. The time left counts from the caller's first attempt. In small fleets contended slots are taken by chance too: several instances sent a request to the same free slot.

--- a/exchange.go
+++ b/exchange.go
@@ -66,6 +66,22 @@
 	return r.Prompt[len(r.Prompt)-2].ID
 }
 
+// Cost returns the tokens by which requests are compared, as a generated token takes about as long as
+// reading several of the prompt; 0 if they are unknown.
+func (r *Request) Cost() Tokens {
+	const promptTokensPerOutputToken = 10
+	return r.InputTokens + promptTokensPerOutputToken*r.MaxOutputTokens
+}
+
+// Spent returns how long the caller has tried before this attempt, by the part of the route's time limit
+// that it doesn't have any more.
+func (r *Request) Spent() time.Duration {
+	if r.Route == nil || r.Route.Timeout <= 0 {
+		return 0
+	}
+	return max(0, r.Route.Timeout-r.Deadline.Sub(r.Arrived))
+}
+
 // EndpointLoad is an endpoint's count of its requests and slots.
 type EndpointLoad struct {
 	Running int
--- a/gossip.go
+++ b/gossip.go
@@ -99,6 +99,8 @@
 	// connections to endpoints that it holds for other instances.
 	EndpointsLost bool `cbor:"27,keyasint,omitempty"`
 	Tunnels       int  `cbor:"28,keyasint,omitempty"`
+	// Demand is set while slots are short.
+	Demand *SlotDemand `cbor:"31,keyasint,omitempty"`
 }
 
 // RelayedGossip is a gossip message of another instance. Origin and Sequence let a receiver
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fescuebank"
+	"fescuebank/internal/entry/ranker"
 )
 
 // Errors of Acquire.
@@ -32,6 +33,8 @@
 	// unaccountedTolerance is the number of requests by which an endpoint's report may
 	// exceed the known counts, as the gossip that counts them may still be in transit.
 	unaccountedTolerance = 1
+	// shortageMemory is how long an instance states its demand after requests last waited for slots.
+	shortageMemory = 3 * time.Second
 	// retryBase is the minimum retry delay given to a refused caller.
 	retryBase = 300 * time.Millisecond
 	// retryJitter is the random time added to retryBase, so that refused callers don't
@@ -50,9 +53,15 @@
 	endpoints map[fescuebank.EndpointID]*endpoint
 	versions  versionHistory
 	// leaving holds the endpoints that stated in a response that they leave.
-	leaving      map[fescuebank.EndpointID]leavingStatement
+	leaving map[fescuebank.EndpointID]leavingStatement
+	// ranker orders the waiting requests. waiting is in order only right after sortWaiting.
+	ranker       *ranker.Ranker
 	waiting      []*waiter
 	nextSequence uint64
+	// peerDemand is the demand that the other instances stated, and shortAt is when requests last
+	// waited for slots somewhere.
+	peerDemand fescuebank.SlotDemand
+	shortAt    time.Time
 	// meanHold is the moving average of how long a slot is held.
 	meanHold time.Duration
 	// heldSlots are the slots held by this instance's requests.
@@ -83,7 +92,7 @@
 // NewLimited returns an allocator without endpoints that keeps the request limits of the limiter.
 func NewLimited(clock fescuebank.Clock, onChange func(), limiter fescuebank.RateLimiter) *Allocator {
 	return &Allocator{
-		clock: clock, onChange: onChange, limiter: limiter, meanHold: initialHoldTime,
+		clock: clock, onChange: onChange, limiter: limiter, ranker: ranker.New(), meanHold: initialHoldTime,
 		endpoints: make(map[fescuebank.EndpointID]*endpoint), heldSlots: make(map[*Slot]bool),
 		leaving: make(map[fescuebank.EndpointID]leavingStatement),
 	}
@@ -112,6 +121,7 @@
 		e.otherRequests = counts[e.tag]
 	}
 	a.peersWaiting, a.peerBatch = waiting, batch
+	a.noteShortage(a.clock.Now())
 	a.assignShared()
 }
 
@@ -124,7 +134,8 @@
 
 // Acquire returns a slot, waiting for one until the request's deadline. It fails with
 // ErrFull at once if the predicted wait is longer, and with ErrNoEndpoint if there is no
-// endpoint to wait for.
+// endpoint to wait for. A request of a team above its share waits only until it would be
+// reconsidered, as what others leave can't be predicted.
 func (a *Allocator) Acquire(ctx context.Context, request SlotRequest) (*Slot, error) {
 	a.mu.Lock()
 	now := a.clock.Now()
@@ -133,7 +144,12 @@
 		a.onChange()
 		return slot, nil
 	}
-	wait, ok := a.predictWait(request, now, a.countAhead(request))
+	if a.isBehind(request, now) && !request.ReconsiderAt.IsZero() {
+		request.Deadline = request.ReconsiderAt
+	}
+	w := &waiter{request: request, sequence: a.nextSequence, assigned: make(chan *Slot, 1)}
+	a.nextSequence++
+	wait, ok := a.predictWait(request, now, a.countAhead(w, now))
 	if !ok || now.Add(wait).After(request.Deadline) {
 		a.mu.Unlock()
 		if !ok {
@@ -141,9 +157,8 @@
 		}
 		return nil, ErrFull
 	}
-	w := &waiter{request: request, sequence: a.nextSequence, assigned: make(chan *Slot, 1)}
-	a.nextSequence++
-	a.enqueue(w)
+	a.waiting = append(a.waiting, w)
+	a.noteShortage(now)
 	a.mu.Unlock()
 	a.onChange()
 	return a.wait(ctx, w)
@@ -160,15 +175,17 @@
 	return slot
 }
 
-// LogFields returns the state from which waits for the service are predicted, as log
-// fields.
-func (a *Allocator) LogFields(service fescuebank.ServiceName) []any {
+// LogFields returns the state from which waits of a team's requests for the service are
+// predicted, as log fields.
+func (a *Allocator) LogFields(service fescuebank.ServiceName, team fescuebank.TeamID) []any {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	slots, free := a.batchCapacity(service, now)
-	wait, _ := a.predictWait(SlotRequest{Service: service}, now, len(a.waiting))
+	wait, _ := a.predictWait(SlotRequest{Service: service, Team: team}, now, len(a.waiting))
+	share := a.ranker.Share(team, now)
 	return []any{
+		"team", string(team), "teamUse", share.Use, "teamShare", share.Share, "aboveShare", share.IsExceeded(),
 		"service", string(service), "places", slots, "freePlaces", free, "waitingHere", len(a.waiting),
 		"waitingElsewhere", a.peersWaiting, "yielding", a.peerBatch, "predictedWaitMs", wait.Milliseconds(), "holdMs", a.meanHold.Milliseconds(),
 	}
@@ -187,6 +204,7 @@
 	}
 	if !request.batch {
 		a.started++
+		a.ranker.Record(request.Team, request.Cost, now)
 	}
 	a.limiter.Take(best.ID)
 	best.ownRequests++
@@ -201,6 +219,9 @@
 	if !request.Resuming {
 		request.limitedOnly = a.contention(request.Service, now).contended
 	}
+	if a.mustYield(request, now) {
+		return nil
+	}
 	if request.Resuming || len(a.waiting) == 0 {
 		return a.assign(request, now)
 	}
--- a/internal/entry/allocator/predict.go
+++ b/internal/entry/allocator/predict.go
@@ -51,9 +51,7 @@
 		return 0, false
 	}
 	missing := ownAhead + 1 - free
-	if !request.Resuming {
-		missing += a.peersWaiting
-	}
+	missing += a.peersAhead(request, now)
 	if missing <= 0 {
 		return 0, true
 	}
--- a/internal/entry/allocator/slot.go
+++ b/internal/entry/allocator/slot.go
@@ -14,6 +14,13 @@
 	Version string
 	// Resuming is set for a stream that has begun before. It goes before requests that begin.
 	Resuming bool
+	// Team is the caller's team, empty if callers need no key.
+	Team fescuebank.TeamID
+	// Cost is the number of tokens by which the request counts towards its team's share; 0 stands
+	// for an average request.
+	Cost fescuebank.Tokens
+	// Spent is how long the caller has tried before this attempt, at any instance.
+	Spent time.Duration
 	// Prefix breaks ties among equally loaded endpoints, so that requests with a common
 	// prompt prefix go to the same endpoint. It may be empty.
 	Prefix string
--- a/internal/entry/allocator/wait.go
+++ b/internal/entry/allocator/wait.go
@@ -15,49 +15,6 @@
 	assigned chan *Slot
 }
 
-// enqueue inserts w by priority, then by deadline, then by arrival, resuming streams first.
-func (a *Allocator) enqueue(w *waiter) {
-	i, _ := slices.BinarySearchFunc(a.waiting, w, func(x, y *waiter) int {
-		if x.request.Resuming != y.request.Resuming {
-			if x.request.Resuming {
-				return -1
-			}
-			return 1
-		}
-		if x.request.Priority != y.request.Priority {
-			return x.request.Priority - y.request.Priority
-		}
-		if c := x.request.Deadline.Compare(y.request.Deadline); c != 0 {
-			return c
-		}
-		return int(x.sequence) - int(y.sequence)
-	})
-	a.waiting = slices.Insert(a.waiting, i, w)
-}
-
-// countAhead returns how many waiting requests go before a new one and could use its slots. The
-// caller holds the lock.
-func (a *Allocator) countAhead(request SlotRequest) int {
-	ahead := a.waiting
-	if request.Resuming {
-		if i := slices.IndexFunc(ahead, func(w *waiter) bool { return !w.request.Resuming }); i >= 0 {
-			ahead = ahead[:i]
-		}
-	}
-	return countCompeting(ahead, request)
-}
-
-// countCompeting returns how many of the waiting requests could use the slots of a request.
-func countCompeting(waiting []*waiter, request SlotRequest) int {
-	count := 0
-	for _, w := range waiting {
-		if w.request.competesWith(request) {
-			count++
-		}
-	}
-	return count
-}
-
 // competesWith reports whether an endpoint may suit both requests.
 func (r SlotRequest) competesWith(other SlotRequest) bool {
 	return r.Service == other.Service && (r.Version == other.Version || r.Version == "" || other.Version == "")
@@ -103,8 +60,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
-	ahead := countCompeting(a.waiting[:max(0, slices.Index(a.waiting, w))], w.request)
-	wait, ok := a.predictWait(w.request, now, ahead)
+	wait, ok := a.predictWait(w.request, now, a.countAhead(w, now))
 	return ok && !now.Add(wait).After(w.request.Deadline)
 }
 
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -55,6 +55,7 @@
 	objective := t.objective()
 	request := allocator.SlotRequest{
 		Service: r.Service, Prefix: r.PrefixKey(), Tried: t.tried, Priority: r.Priority,
+		Team: r.Team, Cost: r.Cost(), Spent: r.Spent(),
 		ReconsiderAt: r.Arrived.Add(time.Duration(reconsiderShare * float64(objective))),
 	}
 	switch {
--- a/internal/entry/relayer/outcome.go
+++ b/internal/entry/relayer/outcome.go
@@ -31,7 +31,7 @@
 	if errors.As(cause, &refusal) {
 		return refusal
 	}
-	return t.refusalNotRun(cause).WithDetails(t.allocator.LogFields(t.request.Service)...)
+	return t.refusalNotRun(cause).WithDetails(t.allocator.LogFields(t.request.Service, t.request.Team)...)
 }
 
 func (t *transfer) refusalNotRun(cause error) *fescuebank.Refusal {
--- a/internal/fleet/gossiper/gossip.go
+++ b/internal/fleet/gossiper/gossip.go
@@ -175,6 +175,15 @@
 	return maps.Clone(g.totals.counts), g.totals.waiting, g.totals.batch
 }
 
+// PeerDemand returns the sum of the demand for slots that the live peers state.
+func (g *Gossiper) PeerDemand() fescuebank.SlotDemand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	demand := g.totals.demand
+	demand.Teams = maps.Clone(demand.Teams)
+	return demand
+}
+
 // subtract removes a member's counts from the totals. The caller holds the lock.
 func (g *Gossiper) subtract(m *member) {
 	if m.counted {
@@ -191,6 +200,8 @@
 	batch  int
 	// waiting is the number of online requests that wait for a slot at an endpoint.
 	waiting int
+	// demand is the demand for slots that the instances state.
+	demand fescuebank.SlotDemand
 }
 
 func (t *totals) add(msg *fescuebank.Gossip) {
@@ -198,6 +209,7 @@
 	t.counts.Add(msg.Batch)
 	t.batch += msg.Batch.Sum()
 	t.waiting += msg.Waiting
+	t.demand.Add(msg.Demand)
 }
 
 func (t *totals) subtract(msg *fescuebank.Gossip) {
@@ -205,4 +217,5 @@
 	t.counts.Subtract(msg.Batch)
 	t.batch -= msg.Batch.Sum()
 	t.waiting -= msg.Waiting
+	t.demand.Subtract(msg.Demand)
 }
--- a/internal/fleet/gossiper/gossip_test.go
+++ b/internal/fleet/gossiper/gossip_test.go
@@ -76,6 +76,12 @@
 					Online:  fescuebank.EndpointCounts{fescuebank.EndpointTag(rapid.IntRange(1, 3).Draw(t, "endpoint")): rapid.IntRange(1, 8).Draw(t, "count")},
 					Batch:   fescuebank.EndpointCounts{fescuebank.EndpointTag(rapid.IntRange(1, 3).Draw(t, "endpoint")): rapid.IntRange(1, 8).Draw(t, "count")},
 				}
+				if rapid.Bool().Draw(t, "short") {
+					p.gossip.Demand = &fescuebank.SlotDemand{
+						Use: rapid.IntRange(0, 9).Draw(t, "use"), Behind: rapid.IntRange(0, 9).Draw(t, "behind"), Returning: rapid.IntRange(0, 9).Draw(t, "returning"),
+						Teams: map[fescuebank.TeamTag]int{fescuebank.TeamTag(rapid.IntRange(1, 3).Draw(t, "team")): rapid.IntRange(1, 8).Draw(t, "teamUse")},
+					}
+				}
 				receive(g, *p.gossip)
 			},
 			"wait": func(t *rapid.T) {
@@ -84,18 +90,23 @@
 			},
 			"": func(t *rapid.T) {
 				want, waiting, batch := fescuebank.EndpointCounts{}, 0, 0
+				var demand fescuebank.SlotDemand
 				for _, p := range peers {
 					if p.gossip != nil && clock.now.Sub(p.receivedAt) < minSuspectTimeout {
 						want.Add(p.gossip.Online)
 						want.Add(p.gossip.Batch)
 						batch += p.gossip.Batch.Sum()
 						waiting += p.gossip.Waiting
+						demand.Add(p.gossip.Demand)
 					}
 				}
 				got, gotWaiting, gotBatch := g.PeerTotals()
 				if !maps.Equal(got, want) || gotWaiting != waiting || gotBatch != batch {
 					t.Fatalf("got %v, %d waiting, %d of batch, want %v, %d, %d", got, gotWaiting, gotBatch, want, waiting, batch)
 				}
+				if got := g.PeerDemand(); got.Use != demand.Use || got.Behind != demand.Behind || got.Returning != demand.Returning || !maps.Equal(got.Teams, demand.Teams) {
+					t.Fatalf("got demand %+v, want %+v", got, demand)
+				}
 			},
 		})
 	})
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -17,6 +17,7 @@
 	counts, waiting := s.allocator.Counts()
 	if s.settings.Roles.Entry {
 		g.Online, g.Waiting, g.Started = counts, waiting, s.allocator.Started()
+		g.Demand = s.allocator.Demand()
 	} else {
 		g.Batch = counts
 	}
@@ -52,6 +53,7 @@
 		s.catchUp(g)
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
+	s.allocator.SetPeerDemand(s.gossiper.PeerDemand())
 	s.allocator.SetPeerCounts(s.gossiper.PeerTotals())
 	s.runner.Wake()
 }
@@ -88,6 +90,7 @@
 		_, waiting := s.allocator.Counts()
 		return waiting
 	})
+	s.meter.Gauge("slotDemand", func() any { return s.allocator.Demand() })
 	s.meter.Gauge("endpointsHere", func() any { return s.allocator.Loads() })
 	s.meter.Gauge("endpointsLost", func() any { return s.dialer.Lost() })
 	s.meter.Gauge("relayedConnections", func() any { return s.dialer.Relayed() })
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -27,6 +27,7 @@
 			return
 		}
 		s.table.Store(table)
+		s.allocator.SetTeamRates(table.TeamRates())
 		s.logFor("config").Info("Configuration in force.", "version", uint64(table.Version), "revision", uint64(o.Version), "teams", len(table.Teams))
 		s.gossiper.Wake()
 		s.applyOwnership()
--- a/route.go
+++ b/route.go
@@ -154,6 +154,15 @@
 	return len(t.hosts[strings.ToLower(host)]) > 0
 }
 
+// TeamRates returns the rates to which the teams are limited; 0 stands for no limit.
+func (t *RouteTable) TeamRates() map[TeamID]RequestRate {
+	rates := make(map[TeamID]RequestRate, len(t.Teams))
+	for id, team := range t.Teams {
+		rates[id] = team.Quota.Rate
+	}
+	return rates
+}
+
 // TeamOf returns the team that a key belongs to.
 func (t *RouteTable) TeamOf(key string) (TeamID, bool) {
 	team, ok := t.Keys[HashKey(key)]
