--- a/gossip.go
+++ b/gossip.go
@@ -108,6 +108,8 @@
 	// Paces holds what the instance has observed since its previous message of how long work
 	// takes at endpoints.
 	Paces map[EndpointIncarnationTag]PaceStatement `cbor:"30,keyasint,omitempty"`
+	// Demand is set while slots are short.
+	Demand *SlotDemand `cbor:"31,keyasint,omitempty"`
 }
 
 // RelayedGossip is a gossip message of another instance. Origin and Sequence let a receiver
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fescuebank"
+	"fescuebank/internal/entry/ranker"
 )
 
 // Errors of Acquire.
@@ -21,6 +22,8 @@
 )
 
 const (
+	// shortageMemory is how long an instance states its demand after requests last waited for slots.
+	shortageMemory = 3 * time.Second
 	// retryBase is the minimum retry delay given to a refused caller.
 	retryBase = 300 * time.Millisecond
 	// retryJitter is the random time added to retryBase, so that refused callers don't
@@ -42,9 +45,15 @@
 	// leaving holds the endpoints that stated in a response, to this or another instance, that they leave.
 	leaving map[fescuebank.EndpointTag]leavingStatement
 	// evacuated are the zones to whose endpoints nothing may be sent.
-	evacuated    map[fescuebank.Zone]bool
+	evacuated map[fescuebank.Zone]bool
+	// ranker orders the waiting requests. waiting is in order only right after sortWaiting.
+	ranker       *ranker.Ranker
 	waiting      []*waiter
 	nextSequence uint64
+	// peerDemand is the demand that the other instances stated, and shortAt is when requests last
+	// waited for slots somewhere.
+	peerDemand fescuebank.SlotDemand
+	shortAt    time.Time
 	// holds is how long the slots of each kind of work are held at the typical endpoint, on average.
 	holds map[work]time.Duration
 	// heldSlots are the slots held by this instance's requests.
@@ -77,7 +86,7 @@
 // NewLimited returns an allocator without endpoints that keeps the request limits of the limiter.
 func NewLimited(clock fescuebank.Clock, onChange func(), limiter fescuebank.RateLimiter) *Allocator {
 	return &Allocator{
-		clock: clock, onChange: onChange, limiter: limiter, paces: noPaces{}, holds: make(map[work]time.Duration),
+		clock: clock, onChange: onChange, limiter: limiter, paces: noPaces{}, ranker: ranker.New(), holds: make(map[work]time.Duration),
 		endpoints: make(map[fescuebank.EndpointID]*endpoint), heldSlots: make(map[*Slot]bool),
 		leaving: make(map[fescuebank.EndpointTag]leavingStatement),
 	}
@@ -108,6 +117,7 @@
 		e.report.settle(e.otherRequests, now, a.peerLag)
 	}
 	a.peersWaiting, a.peerBatch = waiting, batch
+	a.noteShortage(now)
 	a.assignShared()
 }
 
@@ -120,7 +130,8 @@
 
 // Acquire returns a slot, waiting for one until the request's deadline. It fails with
 // ErrFull at once if the predicted wait is longer, and with ErrNoEndpoint if there is no
-// endpoint to wait for.
+// endpoint to wait for. A request of a team above its share waits only until it would be
+// reconsidered, as what others leave can't be predicted.
 func (a *Allocator) Acquire(ctx context.Context, request SlotRequest) (*Slot, error) {
 	a.mu.Lock()
 	now := a.clock.Now()
@@ -129,7 +140,12 @@
 		a.onChange()
 		return slot, nil
 	}
-	wait, ok := a.predictWait(request, now, a.countAhead(request))
+	if a.isBehind(request, now) && !request.ReconsiderAt.IsZero() {
+		request.Deadline = request.ReconsiderAt
+	}
+	w := &waiter{request: request, sequence: a.nextSequence, assigned: make(chan *Slot, 1)}
+	a.nextSequence++
+	wait, ok := a.predictWait(request, now, a.countAhead(w, now))
 	if !ok || now.Add(wait).After(request.Deadline) {
 		a.mu.Unlock()
 		if !ok {
@@ -137,9 +153,8 @@
 		}
 		return nil, ErrFull
 	}
-	w := &waiter{request: request, sequence: a.nextSequence, assigned: make(chan *Slot, 1)}
-	a.nextSequence++
-	a.enqueue(w)
+	a.waiting = append(a.waiting, w)
+	a.noteShortage(now)
 	a.mu.Unlock()
 	a.onChange()
 	return a.wait(ctx, w)
@@ -156,15 +171,17 @@
 	return slot
 }
 
-// LogFields returns the state from which waits for the service are predicted, as log
-// fields.
-func (a *Allocator) LogFields(service fescuebank.ServiceName) []any {
+// LogFields returns the state from which waits of a team's requests for the service are
+// predicted, as log fields.
+func (a *Allocator) LogFields(service fescuebank.ServiceName, team fescuebank.TeamID) []any {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	slots, free := a.batchCapacity(service, now)
-	wait, _ := a.predictWait(SlotRequest{Service: service}, now, len(a.waiting))
+	wait, _ := a.predictWait(SlotRequest{Service: service, Team: team}, now, len(a.waiting))
+	share := a.ranker.Share(team, now)
 	return []any{
+		"team", string(team), "teamUse", share.Use, "teamShare", share.Share, "aboveShare", share.IsExceeded(),
 		"service", string(service), "places", slots, "freePlaces", free, "waitingHere", len(a.waiting),
 		"waitingElsewhere", a.peersWaiting, "yielding", a.peerBatch, "predictedWaitMs", wait.Milliseconds(), "holdMs", a.holdTime(work{service: service}).Milliseconds(),
 	}
@@ -183,6 +200,7 @@
 	}
 	if !request.batch {
 		a.started++
+		a.ranker.Record(request.Team, request.Cost, now)
 	}
 	a.limiter.Take(best.ID)
 	best.ownRequests++
@@ -197,6 +215,9 @@
 	if !request.Resuming {
 		request.limitedOnly = a.contention(request.Service, now).contended
 	}
+	if a.mustYield(request, now) {
+		return nil
+	}
 	if request.Resuming || len(a.waiting) == 0 {
 		return a.assign(request, now)
 	}
