Apply lists of endpoints one at a time

The first list of evacuations applies the endpoints that are known by then; another list that arrived at the same moment could have been replaced by an older one.

--- a/internal/operate/server/evacuate.go
+++ b/internal/operate/server/evacuate.go
@@ -20,8 +20,8 @@
 	change := s.evacuator.Apply(list)
 	s.throttler.ObserveReturn(change.Ended)
 	s.allocator.SetEvacuated(zones)
-	if change.First && s.endpoints.Listed() {
-		s.applyEndpoints(s.endpoints.Objects())
+	if change.First {
+		s.applyKnownEndpoints()
 	}
 	s.gossiper.Wake()
 	s.runner.Wake()
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -116,31 +116,33 @@
 	released    atomic.Bool
 	inFlight    atomic.Int64
 
-	listeners     *listeners
-	linker        *linker.Linker
-	gossiper      *gossiper.Gossiper
-	config        *replicator.Replicator
-	endpoints     *replicator.Replicator
-	members       *replicator.Replicator
-	owners        *replicator.Replicator
-	evacuations   *replicator.Replicator
-	evacuator     *evacuator.Evacuator
-	elector       *elector.Elector
-	limiter       *limiter.Limiter
-	throttler     *throttler.Throttler
-	allocator     *allocator.Allocator
-	ejector       *ejector.Ejector
-	dialer        *dialer.Dialer
-	tunneler      *tunneler.Tunneler
-	exchanger     *exchanger.Exchanger
-	isolator      *isolator.Isolator
-	resumer       *resumer.Resumer
-	acquirer      *acquirer.Acquirer
-	manager       *manager.Manager
-	runner        *runner.Runner
-	serviceLevels *collector.Collector
-	aggregator    *aggregator.Aggregator
-	entry         Entry
+	listeners   *listeners
+	linker      *linker.Linker
+	gossiper    *gossiper.Gossiper
+	config      *replicator.Replicator
+	endpoints   *replicator.Replicator
+	members     *replicator.Replicator
+	owners      *replicator.Replicator
+	evacuations *replicator.Replicator
+	evacuator   *evacuator.Evacuator
+	// applyingEndpoints is held while a list of endpoints is applied.
+	applyingEndpoints sync.Mutex
+	elector           *elector.Elector
+	limiter           *limiter.Limiter
+	throttler         *throttler.Throttler
+	allocator         *allocator.Allocator
+	ejector           *ejector.Ejector
+	dialer            *dialer.Dialer
+	tunneler          *tunneler.Tunneler
+	exchanger         *exchanger.Exchanger
+	isolator          *isolator.Isolator
+	resumer           *resumer.Resumer
+	acquirer          *acquirer.Acquirer
+	manager           *manager.Manager
+	runner            *runner.Runner
+	serviceLevels     *collector.Collector
+	aggregator        *aggregator.Aggregator
+	entry             Entry
 	// catchingUp is set while catchUp runs.
 	catchingUp atomic.Bool
 }
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -35,9 +35,24 @@
 }
 
 func (s *Server) applyEndpoints(objects []fescuebank.Object) {
+	s.applyingEndpoints.Lock()
+	defer s.applyingEndpoints.Unlock()
 	if !s.evacuator.Known() {
-		return // applyEvacuations applies them once it is known to which zones nothing may be sent.
+		return // applyKnownEndpoints applies them once it is known to which zones nothing may be sent.
 	}
+	s.setEndpoints(objects)
+}
+
+// applyKnownEndpoints applies the endpoints that were read before it was known which zones are evacuated.
+func (s *Server) applyKnownEndpoints() {
+	s.applyingEndpoints.Lock()
+	defer s.applyingEndpoints.Unlock()
+	if s.endpoints.Listed() {
+		s.setEndpoints(s.endpoints.Objects())
+	}
+}
+
+func (s *Server) setEndpoints(objects []fescuebank.Object) {
 	var list []fescuebank.ServedEndpoint
 	for _, o := range objects {
 		e, err := s.platform.DecodeEndpoint(o)
