--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -153,6 +153,8 @@
 	// catchingUp is set while catchUp runs, and fetchingOwners while catchUpOwners does.
 	catchingUp     atomic.Bool
 	fetchingOwners atomic.Bool
+	// applyingEndpoints is held while a list of endpoints is applied.
+	applyingEndpoints sync.Mutex
 }
 
 // New returns a server and opens its addresses. It replaces port 0 in the settings by the
