Apply a handover here if the team came back

Lists of owners that follow one another closely move a team away and back, as when one owner leaves while another starts. It applies the progress itself now.

The new test of the server failed before.

--- a/internal/batch/manager/handover.go
+++ b/internal/batch/manager/handover.go
@@ -177,9 +177,18 @@
 	if err := decode(&h); err != nil {
 		return nil, err
 	}
+	if err := m.ReceiveHandover(ctx, &h); err != nil {
+		return nil, err
+	}
+	return &struct{}{}, nil
+}
+
+// ReceiveHandover applies the progress that a former owner, or this instance before it owned the team
+// again, has of a team's items.
+func (m *Manager) ReceiveHandover(ctx context.Context, h *ProgressHandover) error {
 	tj, err := m.teamJobs(ctx, h.Team)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	applied := 0
 	tj.mu.Lock()
@@ -192,7 +201,7 @@
 	tj.endHandoverWait(h.From)
 	m.Log.Info("Progress received from the former owner.", "team", string(h.Team), "items", len(h.Items), "taken", applied)
 	m.OnItemsAvailable()
-	return &struct{}{}, nil
+	return nil
 }
 
 // applyHandover applies what a former owner sent of an item. It reports whether the item had less.
--- a/internal/operate/server/leave.go
+++ b/internal/operate/server/leave.go
@@ -39,15 +39,16 @@
 	s.manager.UpdateOwnership()
 }
 
-// sendHandover sends the progress of a team's items to the team's next owner. It waits
-// until there is one and retries failed calls, for up to handoverTimeout in all.
+// sendHandover sends the progress of a team's items to the team's next owner, which is this instance if
+// a later list moved the team back. It waits until there is one and retries failed calls, for up to
+// handoverTimeout in all.
 func (s *Server) sendHandover(caller *rerouter.Rerouter, p manager.ProgressHandover) {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
 		owner, ok := s.elector.Owner(p.Team)
-		if ok && owner.ID != s.self.ID {
-			err := caller.Call(ctx, owner.ID, fescuebank.KindProgressHandover, &p, &struct{}{})
+		if ok {
+			err := s.deliverHandover(ctx, caller, owner.ID, &p)
 			if err == nil {
 				return
 			}
@@ -57,6 +58,14 @@
 	}
 }
 
+// deliverHandover passes progress to the owner with an id.
+func (s *Server) deliverHandover(ctx context.Context, caller *rerouter.Rerouter, owner fescuebank.InstanceID, p *manager.ProgressHandover) error {
+	if owner == s.self.ID {
+		return s.manager.ReceiveHandover(ctx, p)
+	}
+	return caller.Call(ctx, owner, fescuebank.KindProgressHandover, p, &struct{}{})
+}
+
 // leave shuts the instance down: it removes itself from the addresses, releases
 // ownership, waits for the requests in flight, also those of other instances that go through it,
 // and removes its member entry.
--- a/internal/operate/server/leave_test.go
+++ b/internal/operate/server/leave_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"encoding/json"
 	"net"
 	"net/http"
 	"testing"
@@ -65,6 +66,56 @@
 	}
 }
 
+// newBatchManager returns a manager that owns a team with one job of one item, as long as owns is true.
+func newBatchManager(t *testing.T, owns *bool, send func(manager.ProgressHandover)) *manager.Manager {
+	t.Helper()
+	clock := timekeeper.Timekeeper{}
+	jobs, err := persister.New(&memorystorer.MemoryStorer{}, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := &fescuebank.RouteTable{Version: 1, Teams: map[fescuebank.TeamID]fescuebank.TeamSettings{"team": {ID: "team"}}}
+	table.SetRoutes([]fescuebank.Route{{
+		Name: "batch", Host: "h", Prefix: "/b/", Kind: fescuebank.RouteBatch, CompletionObjective: time.Minute,
+		Shares: []fescuebank.ServiceShare{{Service: "s", Weight: 1}},
+	}})
+	m := manager.New(manager.Config{
+		Owns:     func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, *owns },
+		TookOver: func(fescuebank.TeamID) bool { return false }, Persister: jobs, Estimator: estimator.New(),
+		Table: func() *fescuebank.RouteTable { return table }, Clock: clock, Log: hclog.NewNullLogger(), OnItemsAvailable: func() {},
+		SendHandover: send,
+	})
+	spec := &fescuebank.RoutedJob{ID: "job", Team: "team", Route: "batch", Host: "h", Path: "/b/x", Submitted: clock.Now(), Items: []fescuebank.RoutedItem{{ID: "item"}}}
+	if err := m.Submit(t.Context(), spec); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// TestProgressComesBackWithTheTeam guards against progress that is lost because a list of owners moves a
+// team back to its former owner before that one has sent it.
+func TestProgressComesBackWithTheTeam(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owns := true
+		m := newBatchManager(t, &owns, nil)
+		clock := timekeeper.Timekeeper{}
+		self := fescuebank.MemberEntry{ID: "owner-1", Incarnation: "first", Owner: true}
+		e := elector.New(elector.Config{Self: self, Clock: clock, Log: hclog.NewNullLogger(), OnChange: func() {}})
+		list, err := json.Marshal(&fescuebank.OwnerList{Epoch: 1, Owners: []fescuebank.Holder{{ID: self.ID, Incarnation: self.Incarnation}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.ApplyObject(fescuebank.Object{Key: fescuebank.OwnerListKey, Value: list, Version: 1}, clock.Now())
+		s := &Server{clock: clock, manager: m, elector: e, self: self, log: hclog.NewNullLogger()}
+		progress := fescuebank.Progress{Events: 5, Last: "5", Output: []byte("text")}
+		s.sendHandover(nil, manager.ProgressHandover{Team: "team", From: self.ID, Items: []manager.ItemProgress{{Job: "job", Item: "item", Progress: progress}}})
+		task := m.NextTask(func() {})
+		if task == nil || task.Progress.Events != progress.Events {
+			t.Errorf("got %+v, want the item with its progress", task)
+		}
+	})
+}
+
 // TestLeavingInstanceWaitsForItsHandover guards against progress that is lost because the instance
 // stops while it sends it: the next owner may apply the list of owners later.
 func TestLeavingInstanceWaitsForItsHandover(t *testing.T) {
@@ -74,26 +125,11 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		clock := timekeeper.Timekeeper{}
-		jobs, err := persister.New(&memorystorer.MemoryStorer{}, clock)
-		if err != nil {
-			t.Fatal(err)
-		}
 		owns, sent := true, make(chan struct{})
-		table := &fescuebank.RouteTable{Version: 1, Teams: map[fescuebank.TeamID]fescuebank.TeamSettings{"team": {ID: "team"}}}
-		table.SetRoutes([]fescuebank.Route{{Name: "batch", Host: "h", Prefix: "/b/", Kind: fescuebank.RouteBatch, CompletionObjective: time.Minute}})
-		m := manager.New(manager.Config{
-			Owns:     func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, owns },
-			TookOver: func(fescuebank.TeamID) bool { return false }, Persister: jobs, Estimator: estimator.New(),
-			Table: func() *fescuebank.RouteTable { return table }, Clock: clock, Log: hclog.NewNullLogger(), OnItemsAvailable: func() {},
-			SendHandover: func(manager.ProgressHandover) {
-				time.Sleep(sending)
-				close(sent)
-			},
+		m := newBatchManager(t, &owns, func(manager.ProgressHandover) {
+			time.Sleep(sending)
+			close(sent)
 		})
-		spec := &fescuebank.RoutedJob{ID: "job", Team: "team", Route: "batch", Host: "h", Path: "/b/x", Submitted: clock.Now(), Items: []fescuebank.RoutedItem{{ID: "item"}}}
-		if err := m.Submit(t.Context(), spec); err != nil {
-			t.Fatal(err)
-		}
 		s := &Server{clock: clock, manager: m, elector: elector.New(elector.Config{Clock: clock})}
 		owns = false
 		m.UpdateOwnership()
