--- a/internal/fleet/gossiper/member.go
+++ b/internal/fleet/gossiper/member.go
@@ -38,8 +38,7 @@
 	// to have received, and reportedAt when that report arrived.
 	reportedSequence uint64
 	reportedAt       time.Time
-	// entryChangedAt is when the entry of this incarnation last changed, or replaced that of the one
-	// before.
+	// entryChangedAt is when the entry of this incarnation last changed.
 	entryChangedAt time.Time
 	// ackedSequence is the newest message of this instance that the peer acknowledged,
 	// and ackedAt when the acknowledgement arrived.
@@ -126,9 +125,6 @@
 	} else if m != nil {
 		g.subtract(m)
 	}
-	if m != nil {
-		next.entryChangedAt = now
-	}
 	g.members[e.ID] = next
 	g.Log.Info("Instance added to the members.", "peer", string(e.ID), "incarnation", string(e.Incarnation), "addr", e.PeerAddr)
 }
