--- a/cmd/fescuebankd/evacuation_test.go
+++ b/cmd/fescuebankd/evacuation_test.go
@@ -32,6 +32,7 @@
 		if status, _ := d.send(instances[sent%len(instances)], http.MethodPost, "/stream/1", "k1", fmt.Sprint(name, sent), nil); status == http.StatusOK {
 			served++
 		}
+		time.Sleep(5 * time.Millisecond)
 	}
 	return sent, served
 }
