Continue streams after a restart of all instances by a recorded version

The first owner records in the store, per service, the only software version that endpoints state and since when; endpoint/historian reads it once when a stream needs it.

--- a/internal/entry/allocator/version.go
+++ b/internal/entry/allocator/version.go
@@ -57,6 +57,56 @@
 	return sole, sole == "" || now.Sub(a.versions.since) >= versionMemory
 }
 
+// OnlyVersion returns the software version of the service if endpoints of no other one have been
+// listed within versionMemory, as far as this instance has run that long.
+func (a *Allocator) OnlyVersion(service fescuebank.ServiceName) (version string, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	versions := a.recentVersions(service, a.clock.Now())
+	if len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
+}
+
+// Versions returns the only software version listed of each service that states one, and since when
+// no other has been listed here.
+func (a *Allocator) Versions() map[fescuebank.ServiceName]fescuebank.SoleVersion {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	versions := make(map[fescuebank.ServiceName]fescuebank.SoleVersion)
+	for _, e := range a.endpoints {
+		if e.Version == "" {
+			continue
+		}
+		known, ok := versions[e.Service]
+		if ok && known.Version != e.Version {
+			versions[e.Service] = fescuebank.SoleVersion{Since: a.clock.Now()}
+			continue
+		}
+		versions[e.Service] = fescuebank.SoleVersion{Version: e.Version, Since: a.versions.soleSince(e.Service, e.Version)}
+	}
+	return versions
+}
+
+// ListedSince returns when endpoints were first listed here; zero if none were.
+func (a *Allocator) ListedSince() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.versions.since
+}
+
+// soleSince returns since when no other version of the service has been listed.
+func (h *versionHistory) soleSince(service fescuebank.ServiceName, version string) time.Time {
+	since := h.since
+	for v, left := range h.leftAt {
+		if v.service == service && v.version != version {
+			since = fescuebank.Latest(since, left)
+		}
+	}
+	return since
+}
+
 // recentVersions returns the software versions of the service that serve or have left within
 // versionMemory. The caller holds the lock.
 func (a *Allocator) recentVersions(service fescuebank.ServiceName, now time.Time) []string {
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -68,6 +68,13 @@
 	FindSole(ctx context.Context, id fescuebank.RequestID) (version string, ok bool)
 }
 
+// VersionHistory knows which software versions served before this instance started.
+type VersionHistory interface {
+	// WasSole reports whether a version was the only one of a service for so long that every
+	// stream that may still continue began at it, if this instance has seen no other one.
+	WasSole(ctx context.Context, service fescuebank.ServiceName, version string) bool
+}
+
 // Relayer relays requests to endpoints.
 type Relayer struct {
 	allocator     *allocator.Allocator
@@ -80,6 +87,7 @@
 	health        Health
 	guard         fescuebank.CrashGuard
 	begunStreams  BegunStreams
+	history       VersionHistory
 	inTouch       func() bool
 	log           hclog.Logger
 	watches       stallWatches
@@ -105,6 +113,7 @@
 	Health        Health
 	Guard         fescuebank.CrashGuard
 	BegunStreams  BegunStreams
+	History       VersionHistory
 	// InTouch reports whether the list of endpoints is likely to be current.
 	InTouch func() bool
 	Log     hclog.Logger
@@ -115,7 +124,7 @@
 	return &Relayer{
 		allocator: c.Allocator, exchanger: c.Exchanger, protocol: c.Protocol, clock: c.Clock, meter: c.Meter,
 		versions: c.Versions, serviceLevels: c.ServiceLevels, health: c.Health, guard: c.Guard,
-		begunStreams: c.BegunStreams, inTouch: c.InTouch, log: c.Log,
+		begunStreams: c.BegunStreams, history: c.History, inTouch: c.InTouch, log: c.Log,
 	}
 }
 
--- a/internal/entry/relayer/version.go
+++ b/internal/entry/relayer/version.go
@@ -44,6 +44,9 @@
 	if !isKnown && isSole && t.inTouch() {
 		version, isKnown = sole, true
 	}
+	if !isKnown && !isSole {
+		version, isKnown = t.soleBefore(ctx)
+	}
 	if !isKnown {
 		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeCannotResume,
 			"the software version that began the stream is not known").WithRetryAfter(t.allocator.RetryAfter())
@@ -52,6 +55,16 @@
 	return nil
 }
 
+// soleBefore returns the only version listed here if it was also the only one before this instance
+// started.
+func (t *transfer) soleBefore(ctx context.Context) (version string, ok bool) {
+	only, ok := t.allocator.OnlyVersion(t.request.Service)
+	if !ok || !t.inTouch() || !t.history.WasSole(ctx, t.request.Service, only) {
+		return "", false
+	}
+	return only, true
+}
+
 // findRecord returns the version in the record of the stream that the caller takes up.
 func (t *transfer) findRecord(ctx context.Context) (version string, ok bool) {
 	if t.request.Resumes == "" {
--- a/internal/fleet/elector/reconcile.go
+++ b/internal/fleet/elector/reconcile.go
@@ -58,6 +58,12 @@
 	return true
 }
 
+// IsFirst reports whether this instance is the one that writes what the owner instances write once for
+// the whole fleet.
+func (e *Elector) IsFirst() bool {
+	return e.Self.Owner && e.isFirst(e.Members.Peers())
+}
+
 // recordUnreachable records since when peers have been unreachable. The caller holds the lock.
 func (e *Elector) recordUnreachable(peers []gossiper.Peer, now time.Time) {
 	for _, p := range peers {
--- a/internal/fleet/gossiper/entry_test.go
+++ b/internal/fleet/gossiper/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,3 +68,51 @@
 		}
 	}
 }
+
+// callCounter counts the calls to a store.
+type callCounter struct {
+	memorystorer.MemoryStorer
+	calls atomic.Int64
+}
+
+func (s *callCounter) Get(ctx context.Context, key string) (fescuebank.Object, error) {
+	s.calls.Add(1)
+	return s.MemoryStorer.Get(ctx, key)
+}
+
+func (s *callCounter) Put(ctx context.Context, key string, value []byte, expected fescuebank.StoreVersion) (fescuebank.StoreVersion, error) {
+	s.calls.Add(1)
+	return s.MemoryStorer.Put(ctx, key, value, expected)
+}
+
+// TestRegistrationAfterTheFirstListTakesOneCall checks that an instance that restarts replaces its entry
+// with one call, as the first list of the members tells the version that it replaces.
+func TestRegistrationAfterTheFirstListTakesOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &callCounter{}
+		key := fescuebank.MemberPrefix + "me"
+		value := []byte(`{"id":"me","incarnation":"before"}`)
+		version, err := store.Put(t.Context(), key, value, fescuebank.Absent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.calls.Store(0)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		g := New(Config{
+			Self:  fescuebank.MemberEntry{ID: "me", Incarnation: "now"},
+			Store: store, Linker: port{&network{handlers: make(map[string]map[fescuebank.MessageKind]linker.NotificationHandler)}, "me"},
+			Clock: timekeeper.Timekeeper{}, Log: hclog.NewNullLogger(), StoreUnreachable: func() bool { return false },
+		})
+		go g.register(ctx)
+		time.Sleep(maxListWait / 10)
+		g.ApplyObjects([]fescuebank.Object{{Key: key, Value: value, Version: version}}, version)
+		time.Sleep(maxListWait / 10)
+		if !g.Registered() {
+			t.Error("got no registration after the first list, want it")
+		}
+		if got := store.calls.Load(); got != 1 {
+			t.Errorf("got %d calls to the store, want 1", got)
+		}
+	})
+}
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -23,6 +23,7 @@
 	"fescuebank/internal/endpoint/dialer"
 	"fescuebank/internal/endpoint/ejector"
 	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/endpoint/historian"
 	"fescuebank/internal/endpoint/isolator"
 	"fescuebank/internal/endpoint/tunneler"
 	"fescuebank/internal/entry/allocator"
@@ -127,6 +128,7 @@
 	exchanger     *exchanger.Exchanger
 	isolator      *isolator.Isolator
 	resumer       *resumer.Resumer
+	historian     *historian.Historian
 	acquirer      *acquirer.Acquirer
 	manager       *manager.Manager
 	runner        *runner.Runner
@@ -189,6 +191,10 @@
 		Lag: s.gossiper.Lag, Clock: s.clock, Log: s.logFor("crash"),
 	})
 	s.resumer = resumer.New(resumer.Config{Members: s.gossiper, Peer: s.linker, Clock: s.clock, Log: s.logFor("resume")})
+	s.historian = historian.New(historian.Config{
+		Store: s.platform.Store, Versions: s.allocator.Versions, Started: s.allocator.ListedSince, IsWriter: s.elector.IsFirst,
+		Clock: s.clock, Log: s.logFor("endpoint"),
+	})
 	s.linker.Handle(fescuebank.KindRecordStreams, s.resumer.HandleRecord)
 	s.linker.Handle(fescuebank.KindFindStream, s.resumer.HandleFind)
 	caller := rerouter.New(s.linker, s.gossiper)
@@ -227,7 +233,7 @@
 		Relayer: relayer.New(relayer.Config{
 			Allocator: s.allocator, Exchanger: s.exchanger, Protocol: s.platform.Protocol, Clock: s.clock,
 			Meter: s.meter, Versions: s.versions, ServiceLevels: s.serviceLevels, Health: s.ejector, Guard: s.isolator,
-			BegunStreams: s.resumer, InTouch: s.inTouch, Log: s.logFor("entry"),
+			BegunStreams: s.resumer, History: s.historian, InTouch: s.inTouch, Log: s.logFor("entry"),
 		}),
 		Admitter: s.acquirer, Batch: batchClient, Addresses: s.addresses, Ready: s.ready, Leaving: s.leaving.Load,
 		Clock: s.clock, Meter: s.meter, ServiceLevels: s.serviceLevels, Log: s.logFor("entry"),
@@ -281,6 +287,7 @@
 	}
 	if s.settings.Roles.Owner {
 		group.Go(func() { s.runner.Run(componentCtx) })
+		group.Go(func() { s.historian.Run(componentCtx) })
 		retirements := replicator.New(s.platform.Store, s.platform.RetirementPrefix, s.clock, s.logFor("retire"), s.applyRetirements)
 		group.Go(func() { retirements.Run(componentCtx) })
 	}
