--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -72,6 +72,13 @@
 	FindSole(ctx context.Context, id fescuebank.RequestID) (version string, ok bool)
 }
 
+// VersionHistory knows which software versions served before this instance started.
+type VersionHistory interface {
+	// WasSole reports whether a version was the only one of a service for so long that every
+	// stream that may still continue began at it, if this instance has seen no other one.
+	WasSole(ctx context.Context, service fescuebank.ServiceName, version string) bool
+}
+
 // Relayer relays requests to endpoints.
 type Relayer struct {
 	allocator     *allocator.Allocator
@@ -86,6 +93,7 @@
 	guard         fescuebank.CrashGuard
 	begunStreams  BegunStreams
 	memory        fescuebank.MemoryBudget
+	history       VersionHistory
 	inTouch       func() bool
 	log           hclog.Logger
 	watches       stallWatches
@@ -115,6 +123,7 @@
 	BegunStreams  BegunStreams
 	// Memory holds what is read ahead of slow callers.
 	Memory fescuebank.MemoryBudget
+	History       VersionHistory
 	// InTouch reports whether the list of endpoints is likely to be current.
 	InTouch func() bool
 	Log     hclog.Logger
@@ -125,7 +134,7 @@
 	return &Relayer{
 		allocator: c.Allocator, exchanger: c.Exchanger, profiler: c.Profiler, protocol: c.Protocol, clock: c.Clock, meter: c.Meter,
 		versions: c.Versions, serviceLevels: c.ServiceLevels, health: c.Health, guard: c.Guard,
-		begunStreams: c.BegunStreams, memory: c.Memory, inTouch: c.InTouch, log: c.Log,
+		begunStreams: c.BegunStreams, memory: c.Memory, history: c.History, inTouch: c.InTouch, log: c.Log,
 	}
 }
 
