Tell refused callers when a slot is predicted for them

Cause: Retry-After was 300 to 1,000 ms at random, whatever the queue.

Change: entry/postponer computes it from the predicted wait behind the callers that are expected back at all instances, or from the first time at which a forecast of the load (SetForecaster; nothing sets one yet) sees room beside new callers. Teams above their share are told when they are within it again. Only teams that use slots count towards the shares, and a team above its share has its wait cut short only while others wait: gateway.TestRequestWaitsForALimitWithinItsObjective failed without that.

--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"fescuebank"
+	"fescuebank/internal/entry/postponer"
 	"fescuebank/internal/entry/ranker"
 )
 
@@ -35,11 +35,6 @@
 	unaccountedTolerance = 1
 	// shortageMemory is how long an instance states its demand after requests last waited for slots.
 	shortageMemory = 3 * time.Second
-	// retryBase is the minimum retry delay given to a refused caller.
-	retryBase = 300 * time.Millisecond
-	// retryJitter is the random time added to retryBase, so that refused callers don't
-	// retry all at once.
-	retryJitter = 700 * time.Millisecond
 )
 
 // Allocator counts the requests at each endpoint and assigns free slots.
@@ -58,10 +53,14 @@
 	ranker       *ranker.Ranker
 	waiting      []*waiter
 	nextSequence uint64
-	// peerDemand is the demand that the other instances stated, and shortAt is when requests last
-	// waited for slots somewhere.
+	// peerDemand is the demand that the other instances stated, instances their number with this
+	// one, and shortAt when requests last waited for slots somewhere.
 	peerDemand fescuebank.SlotDemand
+	instances  int
 	shortAt    time.Time
+	postponer  postponer.Postponer
+	// forecaster is nil if the load isn't forecast.
+	forecaster fescuebank.LoadForecaster
 	// meanHold is the moving average of how long a slot is held.
 	meanHold time.Duration
 	// heldSlots are the slots held by this instance's requests.
@@ -134,8 +133,8 @@
 
 // Acquire returns a slot, waiting for one until the request's deadline. It fails with
 // ErrFull at once if the predicted wait is longer, and with ErrNoEndpoint if there is no
-// endpoint to wait for. A request of a team above its share waits only until it would be
-// reconsidered, as what others leave can't be predicted.
+// endpoint to wait for. While others wait, a request of a team above its share waits only until
+// it would be reconsidered, as what they leave can't be predicted.
 func (a *Allocator) Acquire(ctx context.Context, request SlotRequest) (*Slot, error) {
 	a.mu.Lock()
 	now := a.clock.Now()
@@ -144,7 +143,7 @@
 		a.onChange()
 		return slot, nil
 	}
-	if a.isBehind(request, now) && !request.ReconsiderAt.IsZero() {
+	if !request.ReconsiderAt.IsZero() && a.isBehind(request, now) && (a.othersWait(now) || a.mustYield(request, now)) {
 		request.Deadline = request.ReconsiderAt
 	}
 	w := &waiter{request: request, sequence: a.nextSequence, assigned: make(chan *Slot, 1)}
@@ -191,11 +190,6 @@
 	}
 }
 
-// RetryAfter returns the delay after which a refused caller should retry.
-func (a *Allocator) RetryAfter() time.Duration {
-	return retryBase + rand.N(retryJitter)
-}
-
 // assign takes a free slot for the request, or returns nil. The caller holds the lock.
 func (a *Allocator) assign(request SlotRequest, now time.Time) *Slot {
 	best := a.pick(request, now)
--- a/internal/entry/allocator/rank.go
+++ b/internal/entry/allocator/rank.go
@@ -21,11 +21,12 @@
 	a.ranker.SetRates(rates)
 }
 
-// SetPeerDemand sets the demand that the other instances stated.
-func (a *Allocator) SetPeerDemand(demand fescuebank.SlotDemand) {
+// SetPeerDemand sets the demand that the other instances stated, and the number of instances with
+// this one.
+func (a *Allocator) SetPeerDemand(demand fescuebank.SlotDemand, instances int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.peerDemand = demand
+	a.peerDemand, a.instances = demand, instances
 	a.ranker.SetPeers(demand)
 }
 
@@ -34,11 +35,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
-	if a.shortAt.IsZero() || now.Sub(a.shortAt) > shortageMemory {
+	if !a.isShort(now) {
 		return nil
 	}
 	demand := a.ranker.Report(now)
-	demand.Behind = a.countBehind(now)
+	demand.Behind, demand.Returning = a.countBehind(now), a.postponer.Returning(now)
 	return &demand
 }
 
@@ -49,6 +50,11 @@
 	}
 }
 
+// isShort reports whether slots have been short lately. The caller holds the lock.
+func (a *Allocator) isShort(now time.Time) bool {
+	return !a.shortAt.IsZero() && now.Sub(a.shortAt) <= shortageMemory
+}
+
 // isBehind reports whether a request goes behind those of teams within their share. The caller
 // holds the lock.
 func (a *Allocator) isBehind(request SlotRequest, now time.Time) bool {
@@ -83,7 +89,7 @@
 // share: to requests that wait at other instances, and to those that these are expected to send
 // unseen. The caller holds the lock.
 func (a *Allocator) mustYield(request SlotRequest, now time.Time) bool {
-	if a.shortAt.IsZero() || now.Sub(a.shortAt) > shortageMemory || !a.isBehind(request, now) {
+	if !a.isShort(now) || !a.isBehind(request, now) {
 		return false
 	}
 	_, free := a.batchCapacity(request.Service, now)
@@ -91,6 +97,12 @@
 	return others > 0 && float64(free) <= others
 }
 
+// othersWait reports whether requests of teams within their share wait at any instance. The caller
+// holds the lock.
+func (a *Allocator) othersWait(now time.Time) bool {
+	return a.peersWaiting > a.peerDemand.Behind || len(a.waiting) > a.countBehind(now)
+}
+
 // compare orders two waiting requests. The caller holds the lock.
 func (a *Allocator) compare(x, y *waiter, now time.Time) int {
 	if c := a.ranker.Compare(x.request.rankRequest(), y.request.rankRequest(), now); c != 0 {
--- a/internal/entry/allocator/share_test.go
+++ b/internal/entry/allocator/share_test.go
@@ -76,7 +76,7 @@
 	var others fescuebank.SlotDemand
 	others.Add(&f.sums[0].demand)
 	others.Subtract(&before)
-	f.entries[i].SetPeerDemand(others)
+	f.entries[i].SetPeerDemand(others, len(f.entries))
 }
 
 // request sends one request of a team through a random entry.
--- a/internal/entry/ranker/ranker.go
+++ b/internal/entry/ranker/ranker.go
@@ -27,6 +27,8 @@
 	costSmoothing = 0.02
 	// maxReportedTeams bounds the teams whose uses an instance reports to the others.
 	maxReportedTeams = 6
+	// activeInterval is how often the teams that use slots are found out.
+	activeInterval = 50 * time.Millisecond
 	// minKeptUse is the use below which a team is forgotten.
 	minKeptUse = 0.05
 )
@@ -47,9 +49,8 @@
 
 // Ranker knows the shares and the uses of the teams. It takes no lock.
 type Ranker struct {
-	weights map[fescuebank.TeamID]float64
-	// totalWeight is the sum of weights, and defaultWeight that of a team without one.
-	totalWeight   float64
+	weights map[fescuebank.TeamTag]float64
+	// defaultWeight is that of a team that isn't in weights.
 	defaultWeight float64
 	uses          map[fescuebank.TeamID]float64
 	// totalUse is the sum of uses, and usesAt when both were last updated.
@@ -57,6 +58,11 @@
 	usesAt   time.Time
 	meanCost float64
 	peers    fescuebank.SlotDemand
+	// active are the teams that were known to use slots at activeAt, and activeSum the sum of
+	// their weights.
+	active    map[fescuebank.TeamTag]bool
+	activeSum float64
+	activeAt  time.Time
 }
 
 // New returns a ranker that knows of no use.
@@ -74,19 +80,17 @@
 			limited++
 		}
 	}
-	r.defaultWeight = 1
+	r.defaultWeight, r.active = 1, nil
 	if limited > 0 {
 		r.defaultWeight = sum / float64(limited)
 	}
-	r.weights = make(map[fescuebank.TeamID]float64, len(rates))
-	r.totalWeight = 0
+	r.weights = make(map[fescuebank.TeamTag]float64, len(rates))
 	for team, rate := range rates {
 		weight := float64(rate)
 		if weight <= 0 {
 			weight = r.defaultWeight
 		}
-		r.weights[team] = weight
-		r.totalWeight += weight
+		r.weights[team.Tag()] = weight
 	}
 }
 
@@ -140,26 +144,63 @@
 	Share float64
 }
 
-// IsExceeded reports whether the use is above the share by more than the arrival of requests at
+// tolerated returns the use up to which the share isn't exceeded: what the arrival of requests at
 // random explains.
+func (s Share) tolerated() float64 {
+	return s.Share + toleratedDeviations*math.Sqrt(s.Share) + toleratedRequests
+}
+
+// IsExceeded reports whether the use is above the share.
 func (s Share) IsExceeded() bool {
-	return s.Use > s.Share+toleratedDeviations*math.Sqrt(s.Share)+toleratedRequests
+	return s.Use > s.tolerated()
 }
 
-// Share returns the share of a team and its use.
+// Share returns the share of a team, beside the others that use slots, and its use.
 func (r *Ranker) Share(team fescuebank.TeamID, now time.Time) Share {
 	r.decay(now)
 	total := r.totalUse + float64(r.peers.Use)
-	if team == "" || r.totalWeight == 0 {
+	tag := team.Tag()
+	if team == "" {
 		return Share{Share: total}
 	}
 	return Share{
-		Use:   r.uses[team] + float64(r.peers.Teams[team.Tag()]),
-		Share: total * min(1, r.weight(team)/r.totalWeight),
+		Use:   r.uses[team] + float64(r.peers.Teams[tag]),
+		Share: total * r.weight(tag) / r.activeWeight(tag, now),
 	}
 }
 
-func (r *Ranker) weight(team fescuebank.TeamID) float64 {
+// activeWeight returns the sum of the weights of a team and of the others that are known to use slots,
+// so that the share of those that use none belongs to the others.
+func (r *Ranker) activeWeight(tag fescuebank.TeamTag, now time.Time) float64 {
+	if r.active == nil || now.Sub(r.activeAt) >= activeInterval {
+		r.findActive(now)
+	}
+	if r.active[tag] {
+		return r.activeSum
+	}
+	return r.activeSum + r.weight(tag)
+}
+
+// findActive finds the teams that are known to use slots.
+func (r *Ranker) findActive(now time.Time) {
+	r.active, r.activeSum, r.activeAt = make(map[fescuebank.TeamTag]bool), 0, now
+	add := func(tag fescuebank.TeamTag) {
+		if !r.active[tag] {
+			r.active[tag] = true
+			r.activeSum += r.weight(tag)
+		}
+	}
+	for tag := range r.peers.Teams {
+		add(tag)
+	}
+	for team := range r.uses {
+		if team != "" {
+			add(team.Tag())
+		}
+	}
+}
+
+func (r *Ranker) weight(team fescuebank.TeamTag) float64 {
 	if weight, ok := r.weights[team]; ok {
 		return weight
 	}
@@ -177,7 +218,7 @@
 		}
 	}
 	slices.SortFunc(teams, func(a, b fescuebank.TeamID) int {
-		return cmp.Or(cmp.Compare(r.uses[b]/r.weight(b), r.uses[a]/r.weight(a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(r.uses[b]/r.weight(b.Tag()), r.uses[a]/r.weight(a.Tag())), cmp.Compare(a, b))
 	})
 	for _, team := range teams[:min(len(teams), maxReportedTeams)] {
 		demand.Teams[team.Tag()] += int(math.Round(r.uses[team]))
@@ -190,6 +231,15 @@
 	return !request.Resuming && r.Share(request.Team, now).IsExceeded()
 }
 
+// TimeBehind estimates how long a request goes behind the others if its team gets no slot meanwhile.
+func (r *Ranker) TimeBehind(request Request, now time.Time) time.Duration {
+	share := r.Share(request.Team, now)
+	if request.Resuming || !share.IsExceeded() {
+		return 0
+	}
+	return time.Duration(float64(useWindow) * math.Log(share.Use/share.tolerated()))
+}
+
 // Compare orders two requests: streams that have begun first, then teams within their share, then by
 // priority, then by the time left, counted from the first attempts of the callers.
 func (r *Ranker) Compare(a, b Request, now time.Time) int {
--- a/internal/entry/ranker/ranker_test.go
+++ b/internal/entry/ranker/ranker_test.go
@@ -70,6 +70,7 @@
 func TestSharesFollowTheLimits(t *testing.T) {
 	r := ranker.New()
 	r.SetRates(map[fescuebank.TeamID]fescuebank.RequestRate{"large": 90, "small": 10, "unlimited": 0})
+	r.Record("unlimited", 0, began)
 	for range 90 {
 		r.Record("large", 0, began)
 	}
@@ -83,6 +84,18 @@
 	}
 }
 
+// TestShareOfIdleTeamsBelongsToTheOthers guards against a team that is slowed although nobody else wants
+// its slots.
+func TestShareOfIdleTeamsBelongsToTheOthers(t *testing.T) {
+	r := newRanker(20)
+	for range 100 {
+		r.Record(team(0), 0, began)
+	}
+	if share := r.Share(team(0), began); share.IsExceeded() {
+		t.Errorf("got %+v for the only team that sends, want its share not exceeded", share)
+	}
+}
+
 func TestCostCountsRelativeToTheAverage(t *testing.T) {
 	r := newRanker(10)
 	for range 20 {
@@ -100,6 +113,9 @@
 
 func TestOrder(t *testing.T) {
 	r := newRanker(20)
+	for i := range 20 {
+		r.Record(team(i), 0, began)
+	}
 	for range 100 {
 		r.Record(team(0), 0, began)
 	}
@@ -141,3 +157,30 @@
 		t.Errorf("got %+v, want the %d teams with the highest use of 5050", got, wantTeams)
 	}
 }
+
+func TestTimeBehindEndsNearTheShare(t *testing.T) {
+	r := newRanker(20)
+	for i := range 20 {
+		for range 200 {
+			r.Record(team(i), 0, began)
+		}
+	}
+	for range 200 {
+		r.Record(team(0), 0, began)
+	}
+	request := ranker.Request{Team: team(0)}
+	got := r.TimeBehind(request, began)
+	if got <= 0 || r.TimeBehind(ranker.Request{Team: team(1)}, began) != 0 {
+		t.Fatalf("got %v, want a time for the team above its share alone", got)
+	}
+	// The others go on to use their shares. The share shrinks a little with the use of the team itself.
+	later := began.Add(got * 5 / 4)
+	for i := 1; i < 20; i++ {
+		for r.Share(team(i), later).Use < 200 {
+			r.Record(team(i), 0, later)
+		}
+	}
+	if r.IsBehind(request, later) {
+		t.Errorf("got the team behind after %v (%+v), want it within its share", got, r.Share(team(0), later))
+	}
+}
--- a/internal/entry/relayer/outcome.go
+++ b/internal/entry/relayer/outcome.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"fescuebank"
 	"fescuebank/internal/entry/allocator"
@@ -38,15 +39,25 @@
 	switch {
 	case t.begun && len(t.tried) == 0 && errors.Is(cause, allocator.ErrNoEndpoint):
 		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeCannotResume,
-			"no endpoint of the software version that began the stream is left").WithRetryAfter(t.allocator.RetryAfter())
+			"no endpoint of the software version that began the stream is left").WithRetryAfter(t.retryAfter())
 	case errors.Is(cause, allocator.ErrFull), errors.Is(cause, errNotRun):
 		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeOverloaded,
-			"all endpoints are busy").WithRetryAfter(t.allocator.RetryAfter())
+			"all endpoints are busy").WithRetryAfter(t.retryAfter())
 	case errors.Is(cause, context.DeadlineExceeded):
 		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeDeadline, "the deadline passed before a place was free")
 	}
 	return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeEndpointLost,
-		"no endpoint was reached").WithRetryAfter(t.allocator.RetryAfter())
+		"no endpoint was reached").WithRetryAfter(t.retryAfter())
+}
+
+// honouredShare is the part of the time that a caller has left up to which it honours a Retry-After.
+const honouredShare = 1.0 / 3
+
+// retryAfter returns the delay after which the caller should return.
+func (t *transfer) retryAfter() time.Duration {
+	now := t.clock.Now()
+	left := max(0, t.request.Deadline.Sub(now))
+	return t.allocator.RetryAfter(t.slotRequest(now), time.Duration(honouredShare*float64(left)))
 }
 
 func (t *transfer) errorMayHaveRun(ctx context.Context) error {
--- a/internal/entry/relayer/version.go
+++ b/internal/entry/relayer/version.go
@@ -46,7 +46,7 @@
 	}
 	if !isKnown {
 		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeCannotResume,
-			"the software version that began the stream is not known").WithRetryAfter(t.allocator.RetryAfter())
+			"the software version that began the stream is not known").WithRetryAfter(t.retryAfter())
 	}
 	t.version, t.begun = version, true
 	return nil
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -53,7 +53,7 @@
 		s.catchUp(g)
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
-	s.allocator.SetPeerDemand(s.gossiper.PeerDemand())
+	s.allocator.SetPeerDemand(s.gossiper.PeerDemand(), s.gossiper.LiveCount())
 	s.allocator.SetPeerCounts(s.gossiper.PeerTotals())
 	s.runner.Wake()
 }
