Let floors of a rate limit accrue from when an instance holds its slot

Cause: an instance's part of a team's limit began empty at the team's first request there, so after a start all first requests needed the owner's part of the burst, and those beyond it got status 429 within the limit.

Change: the floor of a team that the instance has not served yet has accrued since the instance holds its floor slot, up to the floor's burst. An instance that has not looked at its slot for 20 s begins anew, as another could have had it meanwhile (25 s).

--- a/internal/limit/acquirer/acquirer.go
+++ b/internal/limit/acquirer/acquirer.go
@@ -38,6 +38,9 @@
 	// limitUnknownRetryAfter is the time after which a caller should retry while no owner
 	// can grant tokens.
 	limitUnknownRetryAfter = 700 * time.Millisecond
+	// maxUnseenFloor is how long the floor slot may not have been looked at for this instance to
+	// know that it held it meanwhile. It is less than the time in which another may get the slot.
+	maxUnseenFloor = 20 * time.Second
 	// shardCount is the number of locks that the teams are spread over.
 	shardCount = 16
 )
@@ -76,6 +79,19 @@
 type Acquirer struct {
 	Config
 	shards [shardCount]shard
+
+	floorMu sync.Mutex
+	// floor is the floor slot that this instance has held since floorSince, as last seen at
+	// floorSeen.
+	floor      floorSlot
+	floorSince time.Time
+	floorSeen  time.Time
+}
+
+// floorSlot is a floor slot and the number of slots, with ok set if an instance may use it.
+type floorSlot struct {
+	slot, slots int
+	ok          bool
 }
 
 type shard struct {
@@ -137,13 +153,14 @@
 // recordRequest counts a request and returns for how many further requests to
 // acquire tokens ahead of use.
 func (a *Acquirer) recordRequest(id fescuebank.TeamID) int {
+	_, since := a.floorSlot()
 	s := a.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := a.Clock.Now()
 	t := s.teams[id]
 	if t == nil {
-		t = &teamState{floorRefilledAt: now, requestGap: time.Hour}
+		t = &teamState{floorRefilledAt: since, requestGap: time.Hour}
 		s.teams[id] = t
 	}
 	if !t.lastRequest.IsZero() {
@@ -160,7 +177,7 @@
 // take spends a token that this instance holds, or else one of its floor, and reports
 // whether there was one.
 func (a *Acquirer) take(id fescuebank.TeamID, q fescuebank.Quota) bool {
-	slot, slots, hasSlot := a.Owners.FloorSlot()
+	floor, _ := a.floorSlot()
 	s := a.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,11 +188,11 @@
 		return true
 	}
 	t.tokens = 0
-	if !hasSlot {
+	if !floor.ok {
 		t.floorLevel, t.floorRefilledAt = 0, now
 		return false
 	}
-	part := fescuebank.FloorSlotQuota(id, q, slot, slots)
+	part := fescuebank.FloorSlotQuota(id, q, floor.slot, floor.slots)
 	t.floorLevel = min(t.floorLevel+float64(part.Rate.Over(now.Sub(t.floorRefilledAt))), float64(part.Burst))
 	t.floorRefilledAt = now
 	if t.floorLevel < 1 {
@@ -185,6 +202,21 @@
 	return true
 }
 
+// floorSlot returns this instance's floor slot, and since when the floors of teams that it has not
+// served yet accrue: since it holds the slot.
+func (a *Acquirer) floorSlot() (floorSlot, time.Time) {
+	slot, slots, ok := a.Owners.FloorSlot()
+	held := floorSlot{slot: slot, slots: slots, ok: ok}
+	now := a.Clock.Now()
+	a.floorMu.Lock()
+	defer a.floorMu.Unlock()
+	if held != a.floor || !ok || fescuebank.Elapsed(a.floorSeen, now) > maxUnseenFloor {
+		a.floor, a.floorSince = held, now
+	}
+	a.floorSeen = now
+	return held, a.floorSince
+}
+
 // isBefore reports whether now is before t on both the monotonic and the wall clock.
 func (a *Acquirer) isBefore(now, t time.Time) bool {
 	return fescuebank.Elapsed(t, now) < 0
@@ -320,12 +352,13 @@
 
 // UpdateOwnership drops the buckets of teams that this incarnation no longer owns. It is
 // called before a new list of owners is acknowledged: from then on the new owner may
-// grant tokens.
+// grant tokens. Floors accrue from the first call after this instance holds its floor slot.
 func (a *Acquirer) UpdateOwnership() {
 	table := a.Table()
 	if table == nil {
 		return
 	}
+	a.floorSlot()
 	for id := range table.Teams {
 		if owner, ok := a.Owners.Owner(id); ok && owner != a.Self {
 			a.Issuer.DropBucket(id)
--- a/internal/limit/acquirer/fuzz_test.go
+++ b/internal/limit/acquirer/fuzz_test.go
@@ -219,6 +219,24 @@
 	}
 }
 
+// TestFirstRequestsFindTheFloorsFilled sends the first requests of a team at all instances at once, while
+// its owner can't be reached. The floors have accrued since the instances hold their slots.
+func TestFirstRequestsFindTheFloorsFilled(t *testing.T) {
+	const instances = 9
+	f := newFleet(fescuebank.Quota{Rate: 40, Burst: 40}, instances, instances)
+	f.stalled = true
+	for _, a := range f.instances {
+		a.UpdateOwnership()
+	}
+	f.clock.now = f.clock.now.Add(5 * time.Second)
+	for i := range instances {
+		f.admit(i)
+	}
+	if got := len(f.admitted); got != instances {
+		t.Errorf("got %d of %d first requests admitted from the floors, want all", got, instances)
+	}
+}
+
 func TestRefusalHasRetryAfter(t *testing.T) {
 	f := newFleet(fescuebank.Quota{Rate: 2, Burst: 1}, 1, 0)
 	f.admit(0)
