--- a/internal/entry/allocator/batch.go
+++ b/internal/entry/allocator/batch.go
@@ -93,21 +93,27 @@
 	a.peerOnline = counts
 }
 
-// OnlineDemands returns, for each service, the number of slots that the other instances' online
-// requests hold or wait for. Waiting requests are divided in proportion to those at endpoints.
+// OnlineDemands returns, for each service, the number of slots that online requests of all instances
+// hold or wait for. Waiting requests are divided in proportion to those at endpoints.
 func (a *Allocator) OnlineDemands() map[fescuebank.ServiceName]float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	own := make(map[*endpoint]int)
+	for slot := range a.heldSlots {
+		if !slot.batch {
+			own[slot.endpoint]++
+		}
+	}
 	demands := make(map[fescuebank.ServiceName]float64)
 	sum := 0.0
 	for _, e := range a.endpoints {
-		held := float64(a.peerOnline[e.tag])
+		held := float64(a.peerOnline[e.tag] + own[e])
 		demands[e.Service] += held
 		sum += held
 	}
 	for service, held := range demands {
 		if sum > 0 {
-			demands[service] += float64(a.peersWaiting) * held / sum
+			demands[service] += float64(a.peersWaiting+len(a.waiting)) * held / sum
 		}
 	}
 	return demands
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -122,8 +122,8 @@
 	Guard         fescuebank.CrashGuard
 	BegunStreams  BegunStreams
 	// Memory holds what is read ahead of slow callers.
-	Memory fescuebank.MemoryBudget
-	History       VersionHistory
+	Memory  fescuebank.MemoryBudget
+	History VersionHistory
 	// InTouch reports whether the list of endpoints is likely to be current.
 	InTouch func() bool
 	Log     hclog.Logger
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -67,17 +67,14 @@
 		s.catchUp(g)
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
-	s.allocator.SetPeerDemand(s.gossiper.PeerDemand())
+	s.allocator.SetPeerDemand(s.gossiper.PeerDemand(), s.gossiper.LiveCount())
 	s.allocator.SetPeerCounts(s.gossiper.PeerTotals())
 	s.observeLoad()
 	s.runner.Wake()
 }
 
-// observeLoad passes the online load of each service to the forecaster, where batch items run.
+// observeLoad passes the online load of each service to the forecaster.
 func (s *Server) observeLoad() {
-	if !s.settings.Roles.Owner {
-		return
-	}
 	s.allocator.SetPeerOnline(s.gossiper.PeerOnline())
 	for service, slots := range s.allocator.OnlineDemands() {
 		s.forecaster.Observe(service, slots)
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -238,6 +238,7 @@
 		return err
 	}
 	s.forecaster = forecaster.New(s.clock)
+	s.allocator.SetForecaster(s.forecaster)
 	s.planner = planner.New(s.forecaster, s.allocator.BatchSlots, s.clock)
 	s.manager = manager.New(manager.Config{
 		Owns: s.owns, TookOver: s.elector.TookOver,
