Take an entry that replaced another one for the end of the incarnation before

After a restart of all instances the list of owners named the ended incarnations as former owners until gossip had arrived from each new one, and a second list had to drop them before anybody granted tokens. An entry that this instance saw replace another one is later, as versions in the store grow, so it shows both that the new incarnation runs and that the one before has ended.

--- a/internal/fleet/elector/authority.go
+++ b/internal/fleet/elector/authority.go
@@ -119,14 +119,15 @@
 }
 
 // isSuperseded reports whether a later incarnation of the same instance is known. An
-// incarnation begins only after the end of the one before.
+// incarnation begins only after the end of the one before. The entry alone doesn't tell which of two
+// is the later one, unless it was seen to replace that of the other, or gossip arrives from its incarnation.
 func (e *Elector) isSuperseded(h fescuebank.Holder) bool {
 	if h.ID == e.holder.ID {
 		return h.Incarnation != e.holder.Incarnation
 	}
 	for _, p := range e.Members.Peers() {
 		if p.ID == h.ID {
-			return p.Incarnation != h.Incarnation && p.Gossip.Incarnation == p.Incarnation
+			return p.Incarnation != h.Incarnation && (p.Replaces == h.Incarnation || p.Gossip.Incarnation == p.Incarnation)
 		}
 	}
 	return false
--- a/internal/fleet/elector/renewal.go
+++ b/internal/fleet/elector/renewal.go
@@ -26,7 +26,7 @@
 	}
 	for _, h := range e.list.Owners {
 		p := byID[h.ID]
-		r.Owners = append(r.Owners, renewer.Owner{Listed: h, Registered: p.Incarnation, Heard: p.Gossip.Incarnation})
+		r.Owners = append(r.Owners, renewer.Owner{Listed: h, Registered: p.Incarnation, Heard: p.Gossip.Incarnation, Reachable: p.Reachable})
 	}
 	return r
 }
--- a/internal/fleet/gossiper/entry_test.go
+++ b/internal/fleet/gossiper/entry_test.go
@@ -116,3 +116,17 @@
 		}
 	})
 }
+
+// TestReplacedEntryIsKnown checks that an entry counts as the successor of another one only if it was seen
+// to replace that, and its instance as reachable for that time.
+func TestReplacedEntryIsKnown(t *testing.T) {
+	g, _ := newGossiper(t, false)
+	applyEntries(g, 1, fescuebank.MemberEntry{ID: "me", Incarnation: "me1"}, fescuebank.MemberEntry{ID: "p", Incarnation: "p1"})
+	if got := findPeer(t, g, "p"); got.Replaces != "" || got.Reachable {
+		t.Errorf("got the first entry replacing %q, reachable %v, want neither", got.Replaces, got.Reachable)
+	}
+	applyEntries(g, 2, fescuebank.MemberEntry{ID: "me", Incarnation: "me1"}, fescuebank.MemberEntry{ID: "p", Incarnation: "p2"})
+	if got := findPeer(t, g, "p"); got.Replaces != "p1" || !got.Reachable {
+		t.Errorf("got the second entry replacing %q, reachable %v, want p1, reachable", got.Replaces, got.Reachable)
+	}
+}
--- a/internal/fleet/gossiper/member.go
+++ b/internal/fleet/gossiper/member.go
@@ -38,8 +38,11 @@
 	// to have received, and reportedAt when that report arrived.
 	reportedSequence uint64
 	reportedAt       time.Time
-	// entryChangedAt is when the entry of this incarnation last changed.
+	// entryChangedAt is when the entry of this incarnation last changed, or replaced that of the one
+	// before.
 	entryChangedAt time.Time
+	// replaces is the incarnation whose entry this one was seen to replace; empty if none was.
+	replaces fescuebank.Incarnation
 	// ackedSequence is the newest message of this instance that the peer acknowledged,
 	// and ackedAt when the acknowledgement arrived.
 	ackedSequence uint64
@@ -125,6 +128,9 @@
 	} else if m != nil {
 		g.subtract(m)
 	}
+	if m != nil {
+		next.entryChangedAt, next.replaces = now, m.entry.Incarnation
+	}
 	g.members[e.ID] = next
 	g.Log.Info("Instance added to the members.", "peer", string(e.ID), "incarnation", string(e.Incarnation), "addr", e.PeerAddr)
 }
--- a/internal/fleet/gossiper/peer.go
+++ b/internal/fleet/gossiper/peer.go
@@ -15,6 +15,8 @@
 	// arrives at any instance or the peer's member entry changes.
 	Alive     bool
 	Reachable bool
+	// Replaces is the former incarnation whose entry was seen to be replaced by this one's.
+	Replaces fescuebank.Incarnation
 	// Gossip is the newest message from the peer.
 	Gossip fescuebank.Gossip
 }
@@ -59,5 +61,5 @@
 // peer returns the state of a member. The caller holds the lock.
 func (g *Gossiper) peer(m *member, now time.Time) Peer {
 	intervals := g.intervals()
-	return Peer{MemberEntry: m.entry, Alive: m.isAlive(now, intervals), Reachable: m.isReachable(now, intervals), Gossip: m.gossip}
+	return Peer{MemberEntry: m.entry, Alive: m.isAlive(now, intervals), Reachable: m.isReachable(now, intervals), Replaces: m.replaces, Gossip: m.gossip}
 }
--- a/internal/fleet/renewer/renewer.go
+++ b/internal/fleet/renewer/renewer.go
@@ -27,6 +27,9 @@
 	// Heard is the incarnation from which gossip last arrived, empty if none has since the
 	// start of this instance.
 	Heard fescuebank.Incarnation
+	// Reachable is set while gossip from the registered incarnation arrives at any instance, or if it
+	// has just replaced its entry.
+	Reachable bool
 }
 
 // Renewer judges the owners of the list in force for an owner that may write the next one.
@@ -47,20 +50,20 @@
 	return r.SinceRead >= readInterval && slices.ContainsFunc(r.others(), Owner.isUnknown)
 }
 
-// MustWait reports whether the next list has to wait for owners from which this instance, which
-// isn't listed itself, hasn't heard yet. Each list without them would move their teams away
+// MustWait reports whether the next list has to wait for owners of which this instance, which
+// isn't listed itself, doesn't know yet whether they run. Each list without them would move their teams away
 // and back again, and a team's quota starts empty with each move.
 func (r Renewer) MustWait() bool {
 	if r.Uptime >= maxWait || r.isListed() {
 		return false
 	}
-	return slices.ContainsFunc(r.others(), func(o Owner) bool { return o.Heard == "" || o.isUnknown() })
+	return slices.ContainsFunc(r.others(), func(o Owner) bool { return !o.Reachable || o.isUnknown() })
 }
 
 // IsRenewing reports whether the list names incarnations that were followed by others, which
 // the next list has to name.
 func (r Renewer) IsRenewing() bool {
-	return r.MustWait() || slices.ContainsFunc(r.others(), func(o Owner) bool { return o.Heard != "" && o.Heard != o.Listed.Incarnation })
+	return r.MustWait() || slices.ContainsFunc(r.others(), Owner.isSucceeded)
 }
 
 // isListed reports whether the list names this incarnation.
@@ -73,6 +76,12 @@
 	return slices.DeleteFunc(slices.Clone(r.Owners), func(o Owner) bool { return o.Listed.ID == r.Self.ID })
 }
 
+// isSucceeded reports whether a later incarnation of the owner than the listed one is known.
+func (o Owner) isSucceeded() bool {
+	listed := o.Listed.Incarnation
+	return o.Heard != "" && o.Heard != listed || o.Registered != "" && o.Registered != listed
+}
+
 // isUnknown reports whether the owner runs an incarnation whose entry isn't known here.
 func (o Owner) isUnknown() bool {
 	return o.Heard != "" && o.Heard != o.Registered
--- a/serviceversion.go
+++ b/serviceversion.go
@@ -3,7 +3,7 @@
 import "time"
 
 // VersionPrefix is the store prefix of the records of the services' software versions.
-const VersionPrefix = "versions/"
+const VersionPrefix = "softwareversions/"
 
 // SoleVersion is the only software version at which endpoints of a service have been listed since
 // a time.
