Split the server's composition by what its parts do

One function of 95 lines created all components. What an instance is composed of stands in build.go, a step for each area; no component or order of creation that another depends on changes, but for the forecaster, which the allocator gets at once.

--- a/internal/operate/server/leave.go
+++ b/internal/operate/server/leave.go
@@ -125,7 +125,7 @@
 // hasHandedOver reports whether the list of owners no longer has this incarnation.
 func (s *Server) hasHandedOver() bool {
 	l := s.elector.List()
-	return l == nil || !l.Has(fescuebank.Holder{ID: s.self.ID, Incarnation: s.self.Incarnation})
+	return l == nil || !l.Has(s.holder())
 }
 
 // formerOwner returns the instance that owned a team by the list of owners before, if its
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -16,9 +16,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/batch/client"
-	"fescuebank/internal/batch/estimator"
 	"fescuebank/internal/batch/manager"
-	"fescuebank/internal/batch/persister"
 	"fescuebank/internal/batch/planner"
 	"fescuebank/internal/batch/runner"
 	"fescuebank/internal/endpoint/dialer"
@@ -36,7 +34,6 @@
 	"fescuebank/internal/fleet/gossiper"
 	"fescuebank/internal/fleet/replicator"
 	"fescuebank/internal/limit/acquirer"
-	"fescuebank/internal/limit/issuer"
 	"fescuebank/internal/limit/limiter"
 	"fescuebank/internal/limit/reserver"
 	"fescuebank/internal/limit/throttler"
@@ -44,9 +41,7 @@
 	"fescuebank/internal/operate/aggregator"
 	"fescuebank/internal/operate/collector"
 	"fescuebank/internal/operate/meter"
-	"fescuebank/internal/wire/breaker"
 	"fescuebank/internal/wire/linker"
-	"fescuebank/internal/wire/rerouter"
 )
 
 // Platform holds what the adapter of the platform supplies.
@@ -192,123 +187,6 @@
 	return s.log.Named(name)
 }
 
-func (s *Server) build() error {
-	s.buildFleet()
-	self := fescuebank.Holder{ID: s.self.ID, Incarnation: s.self.Incarnation}
-	s.memory = reserver.New(heldMemory(s.settings.Limits.MemoryMiB))
-	s.serviceLevels = collector.New(s.clock, fescuebank.DefaultObjectives)
-	s.aggregator = aggregator.New(s.gossiper, s.linker, s.serviceLevels)
-	s.linker.Handle(fescuebank.KindServiceLevels, s.aggregator.Handle)
-	s.limiter = limiter.New(limiter.Config{Self: s.self.ID, Clock: s.clock, Announce: s.gossiper.Wake, Log: s.logFor("endpoint")})
-	s.throttler = throttler.New(throttler.Config{
-		Self: s.self.ID, Clock: s.clock, Limiter: s.limiter, Announce: s.gossiper.Wake, Log: s.logFor("endpoint"),
-		Bounds: fescuebank.ColdBounds{Overage: s.settings.Limits.ColdOverage, Slack: fescuebank.Requests(s.settings.Limits.ColdSlack)},
-	})
-	s.allocator = allocator.NewLimited(s.clock, s.gossiper.Wake, s.throttler)
-	s.profiler = profiler.New(profiler.Config{Clock: s.clock, OnReport: s.allocator.ObserveReport, Log: s.logFor("endpoint")})
-	s.allocator.SetPaces(s.profiler)
-	s.buildReach()
-	s.exchanger = exchanger.New(s.platform.Protocol, s.clock, s.dialer.Dial)
-	s.ejector = ejector.New(ejector.Config{
-		Zone: s.self.Zone, Endpoints: s.allocator.Endpoints, Doubtful: s.dialer.Doubtful, Eject: s.allocator.Deprioritize, Clock: s.clock, Log: s.logFor("endpoint"),
-	})
-	s.isolator = isolator.New(isolator.Config{
-		Store: s.platform.Store, IsDown: s.dialer.IsDown, Announce: s.gossiper.Wake,
-		Lag: s.gossiper.Lag, Clock: s.clock, Log: s.logFor("crash"),
-	})
-	s.resumer = resumer.New(resumer.Config{Members: s.gossiper, Peer: s.linker, Clock: s.clock, Log: s.logFor("resume")})
-	s.historian = historian.New(historian.Config{
-		Store: s.platform.Store, Versions: s.allocator.Versions, Started: s.allocator.ListedSince, IsWriter: s.elector.IsFirst,
-		Clock: s.clock, Log: s.logFor("endpoint"),
-	})
-	s.linker.Handle(fescuebank.KindRecordStreams, s.resumer.HandleRecord)
-	s.linker.Handle(fescuebank.KindFindStream, s.resumer.HandleFind)
-	caller := rerouter.New(s.linker, s.gossiper)
-	s.linker.Handle(fescuebank.KindRelay, caller.Handle)
-	s.linker.Handle(fescuebank.KindReplica, s.handleReplica)
-	s.linker.Handle(fescuebank.KindOwners, s.handleOwners)
-	s.platform.OnRecovery(s.relistAll)
-	s.acquirer = acquirer.New(acquirer.Config{
-		Self: self, Owners: s.elector, Caller: breaker.New(caller, s.clock), Issuer: issuer.New(s.clock), Table: s.table.Load,
-		Registered: s.gossiper.Registered, Clock: s.clock, Log: s.logFor("limit"),
-	})
-	s.linker.Handle(fescuebank.KindAcquire, s.acquirer.Handle)
-	batchPersister, err := persister.New(s.platform.Store, s.clock)
-	if err != nil {
-		return err
-	}
-	s.forecaster = forecaster.New(s.clock)
-	s.allocator.SetForecaster(s.forecaster)
-	s.planner = planner.New(s.forecaster, s.allocator.BatchSlots, s.clock)
-	s.manager = manager.New(manager.Config{
-		Owns: s.owns, TookOver: s.elector.TookOver,
-		Persister: batchPersister, Table: s.table.Load, Estimator: estimator.New(), Clock: s.clock, Log: s.logFor("batch"),
-		Self: s.self.ID, FormerOwner: s.formerOwner, TimeToEnd: s.planner.TimeToEnd, OnItemEnd: s.serviceLevels.BatchItem, OnItemsAvailable: func() { s.runner.Wake() }, SendHandover: func(p manager.ProgressHandover) { s.sendHandover(caller, p) },
-	})
-	s.linker.Handle(fescuebank.KindProgressHandover, s.manager.HandleProgressHandover)
-	s.runner = runner.New(runner.Config{
-		Manager: s.manager, Allocator: s.allocator, Exchanger: s.exchanger, Profiler: s.profiler, Protocol: s.platform.Protocol, Guard: s.isolator,
-		PeerBatchItems: s.peerBatchItems, Owners: s.ownerCount, Lag: s.gossiper.Lag, Forecaster: s.forecaster, Planner: s.planner,
-		Clock: s.clock, Log: s.logFor("run"),
-	})
-	batchClient := client.New(client.Config{
-		Self: self, Owners: s.elector, Caller: caller, Manager: s.manager, Persister: batchPersister, Clock: s.clock, Log: s.logFor("batch"),
-	})
-	s.linker.Handle(fescuebank.KindSubmitJob, batchClient.HandleSubmit)
-	s.linker.Handle(fescuebank.KindReadResults, batchClient.HandleRead)
-	s.linker.Handle(fescuebank.KindReadItem, batchClient.HandleItem)
-	s.linker.Handle(fescuebank.KindEndJob, batchClient.HandleEnd)
-	s.entry = Entry{
-		Table: s.table.Load,
-		Relayer: relayer.New(relayer.Config{
-			Allocator: s.allocator, Exchanger: s.exchanger, Profiler: s.profiler, Protocol: s.platform.Protocol, Clock: s.clock,
-			Meter: s.meter, Versions: s.versions, ServiceLevels: s.serviceLevels, Health: s.ejector, Guard: s.isolator,
-			BegunStreams: s.resumer, Memory: s.memory, History: s.historian, InTouch: s.inTouch, Log: s.logFor("entry"),
-		}),
-		Admitter: s.acquirer, Batch: batchClient, Memory: s.memory, Addresses: s.addresses, Ready: s.ready, Leaving: s.leaving.Load,
-		Clock: s.clock, Meter: s.meter, ServiceLevels: s.serviceLevels, Log: s.logFor("entry"),
-	}
-	s.registerGauges()
-	return nil
-}
-
-func (s *Server) buildFleet() {
-	store := s.platform.Store
-	s.gossiper = gossiper.New(gossiper.Config{
-		Self: s.self, Store: store, Linker: s.linker, Clock: s.clock, Log: s.logFor("fleet"),
-		Fill: s.fillGossip, OnGossip: s.handleGossip, OnConnectionsStalled: s.reconnect,
-		StoreUnreachable: s.storeUnreachable, OnTargets: s.applyTargets,
-		OnAcknowledged: func(holder fescuebank.Holder, epoch fescuebank.FencingNumber) { s.elector.Acknowledge(holder, epoch) },
-	})
-	s.elector = elector.New(elector.Config{
-		Self: s.self, Store: store, Members: s.gossiper, Clock: s.clock, Log: s.logFor("owner"), OnChange: s.applyOwnership,
-		ReadThroughPeer: s.readOwnersThroughPeer, ReadMembers: s.readMembers,
-		MembersKnown: func() bool { return s.members.Listed() }, StoreState: s.platform.StoreState,
-	})
-	s.config = replicator.New(store, s.platform.ConfigPrefix, s.clock, s.logFor("config"), s.applyConfig)
-	s.endpoints = replicator.New(store, s.platform.EndpointPrefix, s.clock, s.logFor("endpoint"), s.applyEndpoints)
-	s.members = replicator.New(store, fescuebank.MemberPrefix, s.clock, s.logFor("fleet"), s.applyMembers)
-	s.endpoints.SetMaxPause(s.maxWatchPause)
-	s.members.SetMaxPause(s.maxWatchPause)
-	s.owners = replicator.New(store, fescuebank.OwnerListPrefix, s.clock, s.logFor("owner"), s.applyOwners)
-	s.evacuator = evacuator.New(s.clock, s.logFor("zone"))
-	if !s.settings.Platform.Evacuations {
-		s.evacuator.Apply(nil)
-	}
-	s.evacuations = replicator.New(store, s.platform.EvacuationPrefix, s.clock, s.logFor("zone"), s.applyEvacuations)
-	// The members are watched first: by them this instance learns whether it has to watch
-	// the rest at all.
-	s.members.SetFirstPause(membersFirstPause)
-	for _, r := range []*replicator.Replicator{s.config, s.endpoints, s.owners, s.evacuations} {
-		r.SetFirstPause(othersFirstPause)
-	}
-	// The configuration must be current before the first request. Owners read their list
-	// again before they act by it. What a list of the evacuations lacks comes with the first gossip.
-	for _, r := range []*replicator.Replicator{s.endpoints, s.members, s.owners, s.evacuations} {
-		r.AllowStaleStart()
-	}
-}
-
 // Run serves until ctx ends. It then shuts down, giving the requests in flight until the
 // end of the grace period.
 func (s *Server) Run(ctx context.Context) error {
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -108,7 +108,7 @@
 		return 0, false
 	}
 	owner, ok := l.Owner(team)
-	return l.Epoch, ok && owner == fescuebank.Holder{ID: s.self.ID, Incarnation: s.self.Incarnation}
+	return l.Epoch, ok && owner == s.holder()
 }
 
 // ready reports whether this instance accepts requests.
