--- a/internal/batch/manager/expiry.go
+++ b/internal/batch/manager/expiry.go
@@ -52,8 +52,7 @@
 			j.recordOutcome(it, true, nil, now)
 		}
 	}
-	if len(j.pending) > 0 && !j.committing {
-		j.committing = true
+	if len(j.pending) > 0 && j.claimCommit() {
 		go m.commit(j)
 	}
 }
--- a/internal/batch/manager/handover.go
+++ b/internal/batch/manager/handover.go
@@ -230,9 +230,7 @@
 		it.stop = nil
 	}
 	j.recordOutcome(it, outcome.Failed, outcome.Output, now)
-	start = !j.committing
-	j.committing = true
-	return true, start
+	return true, j.claimCommit()
 }
 
 // applyProgress updates a waiting item if the handover has more of its output, and
--- a/internal/batch/manager/outcome.go
+++ b/internal/batch/manager/outcome.go
@@ -27,8 +27,7 @@
 	}
 	t.item.stop = nil
 	j.recordOutcome(t.item, failed, output, m.Clock.Now())
-	start := !j.committing
-	j.committing = true
+	start := j.claimCommit()
 	j.mu.Unlock()
 	m.OnItemEnd(j.spec.Team, failed, !m.Clock.Now().After(t.Due))
 	if start {
@@ -46,6 +45,16 @@
 	j.pending = append(j.pending, fescuebank.RoutedResult{Item: it.spec.ID, Failed: failed, Output: output})
 }
 
+// claimCommit reports whether the caller has to call commit, as no other goroutine does. The caller
+// holds mu.
+func (j *job) claimCommit() bool {
+	if j.committing {
+		return false
+	}
+	j.committing = true
+	return true
+}
+
 // Cause is why an attempt ended without an outcome.
 type Cause uint8
 
@@ -97,8 +106,7 @@
 	}
 	if cause == CauseItemFailed && it.failures >= t.Request.Route.Attempts {
 		j.recordOutcome(it, true, nil, now)
-		if !j.committing {
-			j.committing = true
+		if j.claimCommit() {
 			go m.commit(j)
 		}
 	}
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -96,7 +96,7 @@
 }
 
 // learnLengths estimates the lengths of a route's items from results of earlier owners: an incarnation
-// that has just started has seen no item end.
+// that has just started has seen no item end. An output has one line for each event.
 func (m *Manager) learnLengths(route string, results []fescuebank.RoutedResult) {
 	for _, r := range results {
 		if !r.Failed {
