--- a/internal/endpoint/profiler/gossip.go
+++ b/internal/endpoint/profiler/gossip.go
@@ -16,26 +16,27 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	for tag, e := range p.byTag {
-		if e.news == (news{}) {
+		if e.unsent == (observations{}) {
 			continue
 		}
 		if g.Paces == nil {
 			g.Paces = make(map[fescuebank.EndpointIncarnationTag]fescuebank.PaceStatement)
 		}
-		g.Paces[tag] = e.news.statement(now)
-		e.news = news{}
+		g.Paces[tag] = e.unsent.statement(now)
+		e.unsent = observations{}
 	}
 }
 
-func (n news) statement(now time.Time) fescuebank.PaceStatement {
+// statement returns what is sent to other instances.
+func (o observations) statement(now time.Time) fescuebank.PaceStatement {
 	s := fescuebank.PaceStatement{
-		Samples: n.samples, Slowdown: int(math.Round(n.stated * percent)), Requests: n.requests,
+		Samples: o.samples, Slowdown: int(math.Round(o.stated * percent)), Requests: o.requests,
 	}
-	if n.samples > 0 {
-		s.Percent = int(math.Round(ratio(n.sum/float64(n.samples)) * percent))
+	if o.samples > 0 {
+		s.Percent = int(math.Round(ratio(o.sum/float64(o.samples)) * percent))
 	}
-	if !n.at.IsZero() {
-		s.AgeMs = now.Sub(n.at).Milliseconds()
+	if !o.at.IsZero() {
+		s.AgeMs = now.Sub(o.at).Milliseconds()
 	}
 	return s
 }
@@ -72,7 +73,7 @@
 		if s.Samples > 0 && s.Percent > 0 {
 			sample := min(max(math.Log(float64(s.Percent)/percent), math.Log(minRatio)), math.Log(maxRatio))
 			e.observeEvents(sample, now)
-			e.pace.add(sample, min(s.Samples, maxMemory))
+			e.pace.add(sample, min(s.Samples, maxSamples))
 		}
 		age := time.Duration(s.AgeMs) * time.Millisecond
 		if age < 0 || age > slowdownTime {
--- a/internal/endpoint/profiler/profiler.go
+++ b/internal/endpoint/profiler/profiler.go
@@ -19,8 +19,8 @@
 	// minSamples is the number of samples from which the pace of an endpoint, or the typical
 	// time of a kind of work, is known.
 	minSamples = 6
-	// maxMemory is the number of samples of which the moving averages consist.
-	maxMemory = 32
+	// maxSamples is the number of latest samples of which a moving average mostly consists.
+	maxSamples = 32
 	// maxStep bounds the change by one sample, as the logarithm of a factor, so that moments of
 	// slowness hardly change what is known to last.
 	maxStep = 0.4
@@ -30,7 +30,7 @@
 	// taken for what lasts, and minStatements the least number of them.
 	maxStatements = 15
 	minStatements = 5
-	// loggedChange is the factor by which a pace changes for a log line.
+	// loggedChange is the factor by which a pace must have changed since the last log line for another.
 	loggedChange = 1.5
 	// normalizeInterval is the time between two calculations of the typical endpoint's pace.
 	normalizeInterval = 500 * time.Millisecond
@@ -53,10 +53,13 @@
 
 // Profiler knows how long work takes at each endpoint, for a fleet whose endpoints differ in
 // speed, lastingly and for moments, and whose instances see too little of each endpoint on their
-// own. The lasting pace is learned from the time per event of streams and batch items, the
-// momentary slowdown from what the endpoint states in load reports, compared with what it mostly
-// states, or from the latest events if it states nothing. Instances tell each other what they observe; what is lost or late makes the pace less exact and no more. A slowdown is
-// forgotten within a second, a pace when the endpoint starts again.
+// own.
+//
+// The lasting pace is learned from the time per event of streams and batch items, the momentary
+// slowdown from what the endpoint states in load reports, compared with what it mostly states, or
+// from the latest events if it states nothing. Instances tell each other what they observe; a
+// message that is lost or late only makes the pace less exact. A slowdown is forgotten within a
+// second, a pace when the endpoint starts again.
 type Profiler struct {
 	Config
 
@@ -89,18 +92,19 @@
 	slowdownAt time.Time
 	// stated are the last statements of the endpoint, in the order of arrival.
 	stated []float64
-	// news is what other instances have not been told.
-	news news
-	// logged is the pace in the last log line, or 1.
+	// unsent is what other instances have not been told.
+	unsent observations
+	// logged is the pace in the last log line, 1 before the first one.
 	logged float64
 }
 
-// news is what one instance has observed of an endpoint since its previous message.
-type news struct {
+// observations are what this instance has observed of an endpoint since its previous message.
+type observations struct {
+	// samples is the number of times that work was timed, and sum that of their logarithms.
 	samples int
-	// sum is that of the logarithms of the samples.
-	sum float64
-	// stated and requests are 0 if the endpoint stated none.
+	sum     float64
+	// stated is the last slowdown and requests the last number of requests that the endpoint stated,
+	// 0 for none, and at when it stated them.
 	stated   float64
 	requests int
 	at       time.Time
@@ -112,10 +116,10 @@
 	count int
 }
 
-// add applies a sample that stands for several.
+// add applies a sample that is the mean of count ones.
 func (a *average) add(sample float64, count int) {
 	known := a.known()
-	a.count = min(a.count+count, maxMemory)
+	a.count = min(a.count+count, maxSamples)
 	step := sample - a.value
 	if known {
 		step = min(max(step, -maxStep), maxStep)
@@ -123,6 +127,7 @@
 	a.value += step * min(1, float64(count)/float64(a.count))
 }
 
+// known reports whether there are enough samples.
 func (a *average) known() bool {
 	return a.count >= minSamples
 }
@@ -214,8 +219,7 @@
 	}
 	clear(p.typical)
 	for service, values := range known {
-		slices.Sort(values)
-		p.typical[service] = values[len(values)/2]
+		p.typical[service] = median(values)
 	}
 	p.logChanges(now)
 }
@@ -223,7 +227,7 @@
 // logChanges logs the paces that have changed much. The caller holds the lock.
 func (p *Profiler) logChanges(now time.Time) {
 	for _, e := range p.endpoints {
-		if e.pace.count < maxMemory/2 {
+		if e.pace.count < maxSamples/2 {
 			continue
 		}
 		pace := p.lasting(e, now)
@@ -231,7 +235,7 @@
 			continue
 		}
 		e.logged = pace
-		p.Log.Info("Endpoint's pace has changed.", "endpoint", string(e.id), "service", string(e.service), "pace", math.Round(pace*100)/100)
+		p.Log.Info("Endpoint's pace has changed.", "endpoint", string(e.id), "service", string(e.service), "pace", math.Round(pace*percent)/percent)
 	}
 }
 
@@ -244,10 +248,10 @@
 		return
 	}
 	now := p.Clock.Now()
-	known.news.requests, known.news.at = load.Running+load.Waiting, now
+	known.unsent.requests, known.unsent.at = load.Running+load.Waiting, now
 	if load.Slowdown > 0 {
-		known.news.stated = min(max(float64(load.Slowdown), minRatio), maxRatio)
-		known.applyStatement(known.news.stated, now)
+		known.unsent.stated = min(max(float64(load.Slowdown), minRatio), maxRatio)
+		known.applyStatement(known.unsent.stated, now)
 	}
 }
 
@@ -268,8 +272,12 @@
 	if len(e.stated) < minStatements {
 		return 1
 	}
-	sorted := slices.Clone(e.stated)
-	slices.Sort(sorted)
+	return median(e.stated)
+}
+
+// median returns the middle value of a list, the upper one of two. The list must not be empty.
+func median(list []float64) float64 {
+	sorted := slices.Sorted(slices.Values(list))
 	return sorted[len(sorted)/2]
 }
 
--- a/internal/endpoint/profiler/work.go
+++ b/internal/endpoint/profiler/work.go
@@ -23,7 +23,8 @@
 	profiler *Profiler
 	endpoint fescuebank.EndpointIncarnationTag
 	kind     Kind
-	// events have arrived since a time; the zero time means that none has.
+	// events is the number of events that have arrived since a time, at which the sample begins; zero before
+	// the first event.
 	events int
 	since  time.Time
 	// last is when the last events arrived.
@@ -80,8 +81,8 @@
 		return
 	}
 	sample := logarithm - typical.value
-	e.news.samples++
-	e.news.sum += sample
+	e.unsent.samples++
+	e.unsent.sum += sample
 	e.observeEvents(sample, now)
 	e.pace.add(sample, 1)
 }
