--- a/internal/endpoint/historian/historian.go
+++ b/internal/endpoint/historian/historian.go
@@ -22,9 +22,9 @@
 	// firstWriteDelay is the time from the start to the first comparison. By then the endpoints are
 	// listed, and it is known which instance writes.
 	firstWriteDelay = 2 * time.Second
-	// memory is how long a version must have been the only one. It is longer than any stream
+	// minSoleTime is how long a version must have been the only one. It is longer than any stream
 	// lasts, and allows for the differences between the instances' clocks.
-	memory = 32 * time.Second
+	minSoleTime = 32 * time.Second
 	// readRetry is the minimum time between two reads of the same record.
 	readRetry = 200 * time.Millisecond
 )
@@ -136,7 +136,7 @@
 	if err != nil || r.version == fescuebank.Absent || r.stored.Version != version {
 		return false
 	}
-	return h.Clock.Now().Sub(time.UnixMilli(r.stored.SinceUnixMilli)) >= memory
+	return h.Clock.Now().Sub(time.UnixMilli(r.stored.SinceUnixMilli)) >= minSoleTime
 }
 
 // errReadLately means that a read of the record failed a moment ago.
--- a/internal/limit/reserver/reserver.go
+++ b/internal/limit/reserver/reserver.go
@@ -1,6 +1,6 @@
 // Package reserver keeps the memory that an instance holds for callers and endpoints within a budget. It
 // answers a load of large or slow requests: each of them is within the limits of the configuration, but
-// all of them together exceed the memory of the machine.
+// all of them together exceed the memory of the instance.
 package reserver
 
 import (
@@ -46,7 +46,7 @@
 	return true
 }
 
-// Release returns reserved memory.
+// Release returns reserved memory, at most as much as was reserved.
 func (r *Reserver) Release(n fescuebank.Bytes) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
