--- a/evacuation.go
+++ b/evacuation.go
@@ -8,7 +8,7 @@
 	Version StoreVersion `json:"version"`
 }
 
-// ZoneGossip is what an instance tells others about evacuations.
+// ZoneGossip is what an instance tells others about evacuated zones and cold endpoints.
 type ZoneGossip struct {
 	// Evacuations is the store version at which the instance last saw a change of the
 	// evacuations, 1 if it knows them and has seen none, and 0 if it doesn't know them.
--- a/gossip.go
+++ b/gossip.go
@@ -102,8 +102,8 @@
 	// connections to endpoints that it holds for other instances.
 	EndpointsLost bool `cbor:"27,keyasint,omitempty"`
 	Tunnels       int  `cbor:"28,keyasint,omitempty"`
-	// Zones is what the instance knows of zones; nil in messages of instances that don't
-	// know evacuations.
+	// Zones is what the instance knows of evacuated zones and cold endpoints; nil if its settings
+	// don't switch evacuations on and it has found no endpoint to be cold.
 	Zones *ZoneGossip `cbor:"29,keyasint,omitempty"`
 	// Paces holds what the instance has observed since its previous message of how long work
 	// takes at endpoints.
--- a/internal/entry/allocator/pick.go
+++ b/internal/entry/allocator/pick.go
@@ -125,8 +125,8 @@
 }
 
 // weight returns how much a free slot of an endpoint is preferred for the request to one of the typical
-// endpoint. Online requests go where they end soonest. Batch items, which would hold a slot of
-// a slow endpoint for long, do so too, and don't look at moments.
+// endpoint. Online requests go where they end soonest. So do batch items, as they would hold a slot of
+// a slow endpoint for long; momentary slowdowns don't count for them, as items outlast these.
 func (a *Allocator) weight(e *endpoint, request SlotRequest) float64 {
 	pace := a.paces.Pace
 	if request.batch {
--- a/internal/entry/allocator/predict.go
+++ b/internal/entry/allocator/predict.go
@@ -39,15 +39,20 @@
 	return initialHoldTime
 }
 
-// holdTimeAt returns how long a slot of an endpoint is held. The caller holds the lock.
-func (a *Allocator) holdTimeAt(e *endpoint, batch bool) time.Duration {
-	hold := a.holdTime(work{service: e.Service, batch: batch})
-	return max(minHoldTime, time.Duration(float64(hold)*float64(a.paces.Pace(e.ID))))
+// holdTimeAt returns how long a slot of an endpoint is held by a kind of work. The caller holds the
+// lock.
+func (a *Allocator) holdTimeAt(e *endpoint, w work) time.Duration {
+	return max(minHoldTime, time.Duration(float64(a.holdTime(w))*float64(a.paces.Pace(e.ID))))
+}
+
+// work returns the kind of work that holds the slot.
+func (s *Slot) work() work {
+	return work{service: s.Endpoint.Service, batch: s.batch}
 }
 
 // observeHold applies how long a slot was held. The caller holds the lock.
 func (a *Allocator) observeHold(s *Slot, heldFor time.Duration) {
-	w := work{service: s.Endpoint.Service, batch: s.batch}
+	w := s.work()
 	hold := a.holdTime(w)
 	sample := float64(heldFor) / float64(a.paces.LastingPace(s.Endpoint.ID))
 	a.holds[w] = hold + time.Duration(holdSmoothing*(sample-float64(hold)))
@@ -72,10 +77,11 @@
 	return limitWait, true
 }
 
-// predictSlotWait is predictWait for the endpoints without a request limit. The release times of this instance's slots
-// serve as a sample of those of all instances. If they are too few, as in a large fleet,
-// the slots are assumed to be released one after the other at equal intervals.
+// predictSlotWait is predictWait for the endpoints without a request limit. The release times of
+// this instance's slots serve as a sample of those of all instances. If they are too few, as in a
+// large fleet, the slots are assumed to be released one after the other at equal intervals.
 func (a *Allocator) predictSlotWait(request SlotRequest, now time.Time, ownAhead int) (time.Duration, bool) {
+	online := work{service: request.Service}
 	slots, taken, free := 0, 0, 0
 	releaseRate := 0.0 // Per second.
 	for _, e := range a.usable(request.Service, request.Version, now) {
@@ -84,7 +90,7 @@
 		}
 		slots += e.Slots
 		taken += e.load(now)
-		releaseRate += float64(e.load(now)) / a.holdTimeAt(e, false).Seconds()
+		releaseRate += float64(e.load(now)) / a.holdTimeAt(e, online).Seconds()
 		free += e.freeSlots(now)
 	}
 	if slots == 0 {
@@ -99,17 +105,17 @@
 		return preemptionTime, true
 	}
 	missing -= a.peerBatch
-	meanHold := a.holdTime(work{service: request.Service})
+	meanHold := a.holdTime(online)
 	if releaseRate > 0 {
 		meanHold = time.Duration(float64(taken) / releaseRate * float64(time.Second))
 	}
 	releases := a.expectedReleases(request, now)
-	online := max(1, taken-a.peerBatch)
-	if len(releases)*maxSlotsPerRelease < online {
-		return meanHold * time.Duration(missing) / time.Duration(online), true
+	onlineTaken := max(1, taken-a.peerBatch)
+	if len(releases)*maxSlotsPerRelease < onlineTaken {
+		return meanHold * time.Duration(missing) / time.Duration(onlineTaken), true
 	}
 	// Each slot of this instance stands for slotsPerRelease slots of all instances.
-	slotsPerRelease := max(1, float64(online)/float64(len(releases)))
+	slotsPerRelease := max(1, float64(onlineTaken)/float64(len(releases)))
 	rounds, index := 0, int(float64(missing-1)/slotsPerRelease)
 	for index >= len(releases) {
 		index -= len(releases)
@@ -125,7 +131,7 @@
 	list := make([]time.Duration, 0, len(a.heldSlots))
 	for slot := range a.heldSlots {
 		if slot.endpoint.serves(request.Service, request.Version) && slot.endpoint.acceptsRequests() {
-			list = append(list, max(0, a.holdTimeAt(slot.endpoint, slot.batch)-now.Sub(slot.acquiredAt)))
+			list = append(list, max(0, a.holdTimeAt(slot.endpoint, slot.work())-now.Sub(slot.acquiredAt)))
 		}
 	}
 	slices.Sort(list)
--- a/internal/operate/server/catchup.go
+++ b/internal/operate/server/catchup.go
@@ -66,8 +66,8 @@
 }
 
 // catchUpOwners fetches a list of owners that a peer's gossip message announces, if other instances
-// watch the store for this one. Until it has the list, requests of teams that moved are refused, so it doesn't wait for other state.
-// Owners fetch it at once, the others spread over ownersFetchTime.
+// watch the store for this one. Until it has the list, requests of teams that moved are refused, so
+// it doesn't wait for other state. Owners fetch it at once, the others spread over ownersFetchTime.
 func (s *Server) catchUpOwners(g *fescuebank.Gossip) {
 	m := s.missingOwners(g.Epoch)
 	if !m.isMissing() || !m.replica.IsFollowing() || !s.fetchingOwners.CompareAndSwap(false, true) {
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -1,10 +1,12 @@
 package server
 
 import (
+	"slices"
 	"time"
 
 	"fescuebank"
 	"fescuebank/internal/entry/relayer"
+	"fescuebank/internal/fleet/gossiper"
 )
 
 // storeUnreachableAfter is how long the store must be unreachable from this instance
@@ -81,34 +83,29 @@
 	}
 }
 
-// inTouch reports whether this instance is likely to know all endpoints: gossip arrives from most of
-// the other instances, and this instance or one of those reaches the store.
+// inTouch reports whether this instance is likely to know all endpoints: gossip arrives from at least
+// half of the other instances, and this instance or one of those reaches the store.
 func (s *Server) inTouch() bool {
 	peers := s.gossiper.Peers()
-	alive, storeReached := 0, !s.storeUnreachable()
-	for _, p := range peers {
-		if p.Alive {
-			alive++
-			storeReached = storeReached || !p.Gossip.StoreUnreachable
-		}
-	}
-	return storeReached && 2*alive >= len(peers)
+	reachesStore := func(p gossiper.Peer) bool { return p.Alive && !p.Gossip.StoreUnreachable }
+	return hearsHalf(peers) && (!s.storeUnreachable() || slices.ContainsFunc(peers, reachesStore))
 }
 
-// isolated reports whether this instance learns nothing new: the store can't be reached from here, and no
-// gossip arrives from most of the other instances.
-func (s *Server) isolated() bool {
-	if !s.storeUnreachable() {
-		return false
-	}
-	peers := s.gossiper.Peers()
+// hearsHalf reports whether gossip arrives from at least half of the other instances.
+func hearsHalf(peers []gossiper.Peer) bool {
 	alive := 0
 	for _, p := range peers {
 		if p.Alive {
 			alive++
 		}
 	}
-	return 2*alive < len(peers)
+	return 2*alive >= len(peers)
+}
+
+// isolated reports whether this instance learns nothing new: the store can't be reached from here, and
+// gossip arrives from less than half of the other instances.
+func (s *Server) isolated() bool {
+	return s.storeUnreachable() && !hearsHalf(s.gossiper.Peers())
 }
 
 // versions returns the versions of the state that decisions are based on.
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -13,7 +13,7 @@
 	AgeMs int64
 }
 
-// RateLimiter limits the requests of this instance to endpoints that state a limit.
+// RateLimiter limits the requests of this instance to endpoints that state a limit, or are cold.
 type RateLimiter interface {
 	// Take counts a request that is sent to the endpoint.
 	Take(id EndpointID)
