--- a/instance.go
+++ b/instance.go
@@ -1,6 +1,11 @@
 package fescuebank
 
-import "context"
+import (
+	"cmp"
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Instance describes one instance to the others.
 type Instance struct {
@@ -16,6 +21,21 @@
 	Weight float64 `json:"weight"`
 }
 
+// HashRank returns the number of members that precede an instance in the order of a key, by
+// rendezvous hashing: the largest hash of key and id first, equal ones by id. All instances with the
+// same members agree on it, and an instance that comes or goes changes the rank of each other by one
+// at most.
+func HashRank(key string, id InstanceID, members []InstanceID) int {
+	hash := func(m InstanceID) uint64 { return xxhash.Sum64String(key + string(m)) }
+	own, rank := hash(id), 0
+	for _, m := range members {
+		if c := cmp.Compare(hash(m), own); c > 0 || (c == 0 && m < id) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // ListedInstance is an entry of the platform's list of instances, which lags.
 type ListedInstance struct {
 	Instance
--- a/internal/limit/limiter/share.go
+++ b/internal/limit/limiter/share.go
@@ -1,13 +1,9 @@
 package limiter
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fescuebank"
 )
 
@@ -31,7 +27,7 @@
 		return role{}
 	}
 	holders := min(holderCount(limit), len(members))
-	ahead := holdersAhead(self, members, tag)
+	ahead := fescuebank.HashRank(strconv.FormatUint(uint64(tag), 10)+"/", self, members)
 	r := role{repeats: ahead < holders+extraRepeaters}
 	if ahead < holders {
 		r.share = limit / fescuebank.RequestRate(holders)
@@ -50,13 +46,3 @@
 	const maxExponent = 20
 	return 1 << int(min(maxExponent, math.Floor(math.Log2(requests))))
 }
-
-// holdersAhead returns the number of members that precede an instance in the order of an
-// endpoint.
-func holdersAhead(self fescuebank.InstanceID, members []fescuebank.InstanceID, tag fescuebank.EndpointTag) int {
-	key := strconv.FormatUint(uint64(tag), 10) + "/"
-	compare := func(a, b fescuebank.InstanceID) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(key+string(b)), xxhash.Sum64String(key+string(a))), cmp.Compare(a, b))
-	}
-	return len(slices.DeleteFunc(slices.Clone(members), func(m fescuebank.InstanceID) bool { return compare(m, self) >= 0 }))
-}
--- a/internal/limit/throttler/part.go
+++ b/internal/limit/throttler/part.go
@@ -1,12 +1,9 @@
 package throttler
 
 import (
-	"cmp"
 	"math"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fescuebank"
 )
 
@@ -18,7 +15,8 @@
 		return 0
 	}
 	shared, holders := divide(limit, bounds, len(members))
-	if ahead(self, members, tag) >= holders {
+	key := "cold/" + strconv.FormatUint(uint64(tag), 10) + "/"
+	if fescuebank.HashRank(key, self, members) >= holders {
 		return 0
 	}
 	return shared / fescuebank.RequestRate(holders)
@@ -37,16 +35,3 @@
 	}
 	return fescuebank.RequestRate(rate), holders
 }
-
-// ahead returns the number of members that precede an instance in the order of an endpoint.
-func ahead(self fescuebank.InstanceID, members []fescuebank.InstanceID, tag fescuebank.EndpointTag) int {
-	key := "cold/" + strconv.FormatUint(uint64(tag), 10) + "/"
-	hash := func(id fescuebank.InstanceID) uint64 { return xxhash.Sum64String(key + string(id)) }
-	own, count := hash(self), 0
-	for _, m := range members {
-		if c := cmp.Compare(hash(m), own); c > 0 || (c == 0 && m < self) {
-			count++
-		}
-	}
-	return count
-}
