--- a/internal/batch/manager/urgency_test.go
+++ b/internal/batch/manager/urgency_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// TestOverloadLeavesItemsInTime plays three times as many items as 60 slots can run for a minute:
+// TestOverloadLeavesItemsInTime simulates three times as many items as 60 slots can run for a minute:
 // 38 a second of 4.8 s, due after 18 s. The slots must be spent on items that are done in time.
 // By due time alone, nearly all would be done just too late.
 func TestOverloadLeavesItemsInTime(t *testing.T) {
--- a/internal/endpoint/profiler/profiler_test.go
+++ b/internal/endpoint/profiler/profiler_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// stream plays events of a stream at an endpoint, where each takes as long as pace tells.
+// stream simulates events of a stream at an endpoint, where each takes as long as pace tells.
 func stream(p *profiler.Profiler, e fescuebank.ServedEndpoint, events int, pace func() float64) {
 	w := p.Begin(e, &fescuebank.Request{Route: &fescuebank.Route{Name: "r"}})
 	for range events {
@@ -61,7 +61,7 @@
 	}
 }
 
-// TestPacesAreLearnedTogether plays 40 instances that send four streams a second each to 60 endpoints. A
+// TestPacesAreLearnedTogether simulates 40 instances that send four streams a second each to 60 endpoints. A
 // quarter of these takes 2.2 times as long as the rest, and each has moments at which work takes 2.5
 // times as long. Each instance sends an endpoint a stream every 15 s, and must know all paces after 10 s,
 // also one that starts late.
--- a/internal/entry/allocator/return_test.go
+++ b/internal/entry/allocator/return_test.go
@@ -80,8 +80,8 @@
 	e.arrive(r)
 }
 
-// playCrests sends four crests at crest times the capacity.
-func (f *returnFleet) playCrests(capacity, crest float64) {
+// simulateCrests sends four crests at crest times the capacity.
+func (f *returnFleet) simulateCrests(capacity, crest float64) {
 	began := time.Now()
 	next := began
 	for n := 0; time.Since(began) < 4*(troughTime+crestTime); n++ {
@@ -104,7 +104,7 @@
 	time.Sleep(20 * time.Second) // Lets all requests end.
 }
 
-// TestCallersReturnWhenSlotsAreFree plays crests at 1.25 times what the slots serve. Callers that return when
+// TestCallersReturnWhenSlotsAreFree simulates crests at 1.25 times what the slots serve. Callers that return when
 // a forecast sees room don't take slots of new ones in the crest, so that fewer are refused than after a
 // random delay. Without a forecast it may not get worse.
 func TestCallersReturnWhenSlotsAreFree(t *testing.T) {
@@ -122,22 +122,22 @@
 		{"40 instances", 40, 150 * time.Millisecond},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			play := func(delay func(*allocator.Allocator, allocator.SlotRequest, time.Duration) time.Duration) (result returnResult) {
+			simulate := func(delay func(*allocator.Allocator, allocator.SlotRequest, time.Duration) time.Duration) (result returnResult) {
 				synctest.Test(t, func(*testing.T) {
 					f := &returnFleet{teamFleet: newTeamFleet(tt.entries, endpointCount, tt.lag, nil), delay: delay}
-					f.playCrests(capacity, crest)
+					f.simulateCrests(capacity, crest)
 					f.mu.Lock()
 					defer f.mu.Unlock()
 					result = f.result
 				})
 				return result
 			}
-			random := play(func(*allocator.Allocator, allocator.SlotRequest, time.Duration) time.Duration {
+			random := simulate(func(*allocator.Allocator, allocator.SlotRequest, time.Duration) time.Duration {
 				return 300*time.Millisecond + rand.N(700*time.Millisecond)
 			})
-			got := play((*allocator.Allocator).RetryAfter)
+			got := simulate((*allocator.Allocator).RetryAfter)
 			var began time.Time
-			forecast := play(func(a *allocator.Allocator, r allocator.SlotRequest, honoured time.Duration) time.Duration {
+			forecast := simulate(func(a *allocator.Allocator, r allocator.SlotRequest, honoured time.Duration) time.Duration {
 				if began.IsZero() {
 					began = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
 				}
--- a/internal/entry/allocator/saturated_test.go
+++ b/internal/entry/allocator/saturated_test.go
@@ -16,7 +16,7 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		// The slots serve 274 requests a second, the wave brings 125 to 613.
-		got := newWaveFleet(165, 30, 24, 210*time.Millisecond).play(328)
+		got := newWaveFleet(165, 30, 24, 210*time.Millisecond).simulate(328)
 		t.Logf("in time %.3f, late %.3f, refused %.3f (%.3f with a slot free), %d items done, %d preempted",
 			got.share(got.inTime), got.share(got.late), got.share(got.refused), got.share(got.refusedFree), got.itemsDone, got.preempted)
 		if late := got.share(got.late); late > maxLate {
--- a/internal/entry/allocator/share_test.go
+++ b/internal/entry/allocator/share_test.go
@@ -13,8 +13,8 @@
 
 const (
 	otherTeams = 70
-	hotTeam    = fescuebank.TeamID("hot")
-	// shareLength is how long a load of teams is played.
+	busyTeam   = fescuebank.TeamID("busy")
+	// shareLength is how long a load of teams is simulated.
 	shareLength = 8 * time.Second
 	// maxRefusalTime is a quarter of the objective.
 	maxRefusalTime = waveObjective / 4
@@ -113,8 +113,8 @@
 	}()
 }
 
-// play sends the requests of all teams at their rates, evenly spread at random.
-func (f *teamFleet) play(rates map[fescuebank.TeamID]float64) {
+// simulate sends the requests of all teams at their rates, evenly spread at random.
+func (f *teamFleet) simulate(rates map[fescuebank.TeamID]float64) {
 	began := time.Now()
 	next := make(map[fescuebank.TeamID]time.Time, len(rates))
 	for n := 0; time.Since(began) < shareLength; n++ {
@@ -136,11 +136,11 @@
 	}
 }
 
-// others sums the results of all teams but the hot one.
+// others sums the results of all teams but the busy one.
 func (f *teamFleet) others() waveResult {
 	var sum waveResult
 	for team, r := range f.teams {
-		if team != hotTeam {
+		if team != busyTeam {
 			sum.requests += r.requests
 			sum.inTime += r.inTime
 			sum.late += r.late
@@ -150,9 +150,9 @@
 	return sum
 }
 
-// playTeams plays 70 teams that together need three quarters of the slots, the first of which uses
-// largeWeight times as much as another, beside the hot team if hotRate is above 0.
-func playTeams(entries int, lag time.Duration, largeWeight, hotRate float64) *teamFleet {
+// simulateTeams simulates 70 teams that together need three quarters of the slots, the first of which uses
+// largeWeight times as much as another, beside the busy team if busyRate is above 0.
+func simulateTeams(entries int, lag time.Duration, largeWeight, busyRate float64) *teamFleet {
 	const (
 		endpointCount = 30
 		capacity      = endpointCount * 8 / 0.7 // Requests per second.
@@ -160,7 +160,7 @@
 	)
 	usual := 0.75 * capacity / (otherTeams - 1 + largeWeight)
 	rates := make(map[fescuebank.TeamID]float64)
-	limits := map[fescuebank.TeamID]fescuebank.RequestRate{hotTeam: fescuebank.RequestRate(limitFactor * usual)}
+	limits := map[fescuebank.TeamID]fescuebank.RequestRate{busyTeam: fescuebank.RequestRate(limitFactor * usual)}
 	for i := range otherTeams {
 		team := fescuebank.TeamID(fmt.Sprintf("team-%d", i))
 		rates[team] = usual
@@ -169,28 +169,28 @@
 		}
 		limits[team] = fescuebank.RequestRate(limitFactor * rates[team])
 	}
-	if hotRate > 0 {
-		rates[hotTeam] = hotRate * capacity
+	if busyRate > 0 {
+		rates[busyTeam] = busyRate * capacity
 	}
 	f := newTeamFleet(entries, endpointCount, lag, limits)
-	f.play(rates)
+	f.simulate(rates)
 	time.Sleep(20 * time.Second) // Lets all requests end.
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f
 }
 
-// TestTeamFarAboveItsRatePaysForItself plays a team that asks for three quarters of the slots beside 70
+// TestTeamFarAboveItsRatePaysForItself simulates a team that asks for three quarters of the slots beside 70
 // that need as much at their usual rates. The others must be served nearly as if it were not there,
 // it must get no less than its share, and its refusals must come at once.
 func TestTeamFarAboveItsRatePaysForItself(t *testing.T) {
 	const (
-		hotRate         = 0.75
+		busyRate        = 0.75
 		toleratedLoss   = 0.1
 		maxHeldRefusals = 0.05
-		// minHotServed is the share of the slots that belongs to one of 71 teams, of what the hot team
+		// minBusyServed is the share of the slots that belongs to one of 71 teams, of what the busy team
 		// asks for.
-		minHotServed = 1.0 / 71 / hotRate
+		minBusyServed = 1.0 / 71 / busyRate
 	)
 	for _, tt := range []struct {
 		name        string
@@ -203,12 +203,12 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				control := playTeams(tt.entries, tt.lag, tt.largeWeight, 0).others()
-				f := playTeams(tt.entries, tt.lag, tt.largeWeight, hotRate)
-				others, hot, large := f.others(), f.teams[hotTeam], f.teams["team-0"]
-				t.Logf("without the hot team: in time %.3f; others: in time %.3f, late %.3f, refused %.3f; hot team: in time %.3f, late %.3f, refused %.3f, held %d; team-0: in time %.3f",
+				control := simulateTeams(tt.entries, tt.lag, tt.largeWeight, 0).others()
+				f := simulateTeams(tt.entries, tt.lag, tt.largeWeight, busyRate)
+				others, busy, large := f.others(), f.teams[busyTeam], f.teams["team-0"]
+				t.Logf("without the busy team: in time %.3f; others: in time %.3f, late %.3f, refused %.3f; busy team: in time %.3f, late %.3f, refused %.3f, held %d; team-0: in time %.3f",
 					control.share(control.inTime), others.share(others.inTime), others.share(others.late), others.share(others.refused),
-					hot.share(hot.inTime), hot.share(hot.late), hot.share(hot.refused), hot.heldRefusals, large.share(large.inTime))
+					busy.share(busy.inTime), busy.share(busy.late), busy.share(busy.refused), busy.heldRefusals, large.share(large.inTime))
 				want := control.share(control.inTime) - toleratedLoss
 				if got := others.share(others.inTime); got < want {
 					t.Errorf("got %.3f of the other teams' requests in time, want at least %.3f", got, want)
@@ -216,11 +216,11 @@
 				if got := large.share(large.inTime); tt.largeWeight > 1 && got < want {
 					t.Errorf("got %.3f of the large team's requests in time, want at least %.3f", got, want)
 				}
-				if got := hot.share(hot.inTime + hot.late); got < minHotServed {
-					t.Errorf("got %.3f of the hot team's requests served, want at least %.3f", got, minHotServed)
+				if got := busy.share(busy.inTime + busy.late); got < minBusyServed {
+					t.Errorf("got %.3f of the busy team's requests served, want at least %.3f", got, minBusyServed)
 				}
-				if got := hot.share(hot.heldRefusals); got > maxHeldRefusals {
-					t.Errorf("got %.3f of the hot team's requests refused after more than %v, want at most %.2f", got, maxRefusalTime, maxHeldRefusals)
+				if got := busy.share(busy.heldRefusals); got > maxHeldRefusals {
+					t.Errorf("got %.3f of the busy team's requests refused after more than %v, want at most %.2f", got, maxRefusalTime, maxHeldRefusals)
 				}
 			})
 		})
--- a/internal/entry/allocator/wave_test.go
+++ b/internal/entry/allocator/wave_test.go
@@ -49,7 +49,7 @@
 	lag  time.Duration
 	// itemInterval is the time between two batch items of one owner.
 	itemInterval time.Duration
-	// length is how long the wave is played.
+	// length is how long the wave is simulated.
 	length time.Duration
 	// forecaster observes the online load as the owners know it; nil if they don't use it.
 	forecaster *forecaster.Forecaster
@@ -335,9 +335,9 @@
 	item.slot.Release()
 }
 
-// play sends a wave of online requests with the given mean rate, while the owners have items
+// simulate sends a wave of online requests with the given mean rate, while the owners have items
 // without end.
-func (f *waveFleet) play(mean float64) waveResult {
+func (f *waveFleet) simulate(mean float64) waveResult {
 	began := time.Now()
 	instances := len(f.own)
 	step := f.lag / 3 / time.Duration(instances)
@@ -366,7 +366,7 @@
 	return f.result
 }
 
-// TestWaveOverBatchWork plays the wave of a fleet of 165 entries and 30 owners with 78
+// TestWaveOverBatchWork simulates the wave of a fleet of 165 entries and 30 owners with 78
 // endpoints. At its crest the wave needs seven tenths of the slots, many of which batch items
 // hold from the trough before. Nearly all requests must begin in time, and batch work must
 // go on.
@@ -386,7 +386,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				got := newWaveFleet(165, 30, 78, tt.lag).play(328)
+				got := newWaveFleet(165, 30, 78, tt.lag).simulate(328)
 				t.Logf("in time %.3f, late %.3f, refused %.3f (%.3f with a slot free), %d items done, %d preempted",
 					got.share(got.inTime), got.share(got.late), got.share(got.refused), got.share(got.refusedFree), got.itemsDone, got.preempted)
 				if inTime := got.share(got.inTime); inTime < tt.minInTime {
@@ -404,7 +404,7 @@
 	}
 }
 
-// TestForecastOfCrests plays five periods of the wave over a fleet of 66 entries and 13 owners with 60
+// TestForecastOfCrests simulates five periods of the wave over a fleet of 66 entries and 13 owners with 60
 // endpoints. At its crests online requests need five sixths of the slots. With the load known in
 // advance more of them must begin in time than without, and no fewer batch items may be done.
 func TestForecastOfCrests(t *testing.T) {
@@ -422,7 +422,7 @@
 			if forecast {
 				f.forecaster = forecaster.New(timekeeper.Timekeeper{})
 			}
-			got := f.play(300)
+			got := f.simulate(300)
 			results[forecast] = got
 			t.Logf("forecast %v: in time %.3f, late %.3f, refused %.3f, %d items done in %v on average, %d preempted",
 				forecast, got.share(got.inTime), got.share(got.late), got.share(got.refused), got.itemsDone,
--- a/internal/load/forecaster/forecaster_test.go
+++ b/internal/load/forecaster/forecaster_test.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// observe plays a load with the noise of independent requests.
+// observe simulates a load with the noise of independent requests.
 func observe(f *Forecaster, c *steppedClock, load func(time.Duration) float64, from, to time.Duration) {
 	random := rand.New(rand.NewPCG(3, 3))
 	for at := from; at < to; at += step {
