--- a/internal/batch/pacer/reserve.go
+++ b/internal/batch/pacer/reserve.go
@@ -6,20 +6,32 @@
 	"fescuebank"
 )
 
-// Reserve is the shares of a service's slots that batch items leave free: Start when an item starts,
-// Keep afterwards.
+const (
+	// riseStep is the time between two predictions of the load.
+	riseStep = 50 * time.Millisecond
+	// minRunTime is the least time for which it is worth to start an item that will be cancelled.
+	minRunTime = 300 * time.Millisecond
+)
+
+// Reserve is the shares of a service's slots, 0 or more, that batch items leave free.
 type Reserve struct {
-	Start, Keep float64
+	// Start is what must remain free when an item starts.
+	Start float64
+	// Keep is what must remain free afterwards, or else items are cancelled. It is at most Start.
+	Keep float64
 }
 
-// Rise is how many more slots online requests are expected to need than now: at most within the time
-// that it takes to clear them, and within the least time for which it is worth to start an item.
+// Rise is how many more slots online requests are expected to need than now, 0 or more.
 type Rise struct {
-	Clearing, Starting float64
+	// Clearing is the largest number within the time that it takes to clear slots of batch items.
+	Clearing float64
+	// Starting is the largest number within that time and minRunTime after it. An item that starts
+	// although they will be needed would be cancelled before it has run for minRunTime.
+	Starting float64
 }
 
-// NewReserve returns the reserve at a service with a number of slots. If the rise isn't known it is that for
-// a load that may rise at any time.
+// NewReserve returns the reserve at a service with a number of slots. If the rise isn't known, it is
+// that for a load that may rise at any time.
 func NewReserve(slots int, rise Rise, known bool) Reserve {
 	if !known || slots <= 0 {
 		return Reserve{Start: StartReservedShare, Keep: MinReservedShare}
@@ -30,15 +42,8 @@
 	}
 }
 
-const (
-	// riseStep is the distance of the times at which the load is predicted.
-	riseStep = 50 * time.Millisecond
-	// minRunTime is the least time for which it is worth to start an item that will be cancelled.
-	minRunTime = 300 * time.Millisecond
-)
-
-// ForecastRise returns the expected rise of a service's online load. clearing is how long it takes until the
-// slots of cancelled items are free at all instances.
+// ForecastRise returns the expected rise of a service's online load, or false if the load isn't
+// forecast. clearing is how long it takes until the slots of cancelled items are free at all instances.
 func ForecastRise(f fescuebank.LoadForecaster, service fescuebank.ServiceName, now time.Time, clearing time.Duration) (Rise, bool) {
 	level, ok := f.Forecast(service, now)
 	if !ok {
--- a/internal/limit/throttler/throttler.go
+++ b/internal/limit/throttler/throttler.go
@@ -33,12 +33,14 @@
 // Throttler is a fescuebank.RateLimiter.
 type Throttler struct {
 	Config
-	// latest is when the last endpoint ceases to be cold, in Unix nanoseconds, and isolated is set
-	// while this instance can't learn which endpoints are cold.
+	// latest is when the last endpoint ceases to be cold, in Unix nanoseconds, 0 if none was. It
+	// only grows. isolated is set while this instance can't learn which endpoints are cold. Both
+	// spare requests the lock while no endpoint is cold.
 	latest   atomic.Int64
 	isolated atomic.Bool
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// members are all instances of the fleet, this one included.
 	members  []fescuebank.InstanceID
 	services map[fescuebank.ServiceName]fescuebank.RoutedService
 	states   map[fescuebank.EndpointID]*state
@@ -217,8 +219,8 @@
 	return fescuebank.RateShare{Rate: s.share, Available: fescuebank.Requests(s.bucket.TokensAt(now))}, true
 }
 
-// Cold returns the number of endpoints that count as cold.
-func (t *Throttler) Cold() int {
+// CountCold returns the number of endpoints that count as cold.
+func (t *Throttler) CountCold() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now, count := t.Clock.Now(), 0
--- a/internal/limit/throttler/throttler_test.go
+++ b/internal/limit/throttler/throttler_test.go
@@ -78,15 +78,15 @@
 	f.instances[i].SetMembers(slices.DeleteFunc(slices.Clone(f.ids), func(id fescuebank.InstanceID) bool { return id == f.ids[i] }))
 }
 
-// chillUnseen makes all endpoints cold, which no entry says.
-func (f *fleet) chillUnseen() {
+// startColdUnseen makes all endpoints cold, which no entry says.
+func (f *fleet) startColdUnseen() {
 	f.coldUntil = time.Now().Add(coldTime)
 	f.coldFor += coldTime
 }
 
-// chill makes all endpoints cold. The entries say so at once.
-func (f *fleet) chill() {
-	f.chillUnseen()
+// startCold makes all endpoints cold. The entries say so at once.
+func (f *fleet) startCold() {
+	f.startColdUnseen()
 	for i := range f.endpoints {
 		f.endpoints[i].ColdLeft = coldTime
 		f.endpoints[i].EntryVersion++
@@ -166,44 +166,44 @@
 		least float64
 	}{
 		{"entries read by all", 8.5, fescuebank.ColdBounds{Overage: 1.5, Slack: 5}, size, func(f *fleet) {
-			f.chill()
+			f.startCold()
 			f.readEntries(indices(size)...)
 			f.run(coldTime)
 		}, 0.8},
 		{"large rate, little excess", 40, fescuebank.ColdBounds{Overage: 1, Slack: 3}, size, func(f *fleet) {
-			f.chill()
+			f.startCold()
 			f.readEntries(indices(size)...)
 			f.run(coldTime)
 		}, 0.8},
 		{"hardly any excess", 4, fescuebank.ColdBounds{Overage: 1, Slack: 1}, 4, func(f *fleet) {
-			f.chill()
+			f.startCold()
 			f.readEntries(indices(4)...)
 			f.run(coldTime)
 		}, 0.8},
 		{"hardly any excess, fewer instances than requests", 4, fescuebank.ColdBounds{Overage: 1, Slack: 1}, 3, func(f *fleet) {
-			f.chill()
+			f.startCold()
 			f.readEntries(indices(3)...)
 			f.run(coldTime)
 		}, 0.8},
 		{"small rate", 0.8, fescuebank.ColdBounds{Overage: 1.5, Slack: 1}, size, func(f *fleet) {
-			f.chill()
+			f.startCold()
 			f.readEntries(indices(size)...)
 			f.run(coldTime)
 		}, 0.5},
 		{"small fleet", 8.5, fescuebank.ColdBounds{Overage: 1.5, Slack: 5}, 3, func(f *fleet) {
-			f.chill()
+			f.startCold()
 			f.readEntries(indices(3)...)
 			f.run(coldTime)
 		}, 0.8},
 		{"cold twice in succession", 8.5, fescuebank.ColdBounds{Overage: 1.5, Slack: 5}, size, func(f *fleet) {
 			for range 2 {
-				f.chill()
+				f.startCold()
 				f.readEntries(indices(size)...)
 				f.run(coldTime - step)
 			}
 		}, 0.8},
 		{"evacuation ends before the entries say that they are cold", 8.5, fescuebank.ColdBounds{Overage: 1.5, Slack: 5}, size, func(f *fleet) {
-			f.chill()
+			f.startCold()
 			for _, instance := range f.instances {
 				instance.ObserveReturn([]fescuebank.Zone{zone})
 			}
@@ -212,7 +212,7 @@
 			f.run(coldTime / 2)
 		}, 0.8},
 		{"half of the instances restart", 8.5, fescuebank.ColdBounds{Overage: 1.5, Slack: 5}, size, func(f *fleet) {
-			f.chill()
+			f.startCold()
 			f.readEntries(indices(size)...)
 			f.run(coldTime / 3)
 			for i := range size / 2 {
@@ -225,12 +225,12 @@
 				f.instances[i].SetIsolated(true)
 			}
 			f.run(time.Second)
-			f.chill()
+			f.startCold()
 			f.readEntries(indices(size)[size/3:]...)
 			f.run(coldTime)
 		}, 0.8},
 		{"new instances that the others don't know", 8.5, fescuebank.ColdBounds{Overage: 1.5, Slack: 5}, size, func(f *fleet) {
-			f.chill()
+			f.startCold()
 			f.readEntries(indices(size)...)
 			f.run(coldTime / 3)
 			for range 12 {
@@ -251,7 +251,7 @@
 			for _, instance := range f.instances[1:] {
 				instance.ApplyGossip(&g)
 			}
-			f.chillUnseen()
+			f.startColdUnseen()
 			f.run(coldTime)
 		}, 0.8},
 		{"one instance read it in a response", 8.5, fescuebank.ColdBounds{Overage: 1.5, Slack: 5}, size, func(f *fleet) {
@@ -265,7 +265,7 @@
 					instance.ApplyGossip(&g)
 				}
 			}
-			f.chillUnseen()
+			f.startColdUnseen()
 			f.run(coldTime)
 		}, 0.8},
 	} {
@@ -296,17 +296,17 @@
 		want   time.Duration
 	}{
 		{"entry", func(f *fleet) {
-			f.chill()
+			f.startCold()
 			f.readEntries(0)
 		}, coldTime},
 		{"entry read twice", func(f *fleet) {
-			f.chill()
+			f.startCold()
 			f.readEntries(0)
 			time.Sleep(time.Second)
 			f.readEntries(0)
 		}, coldTime - time.Second},
 		{"another incarnation that is warm", func(f *fleet) {
-			f.chill()
+			f.startCold()
 			f.readEntries(0)
 			f.endpoints[0].StartedUnixMilli, f.endpoints[0].ColdLeft = 2, 0
 			f.readEntries(0)
@@ -320,7 +320,7 @@
 		{"refused", func(f *fleet) { f.instances[0].ObserveRefused(f.endpoints[0].Addr, false) }, coldTime + time.Second},
 		{"service without a cold rate", func(f *fleet) {
 			f.instances[0].SetServices(map[fescuebank.ServiceName]fescuebank.RoutedService{service: {Name: service}})
-			f.chill()
+			f.startCold()
 			f.readEntries(0)
 		}, 0},
 	} {
--- a/internal/load/forecaster/forecaster.go
+++ b/internal/load/forecaster/forecaster.go
@@ -27,7 +27,8 @@
 	searchInterval = 500 * time.Millisecond
 	// maxUnexplained is the largest part of the variance that a period may leave unexplained.
 	maxUnexplained = 0.35
-	// minUnexplained is the part of the variance from which two times no longer count as adjacent.
+	// minUnexplained is the unexplained part of the variance from which the loads at two times count as
+	// unlike.
 	minUnexplained = 0.7
 	// minVariation is the least standard deviation of the load, as a share of its mean, in which a
 	// period is looked for.
@@ -52,12 +53,12 @@
 	return &Forecaster{clock: clock, services: make(map[fescuebank.ServiceName]*series)}
 }
 
-// series is the recent course of the load of one service.
+// series is the recent course of the load of one service, in slots.
 type series struct {
 	// means are the loads in consecutive bins, the newest one last. The next bin begins at end.
 	means []float64
 	end   time.Time
-	// sum and count are those of the observations in the bin that isn't complete.
+	// sum and count are the sum of the observed loads in the bin that isn't complete, and their number.
 	sum   float64
 	count int
 	// period is the number of bins after which the load repeats; 0 if it doesn't. deviation is its
@@ -128,7 +129,9 @@
 	}
 }
 
-// search finds the shortest period that explains the course of the load.
+// search finds the shortest period that explains the course of the load. Loads at adjacent times are
+// alike even if none repeats, so a period counts only if there is a shorter distance of time at which
+// loads are unlike.
 func (s *series) search() {
 	s.period = 0
 	mean, variance := moments(s.means)
@@ -136,18 +139,18 @@
 	if mean <= 0 || s.deviation < minVariation*mean {
 		return
 	}
-	decorrelated := false
+	unlike := false // Set once such a distance was found.
 	best := maxUnexplained
 	for period := minPeriodBins; period <= min(maxPeriodBins, len(s.means)-minOverlapBins); period++ {
 		unexplained := s.unexplained(period, variance)
 		if unexplained >= minUnexplained {
-			decorrelated = true
+			unlike = true
 		}
-		if !decorrelated {
+		if !unlike {
 			continue
 		}
 		if s.period > 0 && unexplained >= minUnexplained {
-			return // The dip of the shortest period has ended.
+			return // The distances around the shortest period are done.
 		}
 		if unexplained < best {
 			best, s.period = unexplained, period
@@ -180,7 +183,8 @@
 	return sum/recentBins <= maxRecentError*s.deviation
 }
 
-// at returns the load at a time, in the past or by the newest period in the future.
+// at returns the load at a time: in the past the observed one, in the future that of the newest period.
+// The period must be above 0.
 func (s *series) at(t time.Time) float64 {
 	index := len(s.means) + int(math.Floor(float64(t.Sub(s.end))/float64(binTime)))
 	for index >= len(s.means) {
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -134,7 +134,7 @@
 	s.meter.Gauge("tunnels", func() any { return s.tunneler.Active() })
 	s.meter.Gauge("heldMemory", func() any { return s.memory.Status() })
 	s.meter.Gauge("limitedEndpoints", func() any { return s.limiter.Limited() })
-	s.meter.Gauge("coldEndpoints", func() any { return s.throttler.Cold() })
+	s.meter.Gauge("coldEndpoints", func() any { return s.throttler.CountCold() })
 	s.meter.Gauge("evacuatedZones", func() any { return s.evacuator.Zones() })
 	s.meter.Gauge("storeAnswers", func() any {
 		reachable, since := s.platform.StoreState()
