--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -63,6 +63,7 @@
 	return best
 }
 
+// openJobs returns the jobs of owned teams that have neither ended nor all their results.
 func (m *Manager) openJobs() []*job {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/limit/throttler/throttler.go
+++ b/internal/limit/throttler/throttler.go
@@ -125,9 +125,9 @@
 func (t *Throttler) ObserveCold(id fescuebank.EndpointID, left time.Duration) {
 	t.mu.Lock()
 	s := t.states[id]
-	news := s != nil && t.observe(s, left)
+	isNew := s != nil && t.observe(s, left)
 	t.mu.Unlock()
-	if news {
+	if isNew {
 		t.Log.Info("Endpoint states that it is cold.", "endpoint", string(id), "leftMs", left.Milliseconds())
 		t.Announce()
 	}
@@ -137,34 +137,34 @@
 // cold then. confirmed is set if the refusal isn't the fault of this instance, so that others are told.
 func (t *Throttler) ObserveRefused(addr string, confirmed bool) {
 	t.mu.Lock()
-	news := false
+	isNew := false
 	for _, s := range t.states {
 		if s.endpoint.Addr != addr || t.coldTime(s) == 0 {
 			continue
 		}
 		left := t.coldTime(s) + refusedMargin
 		if confirmed {
-			news = t.observe(s, left) || news
+			isNew = t.observe(s, left) || isNew
 			continue
 		}
 		t.markCold(s, left, t.Clock.Now())
 	}
 	t.mu.Unlock()
-	if news {
+	if isNew {
 		t.Announce()
 	}
 }
 
 // observe applies what this instance itself found out and reports whether the endpoint wasn't known as
 // cold. The caller holds the lock.
-func (t *Throttler) observe(s *state, left time.Duration) (news bool) {
+func (t *Throttler) observe(s *state, left time.Duration) (isNew bool) {
 	now := t.Clock.Now()
 	if !t.markCold(s, left, now) {
 		return false
 	}
-	news = !now.Before(s.observedUntil)
+	isNew = !now.Before(s.observedUntil)
 	s.observedUntil = s.until
-	return news
+	return isNew
 }
 
 // Observe applies the limit that the endpoint states in a response, 0 for none.
--- a/internal/operate/server/build.go
+++ b/internal/operate/server/build.go
@@ -52,6 +52,7 @@
 	return nil
 }
 
+// buildFleet creates what knows the other instances, and the replicas of the store's objects.
 func (s *Server) buildFleet() {
 	store := s.platform.Store
 	s.gossiper = gossiper.New(gossiper.Config{
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -9,6 +9,7 @@
 // maxAddresses bounds the addresses of a response to a caller.
 const maxAddresses = 64
 
+// applyConfig puts the newest configuration in force, unless it can't be decoded or isn't newer.
 func (s *Server) applyConfig(objects []fescuebank.Object) {
 	for _, o := range objects {
 		if o.Key != s.platform.ConfigKey {
@@ -35,6 +36,7 @@
 	}
 }
 
+// applyEndpoints applies all endpoint entries.
 func (s *Server) applyEndpoints(objects []fescuebank.Object) {
 	s.applyingEndpoints.Lock()
 	defer s.applyingEndpoints.Unlock()
@@ -53,6 +55,7 @@
 	}
 }
 
+// setEndpoints passes the valid ones of all endpoint entries on. The caller holds applyingEndpoints.
 func (s *Server) setEndpoints(objects []fescuebank.Object) {
 	var list []fescuebank.ServedEndpoint
 	for _, o := range objects {
