--- a/internal/entry/allocator/herd_test.go
+++ b/internal/entry/allocator/herd_test.go
@@ -61,6 +61,7 @@
 // second of 550 ms to 90 endpoints of 8 slots and exchange counts every 90 ms. A third of
 // the slots is always free, so few requests should reach a full endpoint.
 func TestStaleCountsDontHerd(t *testing.T) {
+	t.Parallel()
 	const (
 		instances = 51
 		slots     = 8
--- a/internal/entry/allocator/return_test.go
+++ b/internal/entry/allocator/return_test.go
@@ -108,6 +108,7 @@
 // a forecast sees room don't take slots of new ones in the crest, so that fewer are refused than after a
 // random delay. Without a forecast it may not get worse.
 func TestCallersReturnWhenSlotsAreFree(t *testing.T) {
+	t.Parallel()
 	const (
 		endpointCount = 30
 		capacity      = endpointCount * 8 / 0.7 // Requests per second.
--- a/internal/entry/allocator/saturated_test.go
+++ b/internal/entry/allocator/saturated_test.go
@@ -8,6 +8,7 @@
 
 // TestSaturatedLargeFleetDoesNotQueueAtEndpoints guards against many requests for one free slot.
 func TestSaturatedLargeFleetDoesNotQueueAtEndpoints(t *testing.T) {
+	t.Parallel()
 	const (
 		maxLate = 0.15
 		// minShare is the least share of the requests that must begin in time. The slots suffice for
--- a/internal/entry/allocator/share_test.go
+++ b/internal/entry/allocator/share_test.go
@@ -184,6 +184,7 @@
 // that need as much at their usual rates. The others must be served nearly as if it were not there,
 // it must get no less than its share, and its refusals must come at once.
 func TestTeamFarAboveItsRatePaysForItself(t *testing.T) {
+	t.Parallel()
 	const (
 		hotRate         = 0.75
 		toleratedLoss   = 0.1
--- a/internal/entry/allocator/uneven_test.go
+++ b/internal/entry/allocator/uneven_test.go
@@ -504,6 +504,7 @@
 // with what they get if not: requests have to end sooner, nearly as many in time, and as many
 // items be done.
 func TestUnevenEndpoints(t *testing.T) {
+	t.Parallel()
 	const (
 		// maxLoss is the share of the requests that may be in time less.
 		maxLoss = 0.015
@@ -521,6 +522,7 @@
 		{"nearly all slots taken", unevenLoad{mean: 375}, 1.04},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			tt.load.reports = true
 			without := playUneven(t, tt.load)
 			tt.load.paces = true
@@ -543,6 +545,7 @@
 // TestEndpointsThatTurnSlow checks that endpoints that turn slow for 4.2 s get fewer requests within
 // 0.6 s, and as many as before within 1.2 s of their recovery, but not a crowd of them.
 func TestEndpointsThatTurnSlow(t *testing.T) {
+	t.Parallel()
 	const (
 		// maxSlow and minAfter are the most and the least requests per moment while the endpoints are slow
 		// and after that, as shares of those before. maxMoment is the most in one moment.
@@ -576,6 +579,7 @@
 // TestRequestsThatNobodyCounts checks that fewer requests wait at endpoints that still work on requests of
 // instances that have lost power, for 2 s after the others came back, if the endpoints report them.
 func TestRequestsThatNobodyCounts(t *testing.T) {
+	t.Parallel()
 	const maxShare = 0.9
 	load := unevenLoad{mean: 138, paces: true, lostRequests: 7}
 	without := playUneven(t, load)
--- a/internal/entry/allocator/wave_test.go
+++ b/internal/entry/allocator/wave_test.go
@@ -371,6 +371,7 @@
 // hold from the trough before. Nearly all requests must begin in time, and batch work must
 // go on.
 func TestWaveOverBatchWork(t *testing.T) {
+	t.Parallel()
 	const (
 		maxRefused = 0.02
 		minItems   = 150
@@ -385,6 +386,7 @@
 		{"counts of 60 ms", 60 * time.Millisecond, 0.95},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				got := newWaveFleet(165, 30, 78, tt.lag).play(328)
 				t.Logf("in time %.3f, late %.3f, refused %.3f (%.3f with a slot free), %d items done, %d preempted",
@@ -408,6 +410,7 @@
 // endpoints. At its crests online requests need five sixths of the slots. With the load known in
 // advance more of them must begin in time than without, and no fewer batch items may be done.
 func TestForecastOfCrests(t *testing.T) {
+	t.Parallel()
 	const (
 		lag = 140 * time.Millisecond
 		// minItems is the least part of the items that are done without a forecast.
