--- a/internal/entry/allocator/share_test.go
+++ b/internal/entry/allocator/share_test.go
@@ -184,6 +184,7 @@
 // that need as much at their usual rates. The others must be served nearly as if it were not there,
 // it must get no less than its share, and its refusals must come at once.
 func TestTeamFarAboveItsRatePaysForItself(t *testing.T) {
+	t.Parallel()
 	const (
 		busyRate        = 0.75
 		toleratedLoss   = 0.1
--- a/internal/entry/allocator/uneven_test.go
+++ b/internal/entry/allocator/uneven_test.go
@@ -23,6 +23,7 @@
 // with what they get if not: requests have to end sooner, nearly as many in time, and as many
 // items be done.
 func TestUnevenEndpoints(t *testing.T) {
+	t.Parallel()
 	const (
 		// maxLoss is the share of the requests that may be in time less.
 		maxLoss = 0.015
@@ -40,6 +41,7 @@
 		{"nearly all slots taken", unevenLoad{mean: 375}, 1.04},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			tt.load.reports = true
 			without := simulateUneven(t, tt.load)
 			tt.load.paces = true
@@ -62,6 +64,7 @@
 // TestEndpointsThatTurnSlow checks that endpoints that turn slow for 4.2 s get fewer requests within
 // 0.6 s, and as many as before within 1.2 s of their recovery, but not a crowd of them.
 func TestEndpointsThatTurnSlow(t *testing.T) {
+	t.Parallel()
 	const (
 		// maxSlow and minAfter are the most and the least requests per moment while the endpoints are slow
 		// and after that, as shares of those before. maxMoment is the most in one moment.
@@ -95,6 +98,7 @@
 // TestRequestsThatNobodyCounts checks that fewer requests wait at endpoints that still work on requests of
 // instances that have lost power, for 2 s after the others came back, if the endpoints report them.
 func TestRequestsThatNobodyCounts(t *testing.T) {
+	t.Parallel()
 	const maxShare = 0.9
 	load := unevenLoad{mean: 138, paces: true, lostRequests: 7}
 	without := simulateUneven(t, load)
