Observe the load at intervals, not with each message

Cause: since all instances forecast the load, each gossip message made an instance copy the counts of all endpoints and pass over them. Change: at most once in 50 ms.

--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -75,8 +75,19 @@
 	s.runner.Wake()
 }
 
+// loadInterval is the least time between two observations of the load, each of which passes over all
+// endpoints. The forecaster keeps means of longer times.
+const loadInterval = 50 * time.Millisecond
+
 // observeLoad passes the online load of each service to the forecaster.
 func (s *Server) observeLoad() {
+	now := s.clock.Now().UnixNano()
+	last := s.loadObservedAt.Load()
+	elapsed := time.Duration(now - last)
+	isRecent := elapsed >= 0 && elapsed < loadInterval // The clock may have been set back.
+	if isRecent || !s.loadObservedAt.CompareAndSwap(last, now) {
+		return
+	}
 	s.allocator.SetPeerOnline(s.gossiper.PeerOnline())
 	for service, slots := range s.allocator.OnlineDemands() {
 		s.forecaster.Observe(service, slots)
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -150,6 +150,8 @@
 	// catchingUp is set while catchUp runs, and fetchingOwners while catchUpOwners does.
 	catchingUp     atomic.Bool
 	fetchingOwners atomic.Bool
+	// loadObservedAt is when the load was last observed, in Unix nanoseconds.
+	loadObservedAt atomic.Int64
 	// applyingEndpoints is held while a list of endpoints is applied.
 	applyingEndpoints sync.Mutex
 }
