Close an emulated engine without holding the lock that accepting a connection takes

Its goroutines show http.Server.Close waiting, under the lock, for a connection that was being accepted and waited for the same lock.

--- a/internal/standin/emulator/server.go
+++ b/internal/standin/emulator/server.go
@@ -79,16 +79,21 @@
 
 func (s *server) stop() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.stopped = true
-	_ = s.httpServer.Close()
+	current := s.httpServer
+	s.mu.Unlock()
+	_ = current.Close()
 }
 
-// closeAll closes every connection and stops listening.
+// closeAll closes every connection and stops listening. Closing waits for a connection that is being
+// accepted, whose ConnContext takes the lock.
 func (s *server) closeAll() {
+	s.mu.Lock()
+	current := s.httpServer
+	s.mu.Unlock()
+	_ = current.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_ = s.httpServer.Close()
 	s.conns = make(map[*connState]struct{})
 }
 
