State which list of endpoints came into force and when a request was sent

Issue: an incident, requests reached endpoints that had stated that they leave.

Endpoints updated. states the newest entry of the list in force; Missing objects kept for a while. is new; Request ended. and Item attempted. state the revision of the entry by which the endpoint was chosen, and the time from the choice until the request was sent. Metrics: endpointsReplica, sendDelay. No decision changes.

--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -26,6 +26,8 @@
 	preempted bool
 	// events is the number of events that the item has generated.
 	events atomic.Int64
+	// sendDelay is the time from the choice of the endpoint until the item was sent there.
+	sendDelay time.Duration
 }
 
 // attempt runs an item once and appends the generated output to progress.
@@ -55,6 +57,7 @@
 		return cause, err
 	}
 	defer response.Finish()
+	a.sendDelay = a.slot.HeldAt(response.SentAt)
 	if a.slot.ObserveResponse(response.Info) {
 		r.Log.Info("Endpoint states that it leaves.", "request", string(request.ID), "endpoint", string(endpoint.ID), "started", endpoint.StartedUnixMilli)
 	}
@@ -129,7 +132,8 @@
 		r.Manager.Requeue(a.task, cause, progress)
 	}
 	r.Log.Info("Item attempted.", "request", string(a.task.Request.ID), "team", string(a.task.Request.Team),
-		"endpoint", string(a.slot.Endpoint.ID), "started", a.slot.Endpoint.StartedUnixMilli, "endpointVersion", a.slot.Endpoint.Version, "load", a.slot.Load,
+		"endpoint", string(a.slot.Endpoint.ID), "started", a.slot.Endpoint.StartedUnixMilli, "endpointVersion", a.slot.Endpoint.Version,
+		"entryRevision", uint64(a.slot.Endpoint.EntryVersion), "sendMs", a.sendDelay.Milliseconds(), "load", a.slot.Load,
 		"body", fescuebank.BodyDigest(a.task.Request.Body),
 		"events", progress.Events, "ms", took.Milliseconds(),
 		"slackMs", a.task.Due.Sub(r.Clock.Now()).Milliseconds(), "outcome", outcome)
--- a/internal/endpoint/exchanger/exchanger.go
+++ b/internal/endpoint/exchanger/exchanger.go
@@ -100,6 +100,8 @@
 	*http.Response
 	// Info is what the protocol decoded from the head.
 	Info fescuebank.ResponseInfo
+	// SentAt is when sending the request began.
+	SentAt time.Time
 
 	exchanger *Exchanger
 	conn      *conn
@@ -120,7 +122,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "%v", err)
 	}
-	resp := &Response{exchanger: x, conn: c, addr: addr, written: make(chan struct{})}
+	resp := &Response{SentAt: x.clock.Now(), exchanger: x, conn: c, addr: addr, written: make(chan struct{})}
 	resp.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	head := encodeHead(r, h)
 	if len(head)+len(r.Body) < asyncWriteBytes {
--- a/internal/entry/allocator/slot.go
+++ b/internal/entry/allocator/slot.go
@@ -61,6 +61,11 @@
 	s.endpoint.report.apply(report.Running+report.Waiting-s.endpoint.ownRequests, now, a.reportTolerance(s.endpoint, now))
 }
 
+// HeldAt returns how long the slot had been held at a time.
+func (s *Slot) HeldAt(t time.Time) time.Duration {
+	return t.Sub(s.acquiredAt)
+}
+
 // Release frees the slot.
 func (s *Slot) Release() {
 	s.once.Do(func() {
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -132,6 +132,7 @@
 // receive relays the response of the current attempt.
 func (t *transfer) receive(ctx context.Context, slot *allocator.Slot, resp *exchanger.Response) (done bool, err error) {
 	defer resp.Finish()
+	t.sendDelay = slot.HeldAt(resp.SentAt)
 	if !t.stalls.pause() {
 		resp.Abort()
 		t.runs++
--- a/internal/entry/relayer/outcome.go
+++ b/internal/entry/relayer/outcome.go
@@ -111,6 +111,7 @@
 	r := t.request
 	t.meter.Count("requests", r.Route.Name, string(r.Team), outcome)
 	t.meter.Time("placeWait", t.slotWait)
+	t.meter.Time("sendDelay", t.sendDelay)
 	if t.headerSent {
 		t.meter.Time("firstByte", t.firstByte)
 		t.serviceLevels.FirstTokenWithin(r.Team, t.firstByte, t.objective())
@@ -121,6 +122,7 @@
 	t.log.Info("Request ended.", "request", string(r.ID), "team", string(r.Team), "route", r.Route.Name, "priority", r.Priority,
 		"configVersion", uint64(v.Config), "ownerEpoch", uint64(v.Epoch), "endpointsRevision", uint64(v.Endpoints),
 		"endpoint", string(t.endpoint.ID), "started", t.endpoint.StartedUnixMilli, "endpointVersion", t.endpoint.Version,
+		"entryRevision", uint64(t.endpoint.EntryVersion), "sendMs", t.sendDelay.Milliseconds(),
 		"resumes", string(r.Resumes), "resumeAfter", r.ResumeAfter, "load", t.slotLoad,
 		"reportedRunning", t.reportedLoad.Running, "reportedWaiting", t.reportedLoad.Waiting, "offers", t.attempts, "runs", t.runs,
 		"lastEvent", t.lastEvent, "waitMs", t.slotWait.Milliseconds(), "firstMs", t.firstByte.Milliseconds(),
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -174,8 +174,10 @@
 	slotLoad     int
 	reportedLoad fescuebank.EndpointLoad
 	slotWait     time.Duration
-	firstByte    time.Duration
-	status       int
+	// sendDelay is the time from the choice of the endpoint until the request was sent there.
+	sendDelay time.Duration
+	firstByte time.Duration
+	status    int
 }
 
 // Relay sends the request to an endpoint and the response to w. It returns a
--- a/internal/fleet/replicator/replica.go
+++ b/internal/fleet/replicator/replica.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -72,7 +73,9 @@
 	disconnected := r.clock.Now().Sub(r.lastContact) >= outageThreshold
 	changed, newer := false, delta.At > r.asOf
 	for _, o := range delta.Objects {
-		if !r.removed.covers(o.Key, o.Version) {
+		if r.removed.covers(o.Key, o.Version) {
+			r.returned++
+		} else {
 			changed = r.put(o) || changed
 		}
 		r.asOf = max(r.asOf, o.Version)
@@ -137,6 +140,9 @@
 		}
 		changed = r.remove(key, at) || changed
 	}
+	if r.recovering && len(r.missingUntil) > 0 {
+		r.log.Info("Missing objects kept for a while.", "prefix", r.prefix, "objects", len(r.missingUntil), "keys", r.missingKeys(), "revision", uint64(at))
+	}
 	r.recovering = false
 	r.asOf = at
 	r.mu.Unlock()
@@ -194,6 +200,16 @@
 	return true
 }
 
+// maxLoggedKeys is the number of keys that a log line names.
+const maxLoggedKeys = 8
+
+// missingKeys returns some of the keys of the objects that are missing after an outage, for the
+// log. The caller holds the lock.
+func (r *Replicator) missingKeys() string {
+	keys := slices.Sorted(maps.Keys(r.missingUntil))
+	return strings.Join(keys[:min(len(keys), maxLoggedKeys)], ",")
+}
+
 // notify passes the replica to onChange.
 func (r *Replicator) notify() {
 	r.onChange(r.Objects())
--- a/internal/fleet/replicator/replicator.go
+++ b/internal/fleet/replicator/replicator.go
@@ -66,6 +66,8 @@
 	// until which the replica keeps them.
 	missingUntil map[string]time.Time
 	removed      removals
+	// returned counts the objects of peers that were ignored because they had been removed here.
+	returned uint64
 	// changedAt is the store version of the newest change applied, and asOf the one up
 	// to which the replica is known to be current.
 	changedAt fescuebank.StoreVersion
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -138,6 +138,7 @@
 		return waiting
 	})
 	s.meter.Gauge("slotDemand", func() any { return s.allocator.Demand() })
+	s.meter.Gauge("endpointsReplica", func() any { return s.endpoints.State() })
 	s.meter.Gauge("endpointsHere", func() any { return s.allocator.Loads() })
 	s.meter.Gauge("endpointPaces", func() any { return s.profiler.States() })
 	s.meter.Gauge("endpointsLost", func() any { return s.dialer.Lost() })
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -69,11 +69,21 @@
 	s.profiler.SetEndpoints(list)
 	s.throttler.SetEndpoints(list)
 	s.allocator.SetEndpoints(list)
-	s.logFor("endpoint").Info("Endpoints updated.", "endpoints", len(list), "revision", uint64(s.endpoints.ChangedAt()))
+	s.logFor("endpoint").Info("Endpoints updated.", "endpoints", len(list), "revision", uint64(s.endpoints.ChangedAt()), "newestEntry", uint64(newestEntry(list)))
 	s.gossiper.Wake()
 	s.runner.Wake()
 }
 
+// newestEntry returns the store version of the newest entry of a list. If it is lower than in the log line
+// before, an older list was applied after a newer one, or the newest endpoint has left.
+func newestEntry(list []fescuebank.ServedEndpoint) fescuebank.StoreVersion {
+	var newest fescuebank.StoreVersion
+	for _, e := range list {
+		newest = max(newest, e.EntryVersion)
+	}
+	return newest
+}
+
 func (s *Server) applyMembers(objects []fescuebank.Object) {
 	s.gossiper.ApplyObjects(objects, s.members.AsOf())
 	peers := s.gossiper.Peers()
