--- a/internal/entry/allocator/evacuate_test.go
+++ b/internal/entry/allocator/evacuate_test.go
@@ -98,3 +98,15 @@
 		}
 	})
 }
+
+// TestNoTunnelsToEndpointsThatLeave guards against requests that reach an endpoint that leaves by way of an
+// instance that knows so.
+func TestNoTunnelsToEndpointsThatLeave(t *testing.T) {
+	a := allocator.New(timekeeper.Timekeeper{}, func() {})
+	list := twoZones()
+	list[0].Leaving = true
+	a.SetEndpoints(list)
+	if got := a.OpenEndpoints(); len(got) != 1 || got[0].ID != list[1].ID {
+		t.Errorf("got %v, want only the endpoint that stays", got)
+	}
+}
