Never put an older replica in force after a newer one

What callers saw: requests reached an endpoint that had left (DRAIN).

Cause: the watch, the poll and changes from a peer change a replica at the same time, and each passed on a copy that it had taken before it came to be applied. A copy taken before a removal could be applied after the one taken after it. The endpoint was then in use until the next change of any entry, as the replica itself no longer held it, so that no later list, poll or hint found a difference. The same held for the configuration (a withdrawn key in use again), the evacuations and the members.

Why it works: a copy is taken and delivered under one lock, so the last one delivered is the newest. The list of endpoints is read under the lock with which it is applied, whether an entry or the first list of evacuations brings it. Other places looked at: the watcher and the applier of the desired state deliver from one goroutine; the list of owners is compared by its version under the lock.

--- a/internal/fleet/replicator/replica.go
+++ b/internal/fleet/replicator/replica.go
@@ -210,7 +210,10 @@
 	return strings.Join(keys[:min(len(keys), maxLoggedKeys)], ",")
 }
 
-// notify passes the replica to onChange.
+// notify passes the replica to onChange. The copy is taken with the right to deliver, so that none comes
+// after a newer one. The caller doesn't hold the lock.
 func (r *Replicator) notify() {
+	r.delivering.Lock()
+	defer r.delivering.Unlock()
 	r.onChange(r.Objects())
 }
--- a/internal/fleet/replicator/replicator.go
+++ b/internal/fleet/replicator/replicator.go
@@ -52,6 +52,8 @@
 	staleStart bool
 	// firstPause is the pause between the first list and the first watch.
 	firstPause time.Duration
+	// delivering is held while the replica is copied and passed to onChange.
+	delivering sync.Mutex
 
 	mu sync.Mutex
 	// following is set while other instances watch the prefix for this one, and
@@ -86,7 +88,8 @@
 }
 
 // New returns a replicator of prefix. It passes the whole replica to onChange after each
-// change.
+// change, one at a time and never an older one after a newer one. onChange must not wait for a
+// change of the same replica.
 func New(store fescuebank.ObjectStore, prefix string, clock fescuebank.Clock, log hclog.Logger, onChange func([]fescuebank.Object)) *Replicator {
 	return &Replicator{
 		store: store, clock: clock, log: log, prefix: prefix, onChange: onChange, lastContact: clock.Now(),
--- a/internal/operate/server/build.go
+++ b/internal/operate/server/build.go
@@ -67,7 +67,7 @@
 		MembersKnown: func() bool { return s.members.Listed() }, StoreState: s.platform.StoreState,
 	})
 	s.config = replicator.New(store, s.platform.ConfigPrefix, s.clock, s.logFor("config"), s.applyConfig)
-	s.endpoints = replicator.New(store, s.platform.EndpointPrefix, s.clock, s.logFor("endpoint"), s.applyEndpoints)
+	s.endpoints = replicator.New(store, s.platform.EndpointPrefix, s.clock, s.logFor("endpoint"), func([]fescuebank.Object) { s.applyEndpoints() })
 	s.members = replicator.New(store, fescuebank.MemberPrefix, s.clock, s.logFor("fleet"), s.applyMembers)
 	s.endpoints.SetMaxPause(s.maxWatchPause)
 	s.members.SetMaxPause(s.maxWatchPause)
--- a/internal/operate/server/evacuate.go
+++ b/internal/operate/server/evacuate.go
@@ -21,7 +21,7 @@
 	s.throttler.ObserveReturn(change.Ended)
 	s.allocator.SetEvacuated(zones)
 	if change.First {
-		s.applyKnownEndpoints()
+		s.applyEndpoints()
 	}
 	s.gossiper.Wake()
 	s.runner.Wake()
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -36,21 +36,13 @@
 	}
 }
 
-// applyEndpoints applies all endpoint entries.
-func (s *Server) applyEndpoints(objects []fescuebank.Object) {
+// applyEndpoints puts the endpoint entries of the replica in force once they are listed and it is known to
+// which zones nothing may be sent. Whichever comes last calls it; the entries are read with the lock held, so
+// that no older list follows a newer one.
+func (s *Server) applyEndpoints() {
 	s.applyingEndpoints.Lock()
 	defer s.applyingEndpoints.Unlock()
-	if !s.evacuator.Known() {
-		return // applyKnownEndpoints applies them once it is known to which zones nothing may be sent.
-	}
-	s.setEndpoints(objects)
-}
-
-// applyKnownEndpoints applies the endpoints that were read before it was known which zones are evacuated.
-func (s *Server) applyKnownEndpoints() {
-	s.applyingEndpoints.Lock()
-	defer s.applyingEndpoints.Unlock()
-	if s.endpoints.Listed() {
+	if s.evacuator.Known() && s.endpoints.Listed() {
 		s.setEndpoints(s.endpoints.Objects())
 	}
 }
