Remember at which store version a removed object was absent

Cause: a replica remembered the version of a removed object that it had held. A peer that was behind could hold a later version of the same object, written and removed again unseen here, and bring it back. At an instance that follows others it then stayed until its turn to poll, as both counted as current.

Why it works: what is remembered is the version of the list, event or peer's replica that lacked the object. All versions of the object up to that one are gone; one that is written again has a higher version.

--- a/internal/fleet/replicator/removed.go
+++ b/internal/fleet/replicator/removed.go
@@ -11,8 +11,10 @@
 // instance may still keep the object in its replica after an outage.
 const removalTTL = time.Minute
 
-// removal is the removal of a version of an object.
+// removal is the removal of an object.
 type removal struct {
+	// version is the store version at which the object was known to be absent. Versions of it up to
+	// that one are gone, those too that this replica never held.
 	version fescuebank.StoreVersion
 	at      time.Time
 }
@@ -20,13 +22,13 @@
 // removals are the last removals, by key. Peers may still hold what was removed.
 type removals map[string]removal
 
-// add remembers the removal of an object and forgets old ones.
-func (m removals) add(o fescuebank.Object, now time.Time) {
+// add remembers that an object was absent at a version, and forgets old removals.
+func (m removals) add(key string, absentAt fescuebank.StoreVersion, now time.Time) {
 	maps.DeleteFunc(m, func(_ string, r removal) bool { return now.Sub(r.at) >= removalTTL })
-	m[o.Key] = removal{version: o.Version, at: now}
+	m[key] = removal{version: absentAt, at: now}
 }
 
-// covers reports whether a version of an object, or a later one, was removed.
+// covers reports whether a version of an object was gone when the object was removed.
 func (m removals) covers(key string, version fescuebank.StoreVersion) bool {
 	r, ok := m[key]
 	return ok && version <= r.version
--- a/internal/fleet/replicator/replica.go
+++ b/internal/fleet/replicator/replica.go
@@ -65,8 +65,8 @@
 
 // ApplyDelta applies changes from the replica of another instance and reports whether this
 // replica now holds all that the peer's does. Newer objects of the peer replace those of this
-// replica, but a version that was removed here doesn't come back. If the peer's replica is newer, objects that it lacks are removed, unless they
-// are newer still. They are only removed if this replicator follows, or if the store is
+// replica, but what was removed here doesn't come back unless it was written again since. If the
+// peer's replica is newer, objects that it lacks are removed, unless they are newer still. They are only removed if this replicator follows, or if the store is
 // unreachable from this instance; otherwise it learns of removals from the store.
 func (r *Replicator) ApplyDelta(delta fescuebank.ReplicaDelta) (complete bool) {
 	r.mu.Lock()
@@ -183,8 +183,8 @@
 	return true
 }
 
-// remove removes an object, unless it may have expired during an outage of the store and
-// its writer still has time to write it again. The caller holds the lock.
+// remove removes an object that was absent at a version, unless it may have expired during an outage
+// of the store and its writer still has time to write it again. The caller holds the lock.
 func (r *Replicator) remove(key string, at fescuebank.StoreVersion) (changed bool) {
 	o, ok := r.objects[key]
 	if !ok {
@@ -195,7 +195,7 @@
 	}
 	delete(r.missingUntil, key)
 	delete(r.objects, key)
-	r.removed.add(o, r.clock.Now())
+	r.removed.add(key, max(at, o.Version), r.clock.Now())
 	r.changedAt = max(r.changedAt, at)
 	return true
 }
