Count a replica as current only with what a peer's newer one lacks

What callers saw: requests reached an endpoint that had left (DRAIN), from an instance that the store refused.

Cause: changes from a peer raised the version up to which this replica counts as current by each object, while removals were left out if the store had answered within the last second. With a newer entry beside the removal, the endpoint stayed, and no hint of the same version led to another attempt: until the next change of any entry, or until the store answered, and then for 2.2 s more as missing after an outage.

Why it works: removals of a newer replica are always applied, and only a replica that has taken over all of the peer's, removals included, counts as current up to its version. Objects that were missing after an outage are still kept for a while.

--- a/internal/fleet/replicator/replica.go
+++ b/internal/fleet/replicator/replica.go
@@ -66,39 +66,21 @@
 // ApplyDelta applies changes from the replica of another instance and reports whether this
 // replica now holds all that the peer's does. Newer objects of the peer replace those of this
 // replica, but what was removed here doesn't come back unless it was written again since. If the
-// peer's replica is newer, objects that it lacks are removed, unless they are newer still. They are only removed if this replicator follows, or if the store is
-// unreachable from this instance; otherwise it learns of removals from the store.
+// peer's replica is newer, objects that it lacks are removed, unless they are newer still. Only with
+// all of that does this replica count as current as the peer's.
 func (r *Replicator) ApplyDelta(delta fescuebank.ReplicaDelta) (complete bool) {
 	r.mu.Lock()
-	disconnected := r.clock.Now().Sub(r.lastContact) >= outageThreshold
-	changed, newer := false, delta.At > r.asOf
-	for _, o := range delta.Objects {
-		if r.removed.covers(o.Key, o.Version) {
-			r.returned++
-		} else {
-			changed = r.put(o) || changed
-		}
-		r.asOf = max(r.asOf, o.Version)
-	}
-	for key, o := range r.objects {
-		_, known := delta.Versions[key]
-		if (disconnected || r.following) && newer && o.Version <= delta.At && !known {
-			changed = r.remove(key, delta.At) || changed
-		}
-	}
-	complete = true
-	for key, version := range delta.Versions {
-		complete = complete && (r.objects[key].Version >= version || r.removed.covers(key, version))
+	changed := r.putChanges(delta.Objects)
+	if delta.At > r.asOf {
+		changed = r.removeAbsent(delta) || changed
 	}
-	if r.following && complete {
+	complete = r.holdsAll(delta.Versions)
+	if complete {
 		r.asOf = max(r.asOf, delta.At)
 	}
 	// A peer that has read the prefix states a version, also if there are no objects.
 	first := !r.listed && (len(delta.Versions) > 0 || delta.At > 0)
 	r.listed = r.listed || first
-	if first && len(delta.Versions) == 0 {
-		r.asOf = max(r.asOf, delta.At)
-	}
 	r.mu.Unlock()
 	if changed || first {
 		r.notify()
@@ -106,6 +88,40 @@
 	return complete
 }
 
+// putChanges stores the objects of a peer that are newer than those of this replica and weren't removed
+// here. The caller holds the lock.
+func (r *Replicator) putChanges(objects []fescuebank.Object) (changed bool) {
+	for _, o := range objects {
+		if r.removed.covers(o.Key, o.Version) {
+			r.returned++
+			continue
+		}
+		changed = r.put(o) || changed
+	}
+	return changed
+}
+
+// removeAbsent removes the objects that a peer's newer replica lacks. The caller holds the lock.
+func (r *Replicator) removeAbsent(delta fescuebank.ReplicaDelta) (changed bool) {
+	for key, o := range r.objects {
+		if _, known := delta.Versions[key]; !known && o.Version <= delta.At {
+			changed = r.remove(key, delta.At) || changed
+		}
+	}
+	return changed
+}
+
+// holdsAll reports whether the replica holds these versions or later ones, or has removed them. The caller
+// holds the lock.
+func (r *Replicator) holdsAll(versions map[string]fescuebank.StoreVersion) bool {
+	for key, version := range versions {
+		if r.objects[key].Version < version && !r.removed.covers(key, version) {
+			return false
+		}
+	}
+	return true
+}
+
 // Listed reports whether the prefix has been read at least once.
 func (r *Replicator) Listed() bool {
 	r.mu.Lock()
