Measure an outage of the store by the calls that failed

What callers saw: requests could reach an endpoint for over 2 s after it had left (DRAIN).

Cause: an outage was measured from the last answer. A watch gets none for up to 18 s while nothing changes, so that one cut off at that moment counted as an outage at once, and what the next list lacked was kept for 2.2 s although the store had served all the time.

Why it works: an outage begins when calls have failed for a second, a list from when it was sent, a watch from when it ended.

--- a/internal/fleet/replicator/replicator.go
+++ b/internal/fleet/replicator/replicator.go
@@ -26,9 +26,9 @@
 	// burstGap is the duration of a watch after which a burst of changes counts as over
 	// and the pause starts again at minPause.
 	burstGap = time.Second
-	// outageThreshold is how long the store must be unreachable before that counts as an
-	// outage. Objects that are missing after an outage may only have expired during it,
-	// because their writers could not renew them.
+	// outageThreshold is how long calls must fail before that counts as an outage. Objects
+	// that are missing after an outage may only have expired during it, because their writers
+	// could not renew them.
 	outageThreshold = time.Second
 	// missingGrace is how long after an outage missing objects are kept in the replica.
 	// Objects whose writer is alive have been written again by then.
@@ -75,8 +75,10 @@
 	changedAt fescuebank.StoreVersion
 	asOf      fescuebank.StoreVersion
 	// lastContact is when the store last answered, or when the replicator was created if
-	// it never did. recoveredAt is when the store last answered again after an outage.
-	lastContact time.Time
+	// it never did. failingSince is when calls began to fail since then; zero if none did.
+	lastContact  time.Time
+	failingSince time.Time
+	// recoveredAt is when the store last answered again after an outage.
 	recoveredAt time.Time
 	// down is set during an outage.
 	down bool
@@ -190,7 +192,6 @@
 		if ctx.Err() != nil {
 			return
 		}
-		r.recordFailure(err)
 		_ = fescuebank.Sleep(ctx, r.clock, fescuebank.Jitter(backoff))
 		backoff = min(2*backoff, maxRetry)
 	}
--- a/internal/fleet/replicator/watch.go
+++ b/internal/fleet/replicator/watch.go
@@ -11,8 +11,10 @@
 // maintain lists the prefix and then watches it until a call fails or a new list is needed.
 // While other instances watch it, maintain only waits.
 func (r *Replicator) maintain(ctx context.Context) error {
+	listed := r.clock.Now()
 	objects, version, err := r.list(ctx)
 	if err != nil {
+		r.recordFailure(ctx, err, listed)
 		return err
 	}
 	r.recordContact()
@@ -29,6 +31,8 @@
 		began := r.clock.Now()
 		events, next, err := r.watch(ctx, version)
 		if err != nil {
+			// While a watch waits, it says nothing about whether the store answers.
+			r.recordFailure(ctx, err, r.clock.Now())
 			return err
 		}
 		r.recordContact()
@@ -144,17 +148,23 @@
 		r.down = false
 		r.recoveredAt = now
 		r.recovering = true
-		r.log.Info("Store is back.", "prefix", r.prefix, "awayMs", now.Sub(r.lastContact).Milliseconds())
+		r.log.Info("Store is back.", "prefix", r.prefix, "awayMs", now.Sub(r.failingSince).Milliseconds())
 	}
-	r.lastContact = now
+	r.lastContact, r.failingSince = now, time.Time{}
 }
 
-// recordFailure records a failed call. An outage begins when the store has not answered for
-// outageThreshold.
-func (r *Replicator) recordFailure(err error) {
+// recordFailure records a call that has failed, and since when the store hadn't answered it. An outage
+// begins when calls have failed for outageThreshold.
+func (r *Replicator) recordFailure(ctx context.Context, err error, since time.Time) {
+	if errors.Is(err, errRelist) || ctx.Err() != nil {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.down || r.clock.Now().Sub(r.lastContact) < outageThreshold {
+	if r.failingSince.IsZero() {
+		r.failingSince = since
+	}
+	if r.down || r.clock.Now().Sub(r.failingSince) < outageThreshold {
 		return
 	}
 	r.down = true
