Pass the end of an outage on to all replicas

What callers saw: after an outage of the store, endpoints that run were dropped for up to 2 s, and ones that had left were used for longer than necessary.

Cause: each replica noticed outages by its own reads only. A poll that was first to read after an outage removed what had merely expired; a watch that had only waited noticed nothing and did the same; and a replica whose read had failed listed only after its backoff of up to 0.8 s, so that what is kept for 2.2 s after the first list was kept for longer after the store's return.

TestOutageThatOnlyOtherCallsNoticeKeepsMissingObjects needs the new function.

Why it works: the store's client, which sees all calls, states the end of an outage; every replica then lists at once and keeps what may have expired. A poll counts as contact like any read.

--- a/internal/fleet/replicator/outage_test.go
+++ b/internal/fleet/replicator/outage_test.go
@@ -88,10 +88,33 @@
 		time.Sleep(10 * time.Second)
 		store.SetFaults(memorystorer.Faults{})
 		put(t, &store, "k/a", "2")
-		r.Relist()
+		r.Recover()
 		time.Sleep(time.Millisecond)
 		if got := r.values()["k/a"]; got != "2" {
 			t.Errorf("got %q 1 ms after it was known that the store answers again, want 2", got)
 		}
 	})
 }
+
+// TestOutageThatOnlyOtherCallsNoticeKeepsMissingObjects guards against dropping endpoints that run after an
+// outage during which this replica's watch only waited.
+func TestOutageThatOnlyOtherCallsNoticeKeepsMissingObjects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &cutStore{MemoryStorer: &memorystorer.MemoryStorer{}, cut: make(chan struct{})}
+		put(t, store.MemoryStorer, "k/lives", "1")
+		r, stop := start(store)
+		defer stop()
+		time.Sleep(10 * time.Second)
+		remove(t, store.MemoryStorer, "k/lives")
+		store.cuts.Add(1)
+		r.Recover()
+		time.Sleep(1500 * time.Millisecond)
+		if got := len(r.values()); got != 1 {
+			t.Errorf("got %d objects 1.5 s after the outage, want the one that may have expired", got)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		if got := len(r.values()); got != 0 {
+			t.Errorf("got %d objects 3 s after the outage, want none", got)
+		}
+	})
+}
--- a/internal/fleet/replicator/replicator.go
+++ b/internal/fleet/replicator/replicator.go
@@ -47,7 +47,9 @@
 	prefix   string
 	onChange func([]fescuebank.Object)
 	relist   chan struct{}
-	maxPause func() time.Duration
+	// recovered ends the pause after a failed call.
+	recovered chan struct{}
+	maxPause  func() time.Duration
 	// staleStart is set if the first list may be out of date.
 	staleStart bool
 	// firstPause is the pause between the first list and the first watch.
@@ -96,7 +98,7 @@
 	return &Replicator{
 		store: store, clock: clock, log: log, prefix: prefix, onChange: onChange, lastContact: clock.Now(),
 		maxPause: func() time.Duration { return DefaultMaxPause },
-		relist:   make(chan struct{}, 1), modeChanged: make(chan struct{}, 1), objects: make(map[string]fescuebank.Object), missingUntil: make(map[string]time.Time), removed: make(removals),
+		relist:   make(chan struct{}, 1), recovered: make(chan struct{}, 1), modeChanged: make(chan struct{}, 1), objects: make(map[string]fescuebank.Object), missingUntil: make(map[string]time.Time), removed: make(removals),
 	}
 }
 
@@ -161,15 +163,35 @@
 	}
 }
 
+// Recover reports that the store answers again after an outage that any call noticed. The prefix is listed
+// at once, and what the list lacks may only have expired. Recover does nothing while other instances watch
+// the prefix.
+func (r *Replicator) Recover() {
+	if r.IsFollowing() {
+		return
+	}
+	r.mu.Lock()
+	r.recovering, r.recoveredAt = true, r.clock.Now()
+	r.mu.Unlock()
+	select {
+	case r.recovered <- struct{}{}:
+	default:
+	}
+	r.Relist()
+}
+
 // Poll lists the prefix independently of the watch, and restarts the watch if it missed a
 // change. A change that the watches of other instances may have missed too counts as made at
 // the version of the list, so that they don't take their replicas for newer. Poll reports
 // whether the store answered.
 func (r *Replicator) Poll(ctx context.Context) bool {
+	sent := r.clock.Now()
 	objects, at, err := r.store.List(ctx, r.prefix)
 	if err != nil {
+		r.recordFailure(ctx, err, sent)
 		return false
 	}
+	r.recordContact()
 	if r.replace(objects, at) {
 		r.log.Warn("Watch missed a change.", "prefix", r.prefix, "revision", uint64(at))
 		r.mu.Lock()
@@ -192,11 +214,25 @@
 		if ctx.Err() != nil {
 			return
 		}
-		_ = fescuebank.Sleep(ctx, r.clock, fescuebank.Jitter(backoff))
-		backoff = min(2*backoff, maxRetry)
+		if r.pauseCalls(ctx, fescuebank.Jitter(backoff)) {
+			backoff = min(2*backoff, maxRetry)
+			continue
+		}
+		backoff = minRetry
 	}
 }
 
+// pauseCalls waits after a failed call. It returns false at once when the store is known to answer again.
+func (r *Replicator) pauseCalls(ctx context.Context, pause time.Duration) (whole bool) {
+	select {
+	case <-ctx.Done():
+	case <-r.recovered:
+		return false
+	case <-r.clock.After(pause):
+	}
+	return true
+}
+
 var (
 	// errRelist means that the prefix has to be listed again at once.
 	errRelist = errors.New("replica must be listed again")
--- a/internal/operate/server/build.go
+++ b/internal/operate/server/build.go
@@ -41,7 +41,7 @@
 	s.linker.Handle(fescuebank.KindRelay, caller.Handle)
 	s.linker.Handle(fescuebank.KindReplica, s.handleReplica)
 	s.linker.Handle(fescuebank.KindOwners, s.handleOwners)
-	s.platform.OnRecovery(s.relistAll)
+	s.platform.OnRecovery(s.recoverAll)
 	s.buildLimits(caller)
 	batch, err := s.buildBatch(caller)
 	if err != nil {
--- a/internal/operate/server/replica.go
+++ b/internal/operate/server/replica.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// recoverAll handles that the store answers again after an outage: all prefixes are listed at once.
+func (s *Server) recoverAll() {
+	for _, r := range s.replicators() {
+		r.Recover()
+	}
+}
+
 // reconnect handles a stall of the connections to peers. It drops the connections to the
 // store and the idle ones to endpoints, which may be stalled too, and lists all prefixes
 // again.
