Drop kept objects after their time also while others watch the store

What callers saw: requests could reach an endpoint that had left during an outage of the store (DRAIN).

Cause: what is missing after an outage is kept for 2.2 s, at the end of which the watch is interrupted. An instance for which others watch the store has no watch, and kept the object until the next change of any entry.

Evidence: TestFollowingReplicaDropsKeptObjectsAfterTheirTime fails on the commit before.

Why it works: such an instance lists once more at the end of that time.

--- a/internal/fleet/replicator/following_test.go
+++ b/internal/fleet/replicator/following_test.go
@@ -174,3 +174,25 @@
 		}
 	})
 }
+
+// TestFollowingReplicaDropsKeptObjectsAfterTheirTime guards against an endpoint that left during an outage and
+// stays in use at an instance for which others watch the store from then on.
+func TestFollowingReplicaDropsKeptObjectsAfterTheirTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store memorystorer.MemoryStorer
+		put(t, &store, "k/a", "1")
+		r, stop := start(&store)
+		defer stop()
+		time.Sleep(time.Second)
+		store.SetFaults(memorystorer.Faults{Down: true})
+		time.Sleep(3 * time.Second)
+		store.SetFaults(memorystorer.Faults{})
+		remove(t, &store, "k/a")
+		time.Sleep(1500 * time.Millisecond)
+		r.SetFollowing(true)
+		time.Sleep(3 * time.Second)
+		if got := r.values(); len(got) != 0 {
+			t.Errorf("got %v 4.5 s after the outage, want none", got)
+		}
+	})
+}
--- a/internal/fleet/replicator/watch.go
+++ b/internal/fleet/replicator/watch.go
@@ -60,19 +60,32 @@
 	return r.store.List(ctx, r.prefix)
 }
 
-// waitWhileFollowing waits until the prefix has to be listed again, because other instances
-// no longer watch it.
+// waitWhileFollowing waits until the prefix has to be listed again: other instances no longer watch it,
+// or the grace period of missing objects has ended.
 func (r *Replicator) waitWhileFollowing(ctx context.Context) error {
 	for r.IsFollowing() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-r.modeChanged:
+		case <-r.graceEnd():
+			return errRelist
 		}
 	}
 	return errRelist
 }
 
+// graceEnd returns a channel that receives at the end of the grace period of missing objects, or nil if none
+// are kept.
+func (r *Replicator) graceEnd() <-chan time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.missingUntil) == 0 {
+		return nil
+	}
+	return r.clock.After(r.recoveredAt.Add(missingGrace).Sub(r.clock.Now()))
+}
+
 // pauseWatch waits before the next watch, which will return the changes made meanwhile.
 func (r *Replicator) pauseWatch(ctx context.Context, pause time.Duration) {
 	r.setPausing(true)
@@ -114,12 +127,7 @@
 // missing objects. It no longer does after stop has returned.
 func (r *Replicator) interrupt(ctx context.Context, cancel context.CancelCauseFunc) (stop func()) {
 	done, ended := make(chan struct{}), make(chan struct{})
-	var due <-chan time.Time
-	r.mu.Lock()
-	if len(r.missingUntil) > 0 {
-		due = r.clock.After(r.recoveredAt.Add(missingGrace).Sub(r.clock.Now()))
-	}
-	r.mu.Unlock()
+	due := r.graceEnd()
 	go func() {
 		defer close(ended)
 		select {
