Confirm a stale first list of the endpoints while others watch the store

What callers saw: after a restart of all instances requests could reach an endpoint that had left (DRAIN).

Cause: the first list may be seconds old. An instance for which others watch the store learns of what happened since by the newest version that they announce. If all have restarted and those that watch never saw the entry, they announce no newer version, and the entry stays until this instance's turn to poll: 6 s, or half a second for each instance.

Why it works: such an instance reads one list that is current before it relies on what the others announce. It costs each of them one call to the store per start, for the endpoints only: all else is confirmed by its users.

--- a/internal/fleet/replicator/replicator.go
+++ b/internal/fleet/replicator/replicator.go
@@ -52,6 +52,8 @@
 	maxPause  func() time.Duration
 	// staleStart is set if the first list may be out of date.
 	staleStart bool
+	// confirmStart is set if a stale first list must be confirmed while others watch the prefix.
+	confirmStart bool
 	// firstPause is the pause between the first list and the first watch.
 	firstPause time.Duration
 	// delivering is held while the replica is copied and passed to onChange.
@@ -84,8 +86,10 @@
 	recoveredAt time.Time
 	// down is set during an outage.
 	down bool
-	// listed is set after the first list of objects, from the store or a peer.
-	listed bool
+	// listed is set after the first list of objects, from the store or a peer, and confirmed after
+	// the first one from the store that was current.
+	listed    bool
+	confirmed bool
 	// recovering is set until the first list after an outage. Objects that this list
 	// lacks may have expired during the outage.
 	recovering bool
@@ -113,6 +117,13 @@
 	r.staleStart = true
 }
 
+// ConfirmStart makes a replica that others watch the prefix for list it once more if the first list may be
+// stale. What such a list still holds although it was removed before, the others may never have seen, and
+// so never announce as removed. Call it before Run.
+func (r *Replicator) ConfirmStart() {
+	r.confirmStart = true
+}
+
 // SetFirstPause sets the pause between the first list and the first watch. Within it, an
 // instance that starts may learn that others watch the prefix for it. Call it before Run.
 func (r *Replicator) SetFirstPause(pause time.Duration) {
--- a/internal/fleet/replicator/stale_test.go
+++ b/internal/fleet/replicator/stale_test.go
@@ -34,6 +34,7 @@
 		remove(t, store.MemoryStorer, "k/a")
 		r, stop := startWith(store, func(r *replicator.Replicator) {
 			r.AllowStaleStart()
+			r.ConfirmStart()
 			r.SetFollowing(true)
 		})
 		defer stop()
--- a/internal/fleet/replicator/watch.go
+++ b/internal/fleet/replicator/watch.go
@@ -57,13 +57,19 @@
 	if lister, ok := r.store.(fescuebank.StaleLister); ok && r.staleStart && !r.Listed() {
 		return lister.ListStale(ctx, r.prefix)
 	}
-	return r.store.List(ctx, r.prefix)
+	objects, version, err := r.store.List(ctx, r.prefix)
+	if err == nil {
+		r.mu.Lock()
+		r.confirmed = true
+		r.mu.Unlock()
+	}
+	return objects, version, err
 }
 
 // waitWhileFollowing waits until the prefix has to be listed again: other instances no longer watch it,
-// or the grace period of missing objects has ended.
+// the grace period of missing objects has ended, or the first list has to be confirmed.
 func (r *Replicator) waitWhileFollowing(ctx context.Context) error {
-	for r.IsFollowing() {
+	for r.IsFollowing() && !r.mustConfirm() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -75,6 +81,14 @@
 	return errRelist
 }
 
+// mustConfirm reports whether the prefix has to be listed once more because the only list so far may be out
+// of date.
+func (r *Replicator) mustConfirm() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmStart && !r.confirmed
+}
+
 // graceEnd returns a channel that receives at the end of the grace period of missing objects, or nil if none
 // are kept.
 func (r *Replicator) graceEnd() <-chan time.Time {
--- a/internal/operate/server/build.go
+++ b/internal/operate/server/build.go
@@ -88,6 +88,7 @@
 	for _, r := range []*replicator.Replicator{s.endpoints, s.members, s.owners, s.evacuations} {
 		r.AllowStaleStart()
 	}
+	s.endpoints.ConfirmStart()
 }
 
 // buildReports creates what counts for reports.
