Send nothing to an endpoint that has left since it was chosen

What callers saw: a request or a batch item could reach an endpoint after it had left (DRAIN), or whose zone had been evacuated (EVAC).

Cause: the endpoint is chosen with its slot. Connecting to it, directly or through another instance, takes up to a second, in which nobody looked whether the endpoint was still to be used.

By itself this is below the bound of 2 s; added to the time that a slow watch takes it need not be.

Why it works: once connected, and before the first byte is sent, the slot is asked whether its endpoint still accepts requests. If not, nothing has been sent, so that any request may go elsewhere; the endpoint gets no bad mark. Streams that move from a silent endpoint go the same way.

--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -43,7 +43,7 @@
 	exchange, cancel := context.WithCancel(ctx)
 	defer cancel()
 	headTimer := time.AfterFunc(idleTimeout, cancel)
-	response, err := r.Exchanger.Send(exchange, endpoint.Addr, request, header)
+	response, err := r.Exchanger.Send(exchange, exchanger.Target{Addr: endpoint.Addr, Accepts: a.slot.Accepts}, request, header)
 	timedOut := !headTimer.Stop()
 	if err != nil {
 		cause := r.excludeEndpoint(ctx, endpoint, err)
--- a/internal/endpoint/exchanger/exchanger.go
+++ b/internal/endpoint/exchanger/exchanger.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -51,6 +52,8 @@
 var (
 	// ErrUnreachable means that no byte of the request was sent.
 	ErrUnreachable = errors.New("endpoint unreachable")
+	// ErrLeft means that the endpoint accepts no requests any more. It is an ErrUnreachable.
+	ErrLeft = fmt.Errorf("%w: it has left since it was chosen", ErrUnreachable)
 	// ErrBroken means that the connection failed and the request may have run.
 	ErrBroken = errors.New("connection broken")
 	// ErrMismatched means that the response belongs to another request.
@@ -114,14 +117,28 @@
 	complete bool
 }
 
-// Send sends a request to the endpoint at addr and returns the response after its head
-// was read. It fails with ErrUnreachable, ErrBroken or ErrMismatched. When ctx ends, the
-// connection is closed. If the endpoint leaves, the idle connections to it are closed.
-func (x *Exchanger) Send(ctx context.Context, addr string, r *fescuebank.Request, h http.Header) (*Response, error) {
+// Target is an endpoint that was chosen for a request.
+type Target struct {
+	Addr string
+	// Accepts reports whether the endpoint still accepts requests. If it is nil, it does.
+	Accepts func() bool
+}
+
+// Send sends a request to an endpoint and returns the response after its head was read. It
+// fails with ErrUnreachable, ErrBroken or ErrMismatched. When ctx ends, the connection is
+// closed. If the endpoint leaves, the idle connections to it are closed. Connecting takes
+// time, so the endpoint may have left meanwhile; then nothing is sent.
+func (x *Exchanger) Send(ctx context.Context, target Target, r *fescuebank.Request, h http.Header) (*Response, error) {
+	addr := target.Addr
 	c, err := x.connect(ctx, addr)
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "%v", err)
 	}
+	if target.Accepts != nil && !target.Accepts() {
+		_ = c.Close()
+		x.CloseIdle(addr)
+		return nil, ErrLeft
+	}
 	resp := &Response{SentAt: x.clock.Now(), exchanger: x, conn: c, addr: addr, written: make(chan struct{})}
 	resp.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	head := encodeHead(r, h)
--- a/internal/entry/allocator/slot.go
+++ b/internal/entry/allocator/slot.go
@@ -61,6 +61,13 @@
 	s.endpoint.report.apply(report.Running+report.Waiting-s.endpoint.ownRequests, now, a.reportTolerance(s.endpoint, now))
 }
 
+// Accepts reports whether the slot's endpoint still accepts requests.
+func (s *Slot) Accepts() bool {
+	s.allocator.mu.Lock()
+	defer s.allocator.mu.Unlock()
+	return s.endpoint.acceptsRequests()
+}
+
 // HeldAt returns how long the slot had been held at a time.
 func (s *Slot) HeldAt(t time.Time) time.Duration {
 	return t.Sub(s.acquiredAt)
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -126,7 +126,7 @@
 	if lastEvent != "" {
 		t.protocol.Resume(h, lastEvent)
 	}
-	return t.exchanger.Send(ctx, slot.Endpoint.Addr, t.request, h)
+	return t.exchanger.Send(ctx, exchanger.Target{Addr: slot.Endpoint.Addr, Accepts: slot.Accepts}, t.request, h)
 }
 
 // receive relays the response of the current attempt.
@@ -166,6 +166,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if errors.Is(err, exchanger.ErrLeft) {
+		t.meter.Count("leftWhileConnecting", string(t.request.Service))
+		return
+	}
 	t.attemptHealth.record(false)
 	t.allocator.Exclude(e.ID, allocator.ExclusionTime)
 	t.exchanger.CloseIdle(e.Addr)
