Open no tunnels to endpoints that leave

What callers saw: a request could reach an endpoint after it had left (DRAIN), by way of an instance that knew.

Cause: an instance connects others, which don't reach the endpoints, to any endpoint outside evacuated zones, also to one of which it knows that it leaves. The one that asks may know less.

Why it works: tunnels lead to endpoints that accept requests, by the same condition by which requests are assigned.

--- a/internal/entry/allocator/evacuate.go
+++ b/internal/entry/allocator/evacuate.go
@@ -44,13 +44,13 @@
 	return sum
 }
 
-// OpenEndpoints returns the known endpoints that are not in an evacuated zone.
+// OpenEndpoints returns the known endpoints that accept requests.
 func (a *Allocator) OpenEndpoints() []fescuebank.ServedEndpoint {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var list []fescuebank.ServedEndpoint
 	for _, e := range a.endpoints {
-		if !e.evacuated {
+		if e.acceptsRequests() {
 			list = append(list, e.ServedEndpoint)
 		}
 	}
