Count no attempts in the soak while all endpoints are closed

Why the check is narrowed: with all zones evacuated every request has to be refused, whatever instance it comes to.

--- a/internal/soak/reachchecker/reachchecker.go
+++ b/internal/soak/reachchecker/reachchecker.go
@@ -21,11 +21,13 @@
 )
 
 // ReachChecker records partitions and the first attempts of callers. Attempts at instances that
-// were disturbed otherwise within the contact time don't count.
+// were disturbed otherwise within the contact time don't count, nor do those made while all endpoints
+// were closed to requests.
 type ReachChecker struct {
 	contact    time.Duration
 	monitor    *monitor.Monitor
 	partitions *monitor.Monitor
+	closures   *monitor.Monitor
 
 	mu    sync.Mutex
 	begun []time.Time
@@ -42,7 +44,7 @@
 
 // New returns a checker without partitions.
 func New(contact time.Duration, m *monitor.Monitor) *ReachChecker {
-	return &ReachChecker{contact: contact, monitor: m, partitions: monitor.New()}
+	return &ReachChecker{contact: contact, monitor: m, partitions: monitor.New(), closures: monitor.New()}
 }
 
 // Partition records that instances are partitioned from all endpoints from now on. The function
@@ -62,6 +64,15 @@
 	}
 }
 
+// allEndpoints is the name of all endpoints in closures.
+const allEndpoints = "all"
+
+// CloseAll records that all endpoints are closed to requests from now on. The function that it returns
+// records the time from which every instance must use them again.
+func (c *ReachChecker) CloseAll(at time.Time) (end func(at time.Time)) {
+	return c.closures.Disturb(allEndpoints, at)
+}
+
 // RecordTry records a first attempt of a caller.
 func (c *ReachChecker) RecordTry(instance string, at time.Time, served bool) {
 	c.mu.Lock()
@@ -121,6 +132,9 @@
 		if t.at.Sub(begin) < c.contact || t.at.After(end) || c.monitor.IsDisturbed(t.instance, t.at.Add(-c.contact), t.at) {
 			continue
 		}
+		if c.closures.IsDisturbed(allEndpoints, t.at, t.at) {
+			continue
+		}
 		if c.partitions.IsDisturbed(t.instance, t.at, t.at) {
 			partitioned.add(t.served)
 			continue
