Keep a reported leave over a new configuration

What callers saw: in the stack with configured endpoints, requests could reach an endpoint that had reported that it leaves.

Cause: a new configuration set whether an endpoint leaves by its specification alone, until the next load report, up to 1.5 s later. Found by reading, while looking for places where an endpoint is put back.

Why it works: what the report said is kept apart and holds until the next report, or until the id stands for another endpoint.

--- a/internal/endpoint/balancer/balancer.go
+++ b/internal/endpoint/balancer/balancer.go
@@ -72,8 +72,10 @@
 				t.rampStartNanos.Store(now.UnixNano())
 			}
 		}
-		t.spec.Store(&spec)
-		t.leaving.Store(spec.Leaving)
+		if former := t.spec.Swap(&spec); former != nil && former.URL != spec.URL {
+			t.reportedLeaving.Store(false) // The report was that of another endpoint.
+		}
+		t.leaving.Store(spec.Leaving || t.reportedLeaving.Load())
 		next[spec.ID] = t
 	}
 	b.targets = next
@@ -130,6 +132,7 @@
 	own := t.online.Load() + t.batch.Load()
 	t.reportedOtherRequests.Store(max(0, int64(r.Running+r.Waiting)-own))
 	t.reportedAtNanos.Store(b.clock.Now().UnixNano())
+	t.reportedLeaving.Store(r.Leaving)
 	t.leaving.Store(r.Leaving || t.spec.Load().Leaving)
 	old := t.reportedModels.Load()
 	if old != nil && slices.Equal(*old, r.Models) {
--- a/internal/endpoint/balancer/target.go
+++ b/internal/endpoint/balancer/target.go
@@ -34,8 +34,10 @@
 	// ejectedUntilNanos is until when the endpoint gets no requests, after failures in a row.
 	ejectedUntilNanos atomic.Int64
 	failures          atomic.Int64
-	// leaving is set if the configuration or the newest load report says so.
-	leaving atomic.Bool
+	// leaving is set if the configuration or the newest load report says so, and reportedLeaving if the
+	// report does.
+	leaving         atomic.Bool
+	reportedLeaving atomic.Bool
 	// reportedModels are the models in the newest load report; nil until the first report.
 	reportedModels atomic.Pointer[[]fescuebank.ModelName]
 }
