--- a/internal/fleet/replicator/following_test.go
+++ b/internal/fleet/replicator/following_test.go
@@ -180,13 +180,8 @@
 func TestFollowingReplicaDropsKeptObjectsAfterTheirTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var store memorystorer.MemoryStorer
-		put(t, &store, "k/a", "1")
-		r, stop := start(&store)
+		r, stop := startWithOutage(t, &store, 3*time.Second, "k/a")
 		defer stop()
-		time.Sleep(time.Second)
-		store.SetFaults(memorystorer.Faults{Down: true})
-		time.Sleep(3 * time.Second)
-		store.SetFaults(memorystorer.Faults{})
 		remove(t, &store, "k/a")
 		time.Sleep(1500 * time.Millisecond)
 		r.SetFollowing(true)
--- a/internal/fleet/replicator/outage_test.go
+++ b/internal/fleet/replicator/outage_test.go
@@ -54,13 +54,8 @@
 func TestPollAfterAnOutageKeepsMissingObjects(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var store memorystorer.MemoryStorer
-		put(t, &store, "k/lives", "1")
-		r, stop := start(&store)
+		r, stop := startWithOutage(t, &store, 5*time.Second, "k/lives")
 		defer stop()
-		time.Sleep(time.Second)
-		store.SetFaults(memorystorer.Faults{Down: true})
-		time.Sleep(5 * time.Second)
-		store.SetFaults(memorystorer.Faults{})
 		remove(t, &store, "k/lives")
 		if !r.Poll(t.Context()) {
 			t.Fatal("got no answer from the store, want one")
@@ -80,13 +75,8 @@
 func TestListIsReadAtOnceAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var store memorystorer.MemoryStorer
-		put(t, &store, "k/a", "1")
-		r, stop := start(&store)
+		r, stop := startWithOutage(t, &store, 10*time.Second, "k/a")
 		defer stop()
-		time.Sleep(time.Second)
-		store.SetFaults(memorystorer.Faults{Down: true})
-		time.Sleep(10 * time.Second)
-		store.SetFaults(memorystorer.Faults{})
 		put(t, &store, "k/a", "2")
 		r.Recover()
 		time.Sleep(time.Millisecond)
--- a/internal/fleet/replicator/replicator_test.go
+++ b/internal/fleet/replicator/replicator_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// startWithOutage starts a replica of objects with these keys. It returns after an outage of the store that
+// began a second later.
+func startWithOutage(t *testing.T, store *memorystorer.MemoryStorer, outage time.Duration, keys ...string) (r *replica, stop func()) {
+	t.Helper()
+	for _, key := range keys {
+		put(t, store, key, "1")
+	}
+	r, stop = start(store)
+	time.Sleep(time.Second)
+	store.SetFaults(memorystorer.Faults{Down: true})
+	time.Sleep(outage)
+	store.SetFaults(memorystorer.Faults{})
+	return r, stop
+}
+
 func put(t *testing.T, s *memorystorer.MemoryStorer, key, value string) fescuebank.StoreVersion {
 	t.Helper()
 	o, _ := s.Get(context.Background(), key)
@@ -151,14 +166,8 @@
 func TestObjectsMissingAfterAnOutageAreKeptForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var store memorystorer.MemoryStorer
-		put(t, &store, "k/lives", "1")
-		put(t, &store, "k/gone", "1")
-		r, stop := start(&store)
+		r, stop := startWithOutage(t, &store, 3*time.Second, "k/lives", "k/gone")
 		defer stop()
-		time.Sleep(time.Second)
-		store.SetFaults(memorystorer.Faults{Down: true})
-		time.Sleep(3 * time.Second)
-		store.SetFaults(memorystorer.Faults{})
 		remove(t, &store, "k/lives")
 		remove(t, &store, "k/gone")
 		time.Sleep(1500 * time.Millisecond)
@@ -178,13 +187,8 @@
 func TestRemovalAfterAnOutageAppliesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var store memorystorer.MemoryStorer
-		put(t, &store, "k/a", "1")
-		r, stop := start(&store)
+		r, stop := startWithOutage(t, &store, 3*time.Second, "k/a")
 		defer stop()
-		time.Sleep(time.Second)
-		store.SetFaults(memorystorer.Faults{Down: true})
-		time.Sleep(3 * time.Second)
-		store.SetFaults(memorystorer.Faults{})
 		time.Sleep(1500 * time.Millisecond) // By then the replicator has listed again.
 		remove(t, &store, "k/a")
 		time.Sleep(400 * time.Millisecond)
