Write endpoints' entries of tests and the soak in one place

The tests of the daemon and the soak spelled the entry and the headers of the platform by hand, in four places each. simulator.Entry and the constants of marshaler do now, which stay in platform/. No check changes.

--- a/cmd/fescuebankd/cold_test.go
+++ b/cmd/fescuebankd/cold_test.go
@@ -50,7 +50,9 @@
 	defer started.Stop()
 	defer group.Wait()
 	checker.SetCold(started.ID, time.Now().Add(coldTime))
-	d.putObject("servers/"+started.ID, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z9","slots":8,"state":"ready","coldLeftMs":%d,"born":2}`, addr, coldTime.Milliseconds()))
+	entry := testEntry(addr)
+	entry.Zone, entry.ColdLeftMs, entry.Born = "z9", coldTime.Milliseconds(), 2
+	d.putEntry(started.ID, entry)
 	flood(coldTime, "new")
 	if len(started.Requests()) == 0 {
 		t.Error("got no request at the endpoint that has started, want a few")
--- a/cmd/fescuebankd/crash_test.go
+++ b/cmd/fescuebankd/crash_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fescuebank"
+	"fescuebank/platform/marshaler"
 	"fescuebank/platform/simulator"
 )
 
@@ -69,8 +70,8 @@
 		return
 	}
 	c.d.t.Cleanup(e.Stop)
-	c.d.putObject("servers/"+e.ID, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":8,"state":"ready","born":1}`, addr))
-	o, _ := c.d.store.Memory.Get(context.Background(), "servers/"+id)
+	c.d.putEntry(e.ID, testEntry(addr))
+	o, _ := c.d.store.Memory.Get(context.Background(), simulator.EntryKey(id))
 	_ = c.d.store.Memory.Delete(context.Background(), o.Key, o.Version)
 }
 
@@ -83,8 +84,8 @@
 	}
 	r.Host = "h"
 	r.Header.Set("Authorization", "Bearer k1")
-	r.Header.Set("X-Fescuebank-Request-Id", fescuebank.NewRandomID("r"))
-	r.Header.Set("X-Fescuebank-Prompt-Prefix", parts)
+	r.Header.Set(marshaler.HeaderRequestID, fescuebank.NewRandomID("r"))
+	r.Header.Set(marshaler.HeaderPrefix, parts)
 	started := time.Now()
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
@@ -137,7 +138,7 @@
 	d := newDeployment(t, 4)
 	a, b := d.startAll()
 	crashing := d.crashOn(func(r *http.Request, _ []byte) bool {
-		return strings.Contains(r.Header.Get("X-Fescuebank-Prompt-Prefix"), "bad:")
+		return strings.Contains(r.Header.Get(marshaler.HeaderPrefix), "bad:")
 	})
 	instances := []*runningInstance{a, b}
 	d.serveSound(a, "aa:100,01:10")
--- a/cmd/fescuebankd/evacuation_test.go
+++ b/cmd/fescuebankd/evacuation_test.go
@@ -1,28 +1,21 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
+	"fescuebank"
 	"fescuebank/internal/standin/memorystorer"
 )
 
 // placeInZones moves the endpoints to zones of their own: z0, z1 and so on.
 func (d *deployment) placeInZones() {
 	for i, e := range d.endpoints {
-		var entry map[string]any
-		if err := json.Unmarshal([]byte(d.object("servers/"+e.ID)), &entry); err != nil {
-			d.t.Fatal(err)
-		}
-		entry["zone"] = fmt.Sprint("z", i)
-		text, err := json.Marshal(entry)
-		if err != nil {
-			d.t.Fatal(err)
-		}
-		d.putObject("servers/"+e.ID, string(text))
+		entry := d.entry(e.ID)
+		entry.Zone = fescuebank.Zone(fmt.Sprint("z", i))
+		d.putEntry(e.ID, entry)
 	}
 }
 
--- a/cmd/fescuebankd/leaving_test.go
+++ b/cmd/fescuebankd/leaving_test.go
@@ -4,10 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"fescuebank/platform/simulator"
 )
 
 // gossipTime is how long gossip takes at most to reach the other instance.
@@ -19,7 +20,7 @@
 func TestObjectPlatformLeavingEndpointGetsNoWork(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t, 2)
-	entries := []string{d.object("servers/i-0"), d.object("servers/i-1")}
+	entries := []simulator.Entry{d.entry("i-0"), d.entry("i-1")}
 	a, _ := d.startAll()
 	leaving := d.endpoints[0]
 	leaving.SetLeaving(true)
@@ -33,14 +34,14 @@
 	if got := len(leaving.Requests()) - before; got != 0 {
 		t.Errorf("got %d batch items at an endpoint that told another instance that it leaves, want none", got)
 	}
-	d.removeObject("servers/i-0")
-	d.removeObject("servers/i-1")
+	d.removeObject(simulator.EntryKey("i-0"))
+	d.removeObject(simulator.EntryKey("i-1"))
 	d.eventually("refusal without endpoints", 5*time.Second, func() bool {
 		status, _ := d.send(a, http.MethodPost, "/stream/1", "k1", "none", nil)
 		return status == http.StatusServiceUnavailable
 	})
-	d.putObject("servers/i-0", entries[0])
-	d.putObject("servers/i-1", entries[1])
+	d.putEntry("i-0", entries[0])
+	d.putEntry("i-1", entries[1])
 	d.eventually("response of the other endpoint", 5*time.Second, func() bool { return d.served(a, "back") })
 	for i := range 20 {
 		if !d.served(a, fmt.Sprintf("after%d", i)) {
@@ -53,9 +54,8 @@
 	}
 
 	leaving.SetLeaving(false)
-	d.removeObject("servers/i-1")
-	born := fmt.Sprintf(`"born":%d`, time.Now().UnixMilli())
-	d.putObject("servers/i-0", strings.Replace(entries[0], `"born":1`, born, 1))
+	d.removeObject(simulator.EntryKey("i-1"))
+	d.putEntry("i-0", entries[0].BornAt(time.Now()))
 	d.eventually("response of the restarted endpoint", 5*time.Second, func() bool {
 		return d.served(a, "restarted") && len(leaving.Requests()) > before
 	})
--- a/cmd/fescuebankd/lost_test.go
+++ b/cmd/fescuebankd/lost_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fescuebank/internal/soak/partitioner"
+	"fescuebank/platform/marshaler"
 )
 
 // resumableRoutes are testRoutes and one on which streams may continue at another endpoint.
@@ -37,7 +38,7 @@
 	runs := make(map[string]int)
 	for _, ep := range d.endpoints {
 		for _, r := range ep.Requests() {
-			runs[r.Header.Get("X-Fescuebank-Request-Id")]++
+			runs[r.Header.Get(marshaler.HeaderRequestID)]++
 		}
 	}
 	return runs
--- a/cmd/fescuebankd/objectplatform_test.go
+++ b/cmd/fescuebankd/objectplatform_test.go
@@ -23,6 +23,7 @@
 	"fescuebank/internal/soak/partitioner"
 	"fescuebank/internal/standin/memorystorer"
 	"fescuebank/internal/timing/timekeeper"
+	"fescuebank/platform/marshaler"
 	"fescuebank/platform/simulator"
 )
 
@@ -65,13 +66,34 @@
 		}
 		t.Cleanup(ep.Stop)
 		d.endpoints = append(d.endpoints, ep)
-		d.putObject("servers/"+ep.ID, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":8,"state":"ready","born":1}`, addr))
+		d.putEntry(ep.ID, testEntry(addr))
 	}
-	d.putObject("servers/odd", `{"address":17}`)
+	d.putObject(simulator.EntryKey("odd"), `{"address":17}`)
 	d.configure(testRoutes)
 	return d
 }
 
+// testEntry returns the entry of an endpoint at an address.
+func testEntry(addr string) simulator.Entry {
+	return simulator.Entry{Service: "s", Address: addr, Zone: "z", Slots: 8, State: simulator.StateReady, Born: 1}
+}
+
+// putEntry writes the entry of an endpoint.
+func (d *deployment) putEntry(id string, e simulator.Entry) {
+	d.t.Helper()
+	d.putObject(simulator.EntryKey(id), e.Value())
+}
+
+// entry returns the entry of an endpoint.
+func (d *deployment) entry(id string) simulator.Entry {
+	d.t.Helper()
+	var e simulator.Entry
+	if err := json.Unmarshal([]byte(d.object(simulator.EntryKey(id))), &e); err != nil {
+		d.t.Fatal(err)
+	}
+	return e
+}
+
 // putObject writes an object regardless of its current version.
 func (d *deployment) putObject(key, value string) {
 	d.t.Helper()
@@ -183,7 +205,7 @@
 	r.Host = "h"
 	r.Header.Set("Authorization", "Bearer "+key)
 	if id != "" {
-		r.Header.Set("X-Fescuebank-Request-Id", id)
+		r.Header.Set(marshaler.HeaderRequestID, id)
 	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
@@ -496,7 +518,7 @@
 	for _, ep := range d.endpoints {
 		ep.Events, ep.EventInterval = 25, 200*time.Millisecond
 		ep.OnRequest = func(r *http.Request, _ simulator.Fault) {
-			if r.Header.Get("Last-Event-Id") == "" && d.sentOf(r.Header.Get("X-Fescuebank-Request-Id")) > unreadEvents {
+			if r.Header.Get(marshaler.HeaderLastEventID) == "" && d.sentOf(r.Header.Get(marshaler.HeaderRequestID)) > unreadEvents {
 				restarted.Add(1)
 			}
 		}
@@ -523,7 +545,7 @@
 	resumed := 0
 	for _, ep := range d.endpoints {
 		for _, r := range ep.Requests() {
-			if r.Header.Get("Last-Event-Id") != "" {
+			if r.Header.Get(marshaler.HeaderLastEventID) != "" {
 				resumed++
 			}
 		}
