--- a/internal/fleet/replicator/replica.go
+++ b/internal/fleet/replicator/replica.go
@@ -226,8 +226,8 @@
 	return strings.Join(keys[:min(len(keys), maxLoggedKeys)], ",")
 }
 
-// notify passes the replica to onChange. The copy is taken with the right to deliver, so that none comes
-// after a newer one. The caller doesn't hold the lock.
+// notify passes a copy of the replica to onChange. It is taken while no other one is delivered, so that the
+// last one delivered is the newest. The caller doesn't hold the lock.
 func (r *Replicator) notify() {
 	r.delivering.Lock()
 	defer r.delivering.Unlock()
