--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,4 +8,4 @@
 	echo "not run: build with the line of deploy/system.toml and review/build.sh first" >&2
 	exit 2
 fi
-TROUBLE=${TROUBLE:-1} exec target/review-rig same-id "$here"
+TROUBLE=${TROUBLE:-1} exec target/review-rig smuggled "$here"
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 	"large-results": largeResults,
 	"smuggled":      smuggled,
 	"same-id":       sameID,
+	"endless":       endless,
 }
 
 func main() {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -27,6 +28,8 @@
 	varied bool
 	// data returns the data of an event of a request.
 	data func(id string, event int) string
+	// endless is set if the events don't end until the caller closes.
+	endless bool
 }
 
 // worker is a stand-in for a worker. It runs what it gets and answers completely.
@@ -120,6 +123,10 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Fescuebank-Response-Signature", "signed-"+k.id)
 	w.WriteHeader(http.StatusOK)
+	if job.endless {
+		k.sendEndlessly(w, id, last)
+		return
+	}
 	for n := last + 1; n <= job.events; n++ {
 		select {
 		case <-time.After(job.interval):
@@ -136,3 +143,28 @@
 	k.mu.Unlock()
 	k.record.printf("worker %s: %s run from event %d to its end", k.id, id, last+1)
 }
+
+const (
+	// endlessPart is the number of bytes of a part of what has no end, and endlessPause the pause after a
+	// part. All slots together send about 40 MB a second, half of what a store machine's link carries.
+	endlessPart  = 64 << 10
+	endlessPause = 12 * time.Millisecond
+)
+
+// sendEndlessly sends events until the caller closes.
+func (k *worker) sendEndlessly(w http.ResponseWriter, id string, last int) {
+	k.record.printf("worker %s: %s: events without end", k.id, id)
+	total := 0
+	for n := last + 1; ; {
+		var part bytes.Buffer
+		for ; part.Len() < endlessPart; n++ {
+			_, _ = fmt.Fprintf(&part, "id: %d\ndata: %s\n\n", n, dense(id, n))
+		}
+		total += part.Len()
+		if _, err := w.Write(part.Bytes()); err != nil {
+			k.record.printf("worker %s: %s: closed by the caller after %d bytes, %d events", k.id, id, total, n-1)
+			return
+		}
+		time.Sleep(endlessPause)
+	}
+}
