--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -23,8 +23,8 @@
 	maxFaults  = 3
 	// storeTrouble is how long the store's disturbances last, by the site file.
 	storeTrouble = 4500 * time.Millisecond
-	// smallBody is the length of the body of an ordinary item.
-	smallBody = 15_000
+	// meanBody is the length of the body of an item, by the sheets.
+	meanBody = 15_000
 )
 
 // words returns the data of a short event.
@@ -154,8 +154,7 @@
 		workers   = 9
 		tenants   = 8
 		waves     = 4
-		items     = 6
-		bodyBytes = 300_000
+		items     = 120
 		openItems = 2
 		outage    = time.Second
 		rest      = 2 * time.Second
@@ -168,7 +167,7 @@
 	}
 	var jobs []*job
 	for range waves {
-		wait := d.wave(tenants, func(tenant int) *job { return newJob(tenant, items, bodyBytes, joined(w)) })
+		wait := d.wave(tenants, func(tenant int) *job { return newJob(tenant, items, meanBody, joined(w)) })
 		time.Sleep(80*time.Millisecond + rand.N(200*time.Millisecond))
 		if trouble {
 			d.store.down.Store(true)
@@ -189,7 +188,7 @@
 		k.setWork(long)
 	}
 	stop := make(chan struct{})
-	wait := d.stream(tenants, time.Second, stop, func(tenant int) *job { return newJob(tenant, openItems, smallBody, joined(long)) })
+	wait := d.stream(tenants, time.Second, stop, func(tenant int) *job { return newJob(tenant, openItems, meanBody, joined(long)) })
 	time.Sleep(3 * time.Second)
 	if err := d.restartOwners(); err != nil {
 		return nil, err
@@ -339,7 +338,7 @@
 	if err != nil {
 		return nil, err
 	}
-	j := newJob(attacker, 3, smallBody, joined(w))
+	j := newJob(attacker, 3, meanBody, joined(w))
 	hidden := randomID()
 	body := fmt.Sprintf("0\r\n\r\nPOST /lots/x/%s HTTP/1.1\r\nHost: h.example\r\nX-Fescuebank-Request-Id: %s\r\n"+
 		"X-Fescuebank-Tenant: t%d\r\nContent-Length: 0\r\n\r\n", hidden, hidden, victim)
@@ -393,7 +392,7 @@
 	d.rule = "MIXED"
 	var jobs []*job
 	for tenant := range tenants {
-		j := newJob(tenant, items, smallBody, joined(w))
+		j := newJob(tenant, items, meanBody, joined(w))
 		if trouble {
 			j.id = "nightly-1"
 		}
--- a/review/rig/endless.go
+++ b/review/rig/endless.go
@@ -61,7 +61,7 @@
 		d.workers[0].setWork(bad)
 	}
 	stop, submitted := make(chan struct{}), make(chan struct{})
-	wait := d.stream(tenants, 5*time.Second, submitted, func(tenant int) *job { return newJob(tenant, items, smallBody, joined(w)) })
+	wait := d.stream(tenants, 5*time.Second, submitted, func(tenant int) *job { return newJob(tenant, items, meanBody, joined(w)) })
 	time.AfterFunc(length, func() { close(stop) })
 	kills, err := d.keepMemory(stop)
 	close(submitted)
