Spread the submissions of the case of mixed parts over the outages

Cause: submissions that come together may all fall before or behind the moment at which the store goes down. Change: six waves of eight jobs, spread over 0.4 s each, and an outage in each wave.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -153,11 +153,12 @@
 	const (
 		workers   = 9
 		tenants   = 8
-		waves     = 4
-		items     = 120
+		waves     = 6
+		items     = 150
 		openItems = 2
 		outage    = time.Second
 		rest      = 2 * time.Second
+		spread    = 400 * time.Millisecond
 	)
 	w := work{events: 10, interval: 15 * time.Millisecond, data: words}
 	d, err := startDeployment(dir, r, workers, tenants, w)
@@ -167,8 +168,11 @@
 	}
 	var jobs []*job
 	for range waves {
-		wait := d.wave(tenants, func(tenant int) *job { return newJob(tenant, items, meanBody, joined(w)) })
-		time.Sleep(80*time.Millisecond + rand.N(200*time.Millisecond))
+		wait := d.wave(tenants, func(tenant int) *job {
+			time.Sleep(rand.N(spread))
+			return newJob(tenant, items, meanBody, joined(w))
+		})
+		time.Sleep(spread/2 + rand.N(spread/2))
 		if trouble {
 			d.store.down.Store(true)
 			r.printf("the store is down")
@@ -198,7 +202,7 @@
 	return d.judge(append(jobs, wait()...))
 }
 
-// wave submits one job of each tenant at the same time. The function it returns waits for the accepted ones.
+// wave submits one job of each tenant. The function it returns waits for the accepted ones.
 func (d *deployment) wave(tenants int, next func(tenant int) *job) func() []*job {
 	stop := make(chan struct{})
 	close(stop)
