Let the review's stand-ins pick ports outside of the range for outgoing connections

Cause: of three deployments that started together one didn't serve: a port was taken before it was used.

--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -35,6 +37,8 @@
 	store     *store
 	workers   []*worker
 	instances []*instance
+	// ports are those that instances listen on.
+	ports map[int]bool
 }
 
 // running is the deployment whose processes run.
@@ -43,7 +47,7 @@
 // startDeployment starts everything and waits until batch jobs can be submitted. What it returns must
 // be closed, also after an error.
 func startDeployment(dir string, r *record, workers, tenants int, w work) (*deployment, error) {
-	d := &deployment{rule: "LOST", record: r}
+	d := &deployment{rule: "LOST", record: r, ports: make(map[int]bool)}
 	running.Store(d)
 	var err error
 	if d.store, err = startStore(r); err != nil {
@@ -87,7 +91,7 @@
 // startInstance writes the settings that deploy/settings.ini gives, and starts the command of
 // deploy/system.toml.
 func (d *deployment) startInstance(dir, name string, entry bool) error {
-	ports, err := freeAddresses(5)
+	ports, err := d.freeAddresses(5)
 	if err != nil {
 		return err
 	}
@@ -141,18 +145,34 @@
 	return i.process.start()
 }
 
-// freeAddresses returns loopback addresses whose ports are free.
-func freeAddresses(count int) ([]string, error) {
+const (
+	// firstPort and portCount are a range below the one from which the system picks ports for outgoing
+	// connections.
+	firstPort = 10_000
+	portCount = 10_000
+	// portTries bounds the search for free ports.
+	portTries = 1000
+)
+
+// freeAddresses returns loopback addresses whose ports are free and that it hasn't returned before.
+func (d *deployment) freeAddresses(count int) ([]string, error) {
 	var list []string
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		if len(list) == count {
+			return list, nil
+		}
+		port := firstPort + rand.IntN(portCount)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
+		}
+		_ = l.Close()
+		if !d.ports[port] {
+			d.ports[port] = true
+			list = append(list, l.Addr().String())
 		}
-		defer func() { _ = l.Close() }()
-		list = append(list, l.Addr().String())
 	}
-	return list, nil
+	return nil, errors.New("no free port")
 }
 
 // entries returns the instances that clients call.
--- a/review/rig/endless.go
+++ b/review/rig/endless.go
@@ -73,14 +73,19 @@
 	if len(accepted) == 0 {
 		return nil, fmt.Errorf("no job was accepted")
 	}
+	return endsFault(kills), nil
+}
+
+// endsFault returns a fault if processes ended by themselves too often on too many machines.
+func endsFault(kills map[string]int) []string {
 	often := 0
 	for _, count := range kills {
 		if count >= maxEnds {
 			often++
 		}
 	}
-	if often >= maxEndedMachines {
-		return []string{fmt.Sprintf("Fault: processes ended by themselves, over their machines' memory: %v", kills)}, nil
+	if often < maxEndedMachines {
+		return nil
 	}
-	return nil, nil
+	return []string{fmt.Sprintf("Fault: processes ended by themselves, over their machines' memory: %v", kills)}
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 	"smuggled":      smuggled,
 	"same-id":       sameID,
 	"endless":       endless,
+	"kept":          kept,
 }
 
 func main() {
