Store a job as one encoding that never changes

Cause: a job over 700 KiB takes several objects, named by its id and a number. A submission that failed halfway because the store was down was sent again and encoded anew, with another time of submission and another order of headers; parts that existed stayed as they were. The stored job was a mixture of two encodings, which the owner that had it in memory didn't notice and the next one couldn't read. As an owner loads all jobs of a team or none, it lost all of them.

Change: the first part is written last and names the set of the others by the digest of the encoding; parts of another encoding under the plain keys make a retry write a set of its own. A stored job wins over the one that is sent again; if their items differ, the submission is refused with status 409. A listed job that can't be read holds up no other, and calls about it get status 503. Stored jobs of older builds are read as before.

Why it works: a value exists once its first part does, and its parts can't change after that, whichever attempt or owner wrote them.

--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -27,9 +27,9 @@
 	if err := m.checkCap(tj, spec); err != nil {
 		return err
 	}
-	if err := m.Persister.PutJob(ctx, spec); err != nil {
-		m.Log.Warn("Job not stored.", "job", string(spec.ID), "team", string(spec.Team), "err", err.Error())
-		return m.refusalOf(err)
+	spec, err = m.store(ctx, spec)
+	if err != nil {
+		return err
 	}
 	err = m.updateLedger(ctx, tj, func(l *persister.Ledger) bool {
 		if l.Find(spec.ID) != nil {
@@ -54,6 +54,20 @@
 	return nil
 }
 
+// store stores a job and returns the stored one: that of an earlier attempt if there was one.
+func (m *Manager) store(ctx context.Context, spec *fescuebank.RoutedJob) (*fescuebank.RoutedJob, error) {
+	stored, err := m.Persister.PutJob(ctx, spec)
+	if err != nil {
+		m.Log.Warn("Job not stored.", "job", string(spec.ID), "team", string(spec.Team), "err", err.Error())
+		return nil, m.refusalOf(err)
+	}
+	if !stored.IsSameWork(spec) {
+		m.Log.Warn("Job refused: another one is stored under its id.", "job", string(spec.ID), "team", string(spec.Team))
+		return nil, fescuebank.Refuse(http.StatusConflict, fescuebank.CodeConflict, "another job was submitted under this id")
+	}
+	return stored, nil
+}
+
 func (tj *teamJobs) lists(id fescuebank.JobID) bool {
 	tj.mu.Lock()
 	defer tj.mu.Unlock()
@@ -166,6 +180,9 @@
 	if j := tj.jobs[id]; j != nil {
 		return j, nil
 	}
+	if tj.ledger.Find(id) != nil {
+		return nil, fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeStoreDown, "the job can't be read from the store").WithRetryAfter(unreadableRetryAfter)
+	}
 	return nil, fescuebank.Refuse(http.StatusNotFound, fescuebank.CodeNotFound, "no such batch job")
 }
 
--- a/internal/batch/manager/manager.go
+++ b/internal/batch/manager/manager.go
@@ -31,6 +31,9 @@
 	// storeRetryAfter is the Retry-After while the store is unreachable, and the
 	// pause between attempts to load a team's jobs.
 	storeRetryAfter = 500 * time.Millisecond
+	// unreadableRetryAfter is the Retry-After of calls about a job that is damaged in the store, and the minimum time
+	// between two attempts to read it.
+	unreadableRetryAfter = 10 * time.Second
 	// maxPageBytes bounds the outputs of one page of results.
 	maxPageBytes = 1 << 20
 )
@@ -94,6 +97,8 @@
 	ledger  persister.Ledger
 	version fescuebank.StoreVersion
 	jobs    map[fescuebank.JobID]*job
+	// unreadable are the listed jobs that could not be read, with the time before which they are not read again.
+	unreadable map[fescuebank.JobID]time.Time
 	// closed is set when this incarnation no longer owns the team.
 	closed bool
 	// expectedFrom is the former owner from which a handover is expected, else empty. Items that
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"time"
 
 	"fescuebank"
 	"fescuebank/internal/batch/persister"
@@ -21,9 +22,13 @@
 		return fescuebank.ErrNotOwner
 	}
 	var missing []persister.LedgerEntry
+	now := m.Clock.Now()
 	tj.mu.Lock()
 	for _, e := range ledger.Jobs {
 		j := tj.jobs[e.Job]
+		if j == nil && now.Before(tj.unreadable[e.Job]) {
+			continue
+		}
 		if j == nil {
 			missing = append(missing, e)
 			continue
@@ -36,6 +41,11 @@
 	jobs := make([]*job, 0, len(missing))
 	for _, e := range missing {
 		j, err := m.loadJob(ctx, tj, e)
+		if isUnreadable(err) {
+			m.Log.Error("Job can't be read.", "job", string(e.Job), "team", string(tj.team), "err", err.Error())
+			tj.markUnreadable(e.Job, now.Add(unreadableRetryAfter))
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -54,6 +64,19 @@
 	return nil
 }
 
+// isUnreadable reports whether a job that the ledger lists is damaged, so that no retry is likely to read it. Such a
+// job holds up no other.
+func isUnreadable(err error) bool {
+	return errors.Is(err, persister.ErrUnreadable) || errors.Is(err, fescuebank.ErrAbsent)
+}
+
+// markUnreadable keeps a job from being read again before a time.
+func (tj *teamJobs) markUnreadable(id fescuebank.JobID, until time.Time) {
+	tj.mu.Lock()
+	defer tj.mu.Unlock()
+	tj.unreadable[id] = until
+}
+
 // loadJob reads a job and its results. If results are missing it writes the next
 // segment, empty: a former owner that still commits then conflicts with it and
 // learns from its epoch that the team has a new owner.
@@ -158,7 +181,7 @@
 
 // newTeam adds a team without loaded jobs. The caller holds the lock.
 func (m *Manager) newTeam(team fescuebank.TeamID, epoch fescuebank.FencingNumber) *teamJobs {
-	tj := &teamJobs{team: team, epoch: epoch, jobs: make(map[fescuebank.JobID]*job), ledgerLock: make(chan struct{}, 1)}
+	tj := &teamJobs{team: team, epoch: epoch, jobs: make(map[fescuebank.JobID]*job), unreadable: make(map[fescuebank.JobID]time.Time), ledgerLock: make(chan struct{}, 1)}
 	m.teams[team] = tj
 	m.expectHandover(tj)
 	return tj
--- a/internal/batch/persister/persister.go
+++ b/internal/batch/persister/persister.go
@@ -7,9 +7,7 @@
 	"encoding/json"
 	"errors"
 	"strconv"
-	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
 
@@ -23,20 +21,14 @@
 	resultPrefix = "batchresults/"
 )
 
-const (
-	// maxPartBytes bounds the piece of an encoded job in one object, so that the object,
-	// with base64 and its JSON frame, stays under fescuebank.MaxValue.
-	maxPartBytes = 700 << 10
-	// writeAttempts bounds the attempts of a write while the store is unavailable or
-	// the outcome of the write is unknown.
-	writeAttempts = 4
-	// retryPause is the pause between two attempts.
-	retryPause = 60 * time.Millisecond
+// Errors of the stored values.
+var (
+	// ErrExists means that another writer has stored another value first.
+	ErrExists = errors.New("another value is stored already")
+	// ErrUnreadable means that a stored value is damaged or incomplete. No retry reads it.
+	ErrUnreadable = errors.New("stored value is damaged")
 )
 
-// ErrExists means that another writer has created the object first.
-var ErrExists = errors.New("object was created by another writer")
-
 // Persister reads and writes the stored objects.
 type Persister struct {
 	store   fescuebank.ObjectStore
@@ -118,56 +110,32 @@
 	return written, eris.Wrap(err, "Persister.PutLedger")
 }
 
-// part is a stored object that holds a piece of an encoded value.
-type part struct {
-	// Parts is the number of objects that hold the value.
-	Parts int    `json:"parts"`
-	Data  []byte `json:"data"`
-}
-
-// PutJob stores a job. It writes the first part last: the job is complete when that
-// exists. Parts that exist already stay unchanged.
-func (p *Persister) PutJob(ctx context.Context, job *fescuebank.RoutedJob) error {
+// PutJob stores a job and returns the job that is stored under its id: another encoding of it if an
+// earlier attempt has completed. What is stored never changes.
+func (p *Persister) PutJob(ctx context.Context, job *fescuebank.RoutedJob) (stored *fescuebank.RoutedJob, err error) {
 	encoded, err := p.encode(job)
 	if err != nil {
-		return eris.Wrap(err, "Persister.PutJob")
+		return nil, eris.Wrap(err, "Persister.PutJob")
 	}
-	pieces := splitParts(encoded)
-	for i := len(pieces) - 1; i >= 0; i-- {
-		err := p.create(ctx, partKey(jobPrefix, job.ID, i), part{Parts: len(pieces), Data: pieces[i]})
-		if err != nil && !errors.Is(err, ErrExists) {
-			return eris.Wrap(err, "Persister.PutJob")
-		}
+	key := objectKey(jobPrefix, job.ID, 0)
+	plain := func(i int) string { return objectKey(jobPrefix, job.ID, i) }
+	err = p.putValue(ctx, key, encoded, plain)
+	if errors.Is(err, ErrExists) {
+		return p.Job(ctx, job.ID)
 	}
-	return nil
+	return job, eris.Wrap(err, "Persister.PutJob")
 }
 
-func splitParts(b []byte) [][]byte {
-	var pieces [][]byte
-	for len(b) > maxPartBytes {
-		pieces = append(pieces, b[:maxPartBytes])
-		b = b[maxPartBytes:]
-	}
-	return append(pieces, b)
-}
-
-func partKey(prefix string, id fescuebank.JobID, i int) string {
+func objectKey(prefix string, id fescuebank.JobID, i int) string {
 	return prefix + string(id) + "." + strconv.Itoa(i)
 }
 
-// Job reads a job, or fails with fescuebank.ErrAbsent.
+// Job reads a job. It fails with fescuebank.ErrAbsent if there is none, and with ErrUnreadable if what
+// is stored is not a complete job.
 func (p *Persister) Job(ctx context.Context, id fescuebank.JobID) (*fescuebank.RoutedJob, error) {
-	var encoded []byte
-	for i, parts := 0, 1; i < parts; i++ {
-		piece, err := p.read(ctx, partKey(jobPrefix, id, i))
-		if err != nil {
-			return nil, eris.Wrap(err, "Persister.Job")
-		}
-		parts = piece.Parts
-		encoded = append(encoded, piece.Data...)
-	}
+	plain := func(i int) string { return objectKey(jobPrefix, id, i) }
 	var job fescuebank.RoutedJob
-	if err := p.decode(encoded, &job); err != nil {
+	if err := p.readValue(ctx, objectKey(jobPrefix, id, 0), plain, &job); err != nil {
 		return nil, eris.Wrap(err, "Persister.Job")
 	}
 	return &job, nil
@@ -189,97 +157,13 @@
 	if err != nil {
 		return eris.Wrap(err, "Persister.PutSegment")
 	}
-	return eris.Wrap(p.create(ctx, partKey(resultPrefix, id, number), part{Parts: 1, Data: encoded}), "Persister.PutSegment")
+	return eris.Wrap(p.create(ctx, objectKey(resultPrefix, id, number), part{Parts: 1, Data: encoded}), "Persister.PutSegment")
 }
 
-// Segment reads one segment of a job's results, or fails with
-// fescuebank.ErrAbsent if there is none.
+// Segment reads one segment of a job's results. It fails with fescuebank.ErrAbsent if there is none, and
+// with ErrUnreadable if what is stored is not a complete segment.
 func (p *Persister) Segment(ctx context.Context, id fescuebank.JobID, number int) (Segment, error) {
 	var segment Segment
-	piece, err := p.read(ctx, partKey(resultPrefix, id, number))
-	if err != nil {
-		return segment, eris.Wrap(err, "Persister.Segment")
-	}
-	return segment, eris.Wrap(p.decode(piece.Data, &segment), "Persister.Segment")
-}
-
-// create writes an object that must not exist. It repeats the write while the store is
-// unavailable or the outcome is unknown. If the object then exists with the same
-// content, an earlier attempt has written it.
-func (p *Persister) create(ctx context.Context, key string, piece part) error {
-	value, err := json.Marshal(piece)
-	if err != nil {
-		return err
-	}
-	outcomeUnknown := false
-	for attempt := 1; ; attempt++ {
-		_, err = p.store.Put(ctx, key, value, fescuebank.Absent)
-		switch {
-		case err == nil:
-			return nil
-		case errors.Is(err, fescuebank.ErrVersion):
-			return p.verifyCreated(ctx, key, piece, outcomeUnknown)
-		case errors.Is(err, fescuebank.ErrOutcomeUnknown):
-			outcomeUnknown = true
-		case !errors.Is(err, fescuebank.ErrStoreDown):
-			return err
-		}
-		if attempt == writeAttempts || fescuebank.Sleep(ctx, p.clock, retryPause) != nil {
-			return err
-		}
-	}
-}
-
-// verifyCreated returns nil if the existing object has the content of this write and the
-// outcome of an earlier attempt is unknown: that attempt has then created the object.
-// Otherwise it returns ErrExists.
-func (p *Persister) verifyCreated(ctx context.Context, key string, piece part, outcomeUnknown bool) error {
-	if !outcomeUnknown {
-		return ErrExists
-	}
-	existing, err := p.read(ctx, key)
-	if err != nil {
-		return err
-	}
-	if existing.Parts == piece.Parts && string(existing.Data) == string(piece.Data) {
-		return nil
-	}
-	return ErrExists
-}
-
-func (p *Persister) read(ctx context.Context, key string) (part, error) {
-	var piece part
-	o, err := p.getCreated(ctx, key)
-	if err != nil {
-		return piece, err
-	}
-	return piece, json.Unmarshal(o.Value, &piece)
-}
-
-// getCreated reads an object that never changes once it was created. A stale read finds all but the
-// newest ones.
-func (p *Persister) getCreated(ctx context.Context, key string) (fescuebank.Object, error) {
-	if getter, ok := p.store.(fescuebank.StaleGetter); ok {
-		o, err := getter.GetStale(ctx, key)
-		if !errors.Is(err, fescuebank.ErrAbsent) {
-			return o, err
-		}
-	}
-	return p.store.Get(ctx, key)
-}
-
-func (p *Persister) encode(value any) ([]byte, error) {
-	b, err := cbor.Marshal(value)
-	if err != nil {
-		return nil, err
-	}
-	return p.encoder.EncodeAll(b, nil), nil
-}
-
-func (p *Persister) decode(encoded []byte, into any) error {
-	b, err := p.decoder.DecodeAll(encoded, nil)
-	if err != nil {
-		return err
-	}
-	return cbor.Unmarshal(b, into)
+	err := p.readValue(ctx, objectKey(resultPrefix, id, number), nil, &segment)
+	return segment, eris.Wrap(err, "Persister.Segment")
 }
--- a/internal/batch/persister/stale_test.go
+++ b/internal/batch/persister/stale_test.go
@@ -35,7 +35,7 @@
 // find all segments but the newest ones, and only those and the end need a current read.
 func TestLoadOfResultsIsCheap(t *testing.T) {
 	const segments = 6
-	store := &laggingStore{lacks: map[string]bool{partKey(resultPrefix, "job", segments-1): true}}
+	store := &laggingStore{lacks: map[string]bool{objectKey(resultPrefix, "job", segments-1): true}}
 	p, err := New(store, timekeeper.Timekeeper{})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/memorystorer/memorystorer.go
+++ b/internal/standin/memorystorer/memorystorer.go
@@ -20,6 +20,8 @@
 	history []fescuebank.Object
 	faults  Faults
 	calls   int
+	// writes counts the calls of Put since the faults were set.
+	writes int
 	// changed is closed at the next change. It is nil until a watch waits.
 	changed chan struct{}
 }
@@ -31,6 +33,8 @@
 	// LoseReplies makes Put write the object but fail with an unknown outcome. Delete is
 	// not affected.
 	LoseReplies bool
+	// DownAfterWrites makes every Put after this number of them fail without effect, unless it is 0.
+	DownAfterWrites int
 	// HideChanges makes watches return no changes.
 	HideChanges bool
 }
@@ -42,7 +46,7 @@
 func (m *MemoryStorer) SetFaults(f Faults) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.faults = f
+	m.faults, m.writes = f, 0
 }
 
 // Calls returns the number of calls so far.
@@ -99,6 +103,10 @@
 	if err := m.beginCall(); err != nil {
 		return 0, err
 	}
+	m.writes++
+	if m.faults.DownAfterWrites > 0 && m.writes > m.faults.DownAfterWrites {
+		return 0, fescuebank.ErrStoreDown
+	}
 	if fescuebank.Bytes(len(value)) > fescuebank.MaxValue {
 		return 0, fescuebank.ErrTooLarge
 	}
--- a/routedjob.go
+++ b/routedjob.go
@@ -1,6 +1,8 @@
 package fescuebank
 
 import (
+	"bytes"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -43,6 +45,17 @@
 	return sum
 }
 
+// IsSameWork reports whether both jobs belong to one team and have the same items: it may be the same
+// job, submitted twice.
+func (j *RoutedJob) IsSameWork(other *RoutedJob) bool {
+	if j.Team != other.Team || j.Route != other.Route {
+		return false
+	}
+	return slices.EqualFunc(j.Items, other.Items, func(a, b RoutedItem) bool {
+		return a.ID == b.ID && a.Target == b.Target && a.Tokens == b.Tokens && bytes.Equal(a.Body, b.Body)
+	})
+}
+
 // RoutedResult is the outcome of an item. Its position in the results never changes.
 type RoutedResult struct {
 	Item string `cbor:"1,keyasint"`
