Commit results by the size that they take in the store

Cause: a segment took up to 1 MiB of outputs, which is more than one object holds once outputs that don't compress are in base64. The store client's "value too large" was handled like an outage: the same segment was tried again every 250 ms without end, by this owner and the next.

Change: the persister encodes a segment before it writes it and takes as many of the leading results as fit in one object. A result that is larger by itself takes several, as jobs do. The same bound holds for the ledger, which leaves room for the marks of its entries: a job that doesn't fit is refused at once with status 429. Handovers go in several messages.

Why it works: no write that the owner makes can exceed an object, so every error that is retried is one that a retry can cure.

--- a/internal/batch/manager/commit.go
+++ b/internal/batch/manager/commit.go
@@ -27,11 +27,11 @@
 		if !more {
 			return
 		}
-		err := m.Persister.PutSegment(ctx, j.spec.ID, segment, persister.Segment{Epoch: j.team.epoch, Results: batch})
+		stored, err := m.Persister.PutSegment(ctx, j.spec.ID, segment, persister.Segment{Epoch: j.team.epoch, Results: batch})
 		switch {
 		case err == nil:
-			m.Log.Info("Results committed.", "job", string(j.spec.ID), "segment", segment, "results", len(batch))
-			j.applySegment(batch)
+			m.Log.Info("Results committed.", "job", string(j.spec.ID), "segment", segment, "results", stored, "pending", len(batch)-stored)
+			j.applySegment(batch[:stored])
 		case errors.Is(err, persister.ErrExists):
 			m.applyForeignSegment(ctx, j, segment)
 		default:
--- a/internal/batch/manager/fuzz_test.go
+++ b/internal/batch/manager/fuzz_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 	"pgregory.net/rapid"
 
@@ -53,6 +54,8 @@
 	// formerOwnerAlive is whether a manager knows that the other one lives and sends its progress.
 	formerOwnerAlive bool
 	tasks            [2][]*manager.Task
+	// largestHandover is the size of the largest message by which progress was sent, in bytes.
+	largestHandover int
 	// accepted holds the number of items of each job that a submission was accepted
 	// for. refused is true for jobs whose submissions were all refused as not run, and
 	// false for jobs whose outcome is unknown.
@@ -291,6 +294,13 @@
 
 // sendHandover sends progress to the newest owner.
 func (p *ownerPair) sendHandover(h manager.ProgressHandover) {
+	encoded, err := cbor.Marshal(h)
+	if err != nil {
+		panic(err)
+	}
+	p.mu.Lock()
+	p.largestHandover = max(p.largestHandover, len(encoded))
+	p.mu.Unlock()
 	// A lost handover only means that the items are generated again.
 	_, _ = p.manager(p.newest()).HandleProgressHandover(context.Background(), func(into any) error {
 		*into.(*manager.ProgressHandover) = h
--- a/internal/batch/manager/handover.go
+++ b/internal/batch/manager/handover.go
@@ -21,6 +21,8 @@
 	// maxHandoverWait is how long they wait for the handover of a former owner that is alive.
 	// It may apply the list of owners later than the next one.
 	maxHandoverWait = 2 * time.Second
+	// maxHandoverBytes bounds the outputs in one message of a handover.
+	maxHandoverBytes = 1 << 20
 )
 
 // ItemProgress is the progress of one item at the former owner.
@@ -46,6 +48,8 @@
 	Items []ItemProgress    `cbor:"2,keyasint"`
 	// From is the former owner; empty if its version doesn't send it.
 	From fescuebank.InstanceID `cbor:"3,keyasint,omitempty"`
+	// More is set if another message with more items follows.
+	More bool `cbor:"4,keyasint,omitempty"`
 }
 
 // handOver sends the progress of started items without a result to the team's
@@ -64,8 +68,36 @@
 		h.Items = append(h.Items, j.uncommittedItems()...)
 	}
 	if open > 0 || !tj.isLoaded() {
+		m.sendParts(h)
+	}
+}
+
+// sendParts sends a handover in as many messages as it needs.
+func (m *Manager) sendParts(h ProgressHandover) {
+	for rest := h.Items; ; {
+		count := leadingItems(rest)
+		h.Items, rest = rest[:count], rest[count:]
+		h.More = len(rest) > 0
 		m.SendHandover(h)
+		if !h.More {
+			return
+		}
+	}
+}
+
+// leadingItems returns how many of the items fit in one message, at least one if there is any.
+func leadingItems(items []ItemProgress) int {
+	size := 0
+	for i, p := range items {
+		size += len(p.Progress.Output)
+		if p.Outcome != nil {
+			size += len(p.Outcome.Output)
+		}
+		if size > maxHandoverBytes && i > 0 {
+			return i
+		}
 	}
+	return len(items)
 }
 
 // IsHandingOver reports whether progress is being sent to a next owner.
@@ -198,7 +230,9 @@
 		}
 	}
 	tj.mu.Unlock()
-	tj.endHandoverWait(h.From)
+	if !h.More {
+		tj.endHandoverWait(h.From)
+	}
 	m.Log.Info("Progress received from the former owner.", "team", string(h.Team), "items", len(h.Items), "taken", applied)
 	m.OnItemsAvailable()
 	return nil
--- a/internal/batch/manager/ledger.go
+++ b/internal/batch/manager/ledger.go
@@ -54,6 +54,9 @@
 			}
 		case errors.Is(err, fescuebank.ErrOutcomeUnknown):
 			outcomeUnknown = true
+		case errors.Is(err, fescuebank.ErrTooLarge):
+			m.Log.Warn("Ledger is full.", "team", string(tj.team), "jobs", len(next.Jobs))
+			return fescuebank.Refuse(http.StatusTooManyRequests, fescuebank.CodeRateLimited, "the team has too many jobs")
 		}
 		if fescuebank.Sleep(ctx, m.Clock, commitRetryPause/4) != nil {
 			break
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -97,7 +97,7 @@
 				return j, nil
 			}
 			segment = persister.Segment{Epoch: tj.epoch}
-			err = m.Persister.PutSegment(ctx, e.Job, j.segments, segment)
+			_, err = m.Persister.PutSegment(ctx, e.Job, j.segments, segment)
 			if errors.Is(err, persister.ErrExists) {
 				continue
 			}
--- a/internal/batch/persister/persister.go
+++ b/internal/batch/persister/persister.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"strconv"
 
@@ -51,65 +50,6 @@
 	return &Persister{store: store, clock: clock, encoder: encoder, decoder: decoder}, nil
 }
 
-// LedgerEntry is one job in a ledger.
-type LedgerEntry struct {
-	Job   fescuebank.JobID `json:"job"`
-	Route string           `json:"route"`
-	// SubmittedUnixMilli is in Unix milliseconds.
-	SubmittedUnixMilli int64             `json:"submitted"`
-	Total              int               `json:"total"`
-	Tokens             fescuebank.Tokens `json:"tokens"`
-	// Ended is set when the caller has ended the job.
-	Ended bool `json:"ended,omitempty"`
-	// Done is set when all results of the job are committed.
-	Done bool `json:"done,omitempty"`
-}
-
-// Ledger lists the jobs of a team. A job is accepted only when the ledger lists it.
-type Ledger struct {
-	// Epoch is the highest epoch under which an owner wrote the ledger.
-	Epoch fescuebank.FencingNumber `json:"epoch"`
-	Jobs  []LedgerEntry            `json:"jobs"`
-}
-
-// Find returns the entry of a job, or nil.
-func (l *Ledger) Find(id fescuebank.JobID) *LedgerEntry {
-	for i := range l.Jobs {
-		if l.Jobs[i].Job == id {
-			return &l.Jobs[i]
-		}
-	}
-	return nil
-}
-
-// Ledger reads a team's ledger. If there is none it returns an empty one.
-func (p *Persister) Ledger(ctx context.Context, team fescuebank.TeamID) (Ledger, fescuebank.StoreVersion, error) {
-	var l Ledger
-	o, err := p.store.Get(ctx, ledgerPrefix+string(team))
-	if errors.Is(err, fescuebank.ErrAbsent) {
-		return l, fescuebank.Absent, nil
-	}
-	if err != nil {
-		return l, 0, eris.Wrap(err, "Persister.Ledger")
-	}
-	if err := json.Unmarshal(o.Value, &l); err != nil {
-		return l, 0, eris.Wrap(err, "Persister.Ledger")
-	}
-	return l, o.Version, nil
-}
-
-// PutLedger replaces the given version of a team's ledger. It fails with
-// fescuebank.ErrVersion if the ledger has another version, and with
-// fescuebank.ErrOutcomeUnknown if the write may still take effect.
-func (p *Persister) PutLedger(ctx context.Context, team fescuebank.TeamID, l Ledger, version fescuebank.StoreVersion) (fescuebank.StoreVersion, error) {
-	value, err := json.Marshal(l)
-	if err != nil {
-		return 0, eris.Wrap(err, "Persister.PutLedger")
-	}
-	written, err := p.store.Put(ctx, ledgerPrefix+string(team), value, version)
-	return written, eris.Wrap(err, "Persister.PutLedger")
-}
-
 // PutJob stores a job and returns the job that is stored under its id: another encoding of it if an
 // earlier attempt has completed. What is stored never changes.
 func (p *Persister) PutJob(ctx context.Context, job *fescuebank.RoutedJob) (stored *fescuebank.RoutedJob, err error) {
@@ -150,14 +90,27 @@
 	Results []fescuebank.RoutedResult `cbor:"2,keyasint,omitempty"`
 }
 
-// PutSegment stores one segment of a job's results. It fails with ErrExists if
-// another writer has stored a segment of that number.
-func (p *Persister) PutSegment(ctx context.Context, id fescuebank.JobID, number int, segment Segment) error {
-	encoded, err := p.encode(segment)
+// PutSegment stores the next segment of a job's results with as many of the leading results as fit in one
+// object, and returns their number: one at least. It fails with ErrExists if another writer has
+// stored a segment of that number.
+func (p *Persister) PutSegment(ctx context.Context, id fescuebank.JobID, number int, segment Segment) (stored int, err error) {
+	encoded, stored, err := p.encodeLeading(segment)
 	if err != nil {
-		return eris.Wrap(err, "Persister.PutSegment")
+		return 0, eris.Wrap(err, "Persister.PutSegment")
+	}
+	return stored, eris.Wrap(p.putValue(ctx, objectKey(resultPrefix, id, number), encoded, nil), "Persister.PutSegment")
+}
+
+// encodeLeading encodes a segment without the last ones of its results until it fits in one object or
+// one result is left.
+func (p *Persister) encodeLeading(segment Segment) (encoded []byte, results int, err error) {
+	for {
+		encoded, err := p.encode(segment)
+		if err != nil || len(encoded) <= maxPartBytes || len(segment.Results) <= 1 {
+			return encoded, len(segment.Results), err
+		}
+		segment.Results = segment.Results[:len(segment.Results)/2]
 	}
-	return eris.Wrap(p.create(ctx, objectKey(resultPrefix, id, number), part{Parts: 1, Data: encoded}), "Persister.PutSegment")
 }
 
 // Segment reads one segment of a job's results. It fails with fescuebank.ErrAbsent if there is none, and
--- a/internal/batch/persister/stale_test.go
+++ b/internal/batch/persister/stale_test.go
@@ -41,7 +41,7 @@
 		t.Fatal(err)
 	}
 	for n := range segments {
-		if err := p.PutSegment(t.Context(), "job", n, Segment{Epoch: fescuebank.FencingNumber(n + 1)}); err != nil {
+		if _, err := p.PutSegment(t.Context(), "job", n, Segment{Epoch: fescuebank.FencingNumber(n + 1)}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/batch/persister/value.go
+++ b/internal/batch/persister/value.go
@@ -17,11 +17,14 @@
 )
 
 const (
-	// frameBytes is the room that an object needs beside the encoded bytes: its key, what the
-	// platform adds, and the JSON around them.
-	frameBytes = 4 << 10
-	// maxPartBytes bounds the encoded bytes in one object, which base64 makes longer by a third.
-	maxPartBytes = (int(fescuebank.MaxValue) - frameBytes) / 4 * 3
+	// frameBytes is the room that an object needs beside its value: its key and what the platform adds.
+	frameBytes = 2 << 10
+	// maxObjectBytes bounds the values that this package writes to one object.
+	maxObjectBytes = int(fescuebank.MaxValue) - frameBytes
+	// partFrameBytes is the room that a part needs for the JSON around its bytes.
+	partFrameBytes = 256
+	// maxPartBytes bounds the encoded bytes in one part, which base64 makes longer by a third.
+	maxPartBytes = (maxObjectBytes - partFrameBytes) / 4 * 3
 	// setBytes is the length of the digest that names the parts of a value.
 	setBytes = 16
 	// writeAttempts bounds the attempts of a write while the store is unavailable or
