Build every request to an endpoint in one place

Cause: headers of online requests were filtered where the request came in. The headers of items come in the body of a submission, which nothing checked, and the runner built requests from them by itself; names were compared only in their canonical form. The request writer added its own Content-Length beside an item's Transfer-Encoding and wrote the item's path as it was.

Change: Exchanger.Send builds all requests, online ones and items: the end-to-end headers under canonical names without credentials, host and length, then the protocol's own; a method or target that can't be written is not sent. The relayer and the runner no longer know the protocol's headers.

Why it works: there is no other writer to endpoints, and the filter runs after the last step that adds headers of callers, also for items that older builds have stored.

--- a/exchange.go
+++ b/exchange.go
@@ -23,7 +23,7 @@
 	// Target is the path and query as received.
 	Target string
 	Host   string
-	// Header holds the headers that are forwarded.
+	// Header holds the headers as received. ForwardedHeaders tells which of them are sent to endpoints.
 	Header http.Header
 	Body   []byte
 	// Arrived is when the header of the request was read.
@@ -148,7 +148,8 @@
 // EndpointProtocol encodes the headers of requests to endpoints and decodes those
 // of their responses.
 type EndpointProtocol interface {
-	// Encode sets the headers of an attempt that has to complete within timeLeft.
+	// Encode sets the protocol's headers of an attempt that has to complete within timeLeft in h, which holds the
+	// forwarded ones. It replaces or removes those that the caller sent under its names.
 	Encode(h http.Header, r *Request, e ServedEndpoint, timeLeft time.Duration)
 	// Resume sets the headers that request only the events after the one with the id last.
 	Resume(h http.Header, last string)
--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"net/http"
 	"time"
 
 	"fescuebank"
@@ -96,9 +97,9 @@
 
 // newRequest converts an item into a request to an endpoint.
 func (m *Manager) newRequest(j *job, it *item, route *fescuebank.Route, now time.Time) *fescuebank.Request {
-	h := make(map[string][]string, len(it.spec.Header))
+	h := make(http.Header, len(it.spec.Header))
 	for name, value := range it.spec.Header {
-		h[name] = []string{value}
+		h.Add(name, value)
 	}
 	j.mu.Lock()
 	body := it.spec.Body // It is nil once the item's result is committed.
--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -35,16 +35,16 @@
 	request, endpoint := a.task.Request, a.slot.Endpoint
 	run := r.observe(request)
 	defer run.Leave()
-	header := make(http.Header, len(request.Header)+4)
-	r.Protocol.Encode(header, request, endpoint, max(time.Second, request.Deadline.Sub(r.Clock.Now())))
-	if progress.Last != "" {
-		r.Protocol.Resume(header, progress.Last)
-	}
 	exchange, cancel := context.WithCancel(ctx)
 	defer cancel()
 	headTimer := time.AfterFunc(idleTimeout, cancel)
-	response, err := r.Exchanger.Send(exchange, exchanger.Target{Addr: endpoint.Addr, Accepts: a.slot.Accepts}, request, header)
+	response, err := r.Exchanger.Send(exchange, exchanger.Target{Endpoint: endpoint, Accepts: a.slot.Accepts}, request, exchanger.Attempt{
+		TimeLeft: max(minItemTime, request.Deadline.Sub(r.Clock.Now())), LastEvent: progress.Last,
+	})
 	timedOut := !headTimer.Stop()
+	if errors.Is(err, exchanger.ErrMalformed) {
+		return 0, errRejected
+	}
 	if err != nil {
 		cause := r.excludeEndpoint(ctx, endpoint, err)
 		if errors.Is(err, exchanger.ErrBroken) && exchange.Err() == nil {
@@ -109,9 +109,9 @@
 	r.Wake()
 }
 
-// errRejected means that the endpoint rejected the item as invalid, so that no other
-// attempt can succeed.
-var errRejected = errors.New("endpoint rejected the item permanently")
+// errRejected means that the endpoint rejected the item as invalid, or that it can't be written as a request, so that
+// no other attempt can succeed.
+var errRejected = errors.New("item rejected permanently")
 
 // report passes the end of an attempt to the manager and logs it.
 func (r *Runner) report(a *attempt, cause manager.Cause, err error, progress fescuebank.Progress, started time.Time) {
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -28,6 +28,8 @@
 	minCheckInterval = 5 * time.Millisecond
 	// idleTimeout is how long an endpoint may send nothing before the attempt ends.
 	idleTimeout = 1500 * time.Millisecond
+	// minItemTime is the time that an endpoint gets for an item at least.
+	minItemTime = time.Second
 	// readBufferBytes is the size of the buffer for reads from an endpoint.
 	readBufferBytes = 4 << 10
 	// releaseTime is how long after its cancellation an item releases its slot, at most.
--- a/internal/endpoint/exchanger/exchanger.go
+++ b/internal/endpoint/exchanger/exchanger.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 
 	"fescuebank"
 )
@@ -56,6 +57,8 @@
 	ErrLeft = fmt.Errorf("%w: it has left since it was chosen", ErrUnreachable)
 	// ErrBroken means that the connection failed and the request may have run.
 	ErrBroken = errors.New("connection broken")
+	// ErrMalformed means that the method or the target can't be written as part of a request. It is an ErrUnreachable.
+	ErrMalformed = fmt.Errorf("%w: malformed request", ErrUnreachable)
 	// ErrMismatched means that the response belongs to another request.
 	ErrMismatched = errors.New("response belongs to another request")
 )
@@ -119,17 +122,31 @@
 
 // Target is an endpoint that was chosen for a request.
 type Target struct {
-	Addr string
+	Endpoint fescuebank.ServedEndpoint
 	// Accepts reports whether the endpoint still accepts requests. If it is nil, it does.
 	Accepts func() bool
 }
 
+// Attempt is what differs between the attempts at one request.
+type Attempt struct {
+	// TimeLeft is the time that the endpoint has for the response.
+	TimeLeft time.Duration
+	// LastEvent is the id of the event after which a stream continues; empty for all events.
+	LastEvent string
+}
+
 // Send sends a request to an endpoint and returns the response after its head was read. It
-// fails with ErrUnreachable, ErrBroken or ErrMismatched. When ctx ends, the connection is
+// fails with ErrMalformed, ErrUnreachable, ErrBroken or ErrMismatched. When ctx ends, the connection is
 // closed. If the endpoint leaves, the idle connections to it are closed. Connecting takes
 // time, so the endpoint may have left meanwhile; then nothing is sent.
-func (x *Exchanger) Send(ctx context.Context, target Target, r *fescuebank.Request, h http.Header) (*Response, error) {
-	addr := target.Addr
+//
+// All that leaves for an endpoint passes through here, so that no header or line of a caller's request can
+// change where the request ends or for whom it runs.
+func (x *Exchanger) Send(ctx context.Context, target Target, r *fescuebank.Request, attempt Attempt) (*Response, error) {
+	if !isToken(r.Method) || !isTarget(r.Target) {
+		return nil, ErrMalformed
+	}
+	addr := target.Endpoint.Addr
 	c, err := x.connect(ctx, addr)
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "%v", err)
@@ -141,7 +158,7 @@
 	}
 	resp := &Response{SentAt: x.clock.Now(), exchanger: x, conn: c, addr: addr, written: make(chan struct{})}
 	resp.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
-	head := encodeHead(r, h)
+	head := encodeHead(r, x.header(target.Endpoint, r, attempt))
 	if len(head)+len(r.Body) < asyncWriteBytes {
 		resp.write(append(head, r.Body...))
 	} else {
@@ -159,6 +176,16 @@
 	return resp, nil
 }
 
+// header returns the headers of a request to an endpoint.
+func (x *Exchanger) header(e fescuebank.ServedEndpoint, r *fescuebank.Request, attempt Attempt) http.Header {
+	h := fescuebank.ForwardedHeaders(r.Header)
+	x.protocol.Encode(h, r, e, attempt.TimeLeft)
+	if attempt.LastEvent != "" {
+		x.protocol.Resume(h, attempt.LastEvent)
+	}
+	return h
+}
+
 func (r *Response) write(parts ...[]byte) {
 	defer close(r.written)
 	for _, p := range parts {
@@ -365,6 +392,16 @@
 	return err == nil && reusable
 }
 
+// isToken reports whether s can be the method of a request.
+func isToken(s string) bool {
+	return httpguts.ValidHeaderFieldName(s) // A header's name is a token, too.
+}
+
+// isTarget reports whether s can be the target of a request: it has no spaces or control characters.
+func isTarget(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(c rune) bool { return c <= ' ' || c == 0x7f })
+}
+
 // encodeHead writes the request line and the headers.
 func encodeHead(r *fescuebank.Request, h http.Header) []byte {
 	var b bytes.Buffer
--- a/internal/endpoint/exchanger/exchanger_test.go
+++ b/internal/endpoint/exchanger/exchanger_test.go
@@ -78,7 +78,7 @@
 // exchange sends a request to the endpoint and reads the response.
 func (e *endpoint) exchange(t *testing.T, x *exchanger.Exchanger) {
 	t.Helper()
-	response, err := x.Send(t.Context(), exchanger.Target{Addr: e.addr}, &fescuebank.Request{Method: http.MethodGet, Target: "/", Host: "h"}, http.Header{})
+	response, err := x.Send(t.Context(), exchanger.Target{Endpoint: fescuebank.ServedEndpoint{Addr: e.addr}}, &fescuebank.Request{Method: http.MethodGet, Target: "/", Host: "h"}, exchanger.Attempt{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"fescuebank"
@@ -121,12 +120,8 @@
 // send sends the request to the slot's endpoint, for the events after lastEvent. It changes
 // nothing in t.
 func (t *transfer) send(ctx context.Context, slot *allocator.Slot, lastEvent string) (*exchanger.Response, error) {
-	h := make(http.Header, len(t.request.Header)+4)
-	t.protocol.Encode(h, t.request, slot.Endpoint, t.request.Deadline.Sub(t.clock.Now()))
-	if lastEvent != "" {
-		t.protocol.Resume(h, lastEvent)
-	}
-	return t.exchanger.Send(ctx, exchanger.Target{Addr: slot.Endpoint.Addr, Accepts: slot.Accepts}, t.request, h)
+	target := exchanger.Target{Endpoint: slot.Endpoint, Accepts: slot.Accepts}
+	return t.exchanger.Send(ctx, target, t.request, exchanger.Attempt{TimeLeft: t.request.Deadline.Sub(t.clock.Now()), LastEvent: lastEvent})
 }
 
 // receive relays the response of the current attempt.
--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -5,8 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
-	"strings"
 
 	"fescuebank"
 	"fescuebank/internal/endpoint/exchanger"
@@ -63,7 +61,7 @@
 	t.headerSent = true
 	t.status = resp.StatusCode
 	t.firstByte = t.clock.Now().Sub(t.request.Arrived)
-	t.writer.Start(resp.StatusCode, EndToEndHeaders(resp.Header))
+	t.writer.Start(resp.StatusCode, fescuebank.EndToEndHeaders(resp.Header))
 }
 
 // forwardEvents relays complete events as they arrive and records their ids.
@@ -215,22 +213,3 @@
 	}
 	return done, err
 }
-
-// hopByHopHeaders apply to a single connection and are not relayed.
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// EndToEndHeaders returns the headers that are relayed.
-func EndToEndHeaders(h http.Header) http.Header {
-	connectionNames := strings.Split(strings.Join(h["Connection"], ","), ",")
-	endToEnd := make(http.Header, len(h))
-	for name, values := range h {
-		isNamed := slices.ContainsFunc(connectionNames, func(s string) bool { return strings.EqualFold(strings.TrimSpace(s), name) })
-		if !slices.Contains(hopByHopHeaders, name) && !isNamed {
-			endToEnd[name] = values
-		}
-	}
-	return endToEnd
-}
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -84,7 +84,6 @@
 	allocator     *allocator.Allocator
 	exchanger     *exchanger.Exchanger
 	profiler      *profiler.Profiler
-	protocol      fescuebank.EndpointProtocol
 	clock         fescuebank.Clock
 	meter         *meter.Meter
 	versions      func() Versions
@@ -112,7 +111,6 @@
 	Exchanger *exchanger.Exchanger
 	// Profiler times the streams; nil if they are not timed.
 	Profiler *profiler.Profiler
-	Protocol fescuebank.EndpointProtocol
 	Clock    fescuebank.Clock
 	Meter    *meter.Meter
 	// Versions returns the versions in force; they are logged.
@@ -132,7 +130,7 @@
 // New returns a relayer.
 func New(c Config) *Relayer {
 	return &Relayer{
-		allocator: c.Allocator, exchanger: c.Exchanger, profiler: c.Profiler, protocol: c.Protocol, clock: c.Clock, meter: c.Meter,
+		allocator: c.Allocator, exchanger: c.Exchanger, profiler: c.Profiler, clock: c.Clock, meter: c.Meter,
 		versions: c.Versions, serviceLevels: c.ServiceLevels, health: c.Health, guard: c.Guard,
 		begunStreams: c.BegunStreams, memory: c.Memory, history: c.History, inTouch: c.InTouch, log: c.Log,
 	}
--- a/internal/operate/server/build.go
+++ b/internal/operate/server/build.go
@@ -180,7 +180,7 @@
 	s.entry = Entry{
 		Table: s.table.Load,
 		Relayer: relayer.New(relayer.Config{
-			Allocator: s.allocator, Exchanger: s.exchanger, Profiler: s.profiler, Protocol: s.platform.Protocol, Clock: s.clock,
+			Allocator: s.allocator, Exchanger: s.exchanger, Profiler: s.profiler, Clock: s.clock,
 			Meter: s.meter, Versions: s.versions, ServiceLevels: s.serviceLevels, Health: s.ejector, Guard: s.isolator,
 			BegunStreams: s.resumer, Memory: s.memory, History: s.historian, InTouch: s.inTouch, Log: log,
 		}),
