Give jobs up by their age, not by another instance's clock

Cause: the owner compared its time of day with the time at which the accepting instance had received the job by its own. The deadline of an item at the endpoint came from the same difference.

Change: an owner measures a job's age from when it accepted or loaded it, writes it into each segment of results and sends it with a handover; the next owner goes on from there. The submitter's time of day only orders jobs that were taken over. The watch for silent endpoints and the list of cold ones measure with the steady clock too; that these went wrong is by reading only.

Why it works: each part of the age is measured by one steady clock, so the sum is never more than the real age. It can be less by the time between the last segment and a takeover without a handover.

Evidence: TestNoItemIsGivenUpByTheTimeOfDayOfAnotherInstance fails before in 4 of 5 cases and passes now, TestAgeOfJobsIsPassedOn.

--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -45,7 +45,7 @@
 	}
 	tj.mu.Lock()
 	if tj.jobs[spec.ID] == nil {
-		tj.jobs[spec.ID] = newJob(tj, spec)
+		tj.jobs[spec.ID] = newJob(tj, spec, m.Clock.Now())
 	}
 	tj.mu.Unlock()
 	m.Log.Info("Job accepted.", "job", string(spec.ID), "team", string(spec.Team), "items", len(spec.Items), "bodies", spec.BodyDigests(),
--- a/internal/batch/manager/commit.go
+++ b/internal/batch/manager/commit.go
@@ -27,7 +27,7 @@
 		if !more {
 			return
 		}
-		stored, err := m.Persister.PutSegment(ctx, j.spec.ID, segment, persister.Segment{Epoch: j.team.epoch, Results: batch})
+		stored, err := m.Persister.PutSegment(ctx, j.spec.ID, segment, persister.Segment{Epoch: j.team.epoch, Results: batch, Age: j.age(m.Clock.Now())})
 		switch {
 		case err == nil:
 			m.Log.Info("Results committed.", "job", string(j.spec.ID), "segment", segment, "results", stored, "pending", len(batch)-stored)
@@ -58,7 +58,7 @@
 	if route == nil {
 		return time.Time{}
 	}
-	return j.spec.Submitted.Add(route.CompletionObjective)
+	return j.submitted.Add(route.CompletionObjective)
 }
 
 // commitWait returns how long to wait for more outcomes, so that those of before the due time are
--- a/internal/batch/manager/expiry.go
+++ b/internal/batch/manager/expiry.go
@@ -23,7 +23,7 @@
 }
 
 func isPastRetention(j *job, route *fescuebank.Route, now time.Time) bool {
-	return route != nil && route.Retention > 0 && !now.Before(j.spec.Submitted.Add(route.Retention))
+	return route != nil && route.Retention > 0 && j.age(now) >= route.Retention
 }
 
 // isRouteGone records whether the configuration has the job's route, and reports whether the route
--- a/internal/batch/manager/handover.go
+++ b/internal/batch/manager/handover.go
@@ -48,6 +48,8 @@
 	Items []ItemProgress    `cbor:"2,keyasint"`
 	// From is the former owner; empty if its version doesn't send it.
 	From fescuebank.InstanceID `cbor:"3,keyasint,omitempty"`
+	// Ages holds, for each open job, a time for which it has existed at least.
+	Ages map[fescuebank.JobID]time.Duration `cbor:"5,keyasint,omitempty"`
 	// More is set if another message with more items follows.
 	More bool `cbor:"4,keyasint,omitempty"`
 }
@@ -57,17 +59,16 @@
 func (m *Manager) handOver(tj *teamJobs) {
 	defer m.handovers.Add(-1)
 	m.awaitAttempts(tj)
-	h := ProgressHandover{Team: tj.team, From: m.Self}
-	open := 0
+	h := ProgressHandover{Team: tj.team, From: m.Self, Ages: make(map[fescuebank.JobID]time.Duration)}
 	for _, j := range tj.list() {
 		if j.isEnded() || j.isDone() {
 			continue
 		}
-		open++
+		h.Ages[j.spec.ID] = j.age(m.Clock.Now())
 		h.Items = append(h.Items, j.startedItems()...)
 		h.Items = append(h.Items, j.uncommittedItems()...)
 	}
-	if open > 0 || !tj.isLoaded() {
+	if len(h.Ages) > 0 || !tj.isLoaded() {
 		m.sendParts(h)
 	}
 }
@@ -222,8 +223,13 @@
 	if err != nil {
 		return err
 	}
-	applied := 0
+	applied, now := 0, m.Clock.Now()
 	tj.mu.Lock()
+	for id, age := range h.Ages {
+		if j := tj.jobs[id]; j != nil {
+			j.recordAge(age, now)
+		}
+	}
 	for _, p := range h.Items {
 		if j := tj.jobs[p.Job]; j != nil && m.applyHandover(j, p) {
 			applied++
--- a/internal/batch/manager/job.go
+++ b/internal/batch/manager/job.go
@@ -41,9 +41,15 @@
 type job struct {
 	team *teamJobs
 	spec *fescuebank.RoutedJob
-
-	mu    sync.Mutex
-	items map[string]*item
+	// submitted is when the job was submitted, as estimated from its submitter's time of day, which may differ from
+	// the one here. It only orders work.
+	submitted time.Time
+
+	mu sync.Mutex
+	// existsSince is a time at which the job certainly existed. Unlike submitted it depends on no other
+	// instance's time of day, so nothing is given up too early by it.
+	existsSince time.Time
+	items       map[string]*item
 	// results are the committed results in order of commit; segments is the number
 	// of segments that hold them.
 	results  []fescuebank.RoutedResult
@@ -64,8 +70,12 @@
 	changed chan struct{}
 }
 
-func newJob(tj *teamJobs, spec *fescuebank.RoutedJob) *job {
-	j := &job{team: tj, spec: spec, items: make(map[string]*item, len(spec.Items)), changed: make(chan struct{})}
+// newJob returns a job that exists at least since now.
+func newJob(tj *teamJobs, spec *fescuebank.RoutedJob, now time.Time) *job {
+	j := &job{
+		team: tj, spec: spec, submitted: now, existsSince: now,
+		items: make(map[string]*item, len(spec.Items)), changed: make(chan struct{}),
+	}
 	for i := range spec.Items {
 		j.items[spec.Items[i].ID] = &item{spec: &spec.Items[i]}
 	}
@@ -130,7 +140,7 @@
 		return
 	}
 	status.Open++
-	status.OldestMs = max(status.OldestMs, now.Sub(j.spec.Submitted).Milliseconds())
+	status.OldestMs = max(status.OldestMs, now.Sub(j.submitted).Milliseconds())
 	for _, it := range j.items {
 		switch it.phase {
 		case phaseWaiting:
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -85,7 +85,8 @@
 	if err != nil {
 		return nil, err
 	}
-	j := newJob(tj, spec)
+	j := newJob(tj, spec, m.Clock.Now())
+	j.estimateSubmitted(m.Clock.Now())
 	j.delayItems(tj.itemsDelayedUntil(m.Clock.Now()))
 	if e.Ended {
 		j.end()
@@ -96,7 +97,7 @@
 			if j.isDone() {
 				return j, nil
 			}
-			segment = persister.Segment{Epoch: tj.epoch}
+			segment = persister.Segment{Epoch: tj.epoch, Age: j.age(m.Clock.Now())}
 			_, err = m.Persister.PutSegment(ctx, e.Job, j.segments, segment)
 			if errors.Is(err, persister.ErrExists) {
 				continue
@@ -114,6 +115,7 @@
 			return nil, fescuebank.ErrNotOwner
 		}
 		j.applySegment(segment.Results)
+		j.recordAge(segment.Age, m.Clock.Now())
 		m.learnLengths(spec.Route, segment.Results)
 	}
 }
--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -103,10 +103,11 @@
 	}
 	j.mu.Lock()
 	body := it.spec.Body // It is nil once the item's result is committed.
+	retainedUntil := j.existsSince.Add(route.Retention)
 	j.mu.Unlock()
 	return &fescuebank.Request{
 		ID: fescuebank.RequestID(it.spec.ID), Team: j.spec.Team, Route: route, Service: route.PickService(0),
 		Method: "POST", Target: it.spec.Target, Host: j.spec.Host, Header: h, Body: body,
-		Arrived: now, Deadline: j.spec.Submitted.Add(route.Retention), Priority: route.Priority,
+		Arrived: now, Deadline: retainedUntil, Priority: route.Priority,
 	}
 }
--- a/internal/batch/manager/urgency.go
+++ b/internal/batch/manager/urgency.go
@@ -37,7 +37,7 @@
 
 // urgency returns the urgency of an item of a job that has generated some events.
 func (m *Manager) urgency(j *job, route *fescuebank.Route, events int) urgency {
-	u := urgency{due: j.spec.Submitted.Add(route.CompletionObjective), remaining: m.Estimator.Remaining(route.Name, events)}
+	u := urgency{due: j.submitted.Add(route.CompletionObjective), remaining: m.Estimator.Remaining(route.Name, events)}
 	if m.TimeToEnd != nil && u.remaining > 0 {
 		u.pauses = max(0, m.TimeToEnd(route.PickService(0), u.remaining)-u.remaining)
 	}
--- a/internal/batch/persister/persister.go
+++ b/internal/batch/persister/persister.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"time"
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
@@ -88,6 +89,8 @@
 	Epoch fescuebank.FencingNumber `cbor:"1,keyasint"`
 	// Results is empty in the segment that a new owner writes first.
 	Results []fescuebank.RoutedResult `cbor:"2,keyasint,omitempty"`
+	// Age is a time for which the job has existed at least, 0 if the writer's version doesn't state it.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // PutSegment stores the next segment of a job's results with as many of the leading results as fit in one
--- a/internal/endpoint/dialer/dialer.go
+++ b/internal/endpoint/dialer/dialer.go
@@ -61,7 +61,7 @@
 func New(c Config) *Dialer {
 	d := &Dialer{Config: c}
 	d.relays = relayPicker{zone: c.Zone, clock: c.Clock, failed: make(map[fescuebank.InstanceID]time.Time), open: make(map[fescuebank.InstanceID]int)}
-	d.silence = silenceWatch{clock: c.Clock, onSilence: d.startCheck}
+	d.silence = silenceWatch{clock: c.Clock, onSilence: d.startCheck, began: c.Clock.Now()}
 	d.state.failed = make(map[string]time.Time)
 	return d
 }
--- a/internal/endpoint/dialer/silence.go
+++ b/internal/endpoint/dialer/silence.go
@@ -19,9 +19,11 @@
 type silenceWatch struct {
 	clock     fescuebank.Clock
 	onSilence func()
+	// began is when the watch was created. Times are measured from it, as the time of day may be set.
+	began time.Time
 
 	waiting atomic.Int64
-	// receivedAt is when bytes last arrived, in Unix nanoseconds.
+	// receivedAt is when bytes last arrived, in nanoseconds since began.
 	receivedAt atomic.Int64
 
 	mu sync.Mutex
@@ -66,18 +68,22 @@
 	return raw.SyscallConn()
 }
 
+func (w *silenceWatch) elapsed() time.Duration {
+	return w.clock.Now().Sub(w.began)
+}
+
 // begin counts a read that waits.
 func (w *silenceWatch) begin() {
 	if w.waiting.Add(1) == 1 {
 		// What was read before says nothing about the time in which nothing was waited for.
-		w.receivedAt.Store(w.clock.Now().UnixNano())
+		w.receivedAt.Store(int64(w.elapsed()))
 	}
 	w.arm()
 }
 
 func (w *silenceWatch) end(received bool) {
 	if received {
-		w.receivedAt.Store(w.clock.Now().UnixNano())
+		w.receivedAt.Store(int64(w.elapsed()))
 	}
 	w.waiting.Add(-1)
 }
@@ -100,7 +106,7 @@
 		w.mu.Unlock()
 		return
 	}
-	left := silenceTime - w.clock.Now().Sub(time.Unix(0, w.receivedAt.Load()))
+	left := silenceTime - (w.elapsed() - time.Duration(w.receivedAt.Load()))
 	silent := left <= 0
 	if silent {
 		left = silenceTime
--- a/internal/limit/throttler/state.go
+++ b/internal/limit/throttler/state.go
@@ -58,7 +58,7 @@
 		s.divided, s.bucket = false, nil
 	}
 	s.until = until
-	t.latest.Store(max(t.latest.Load(), until.UnixNano()))
+	t.latest.Store(max(t.latest.Load(), int64(until.Sub(t.began))))
 	return true
 }
 
--- a/internal/limit/throttler/throttler.go
+++ b/internal/limit/throttler/throttler.go
@@ -33,7 +33,9 @@
 // Throttler is a fescuebank.RateLimiter.
 type Throttler struct {
 	Config
-	// latest is when the last endpoint ceases to be cold, in Unix nanoseconds, 0 if none was. It
+	// began is when the throttler was created. latest is measured from it, as the time of day may be set.
+	began time.Time
+	// latest is when the last endpoint ceases to be cold, in nanoseconds since began, 0 if none was. It
 	// only grows. isolated is set while this instance can't learn which endpoints are cold. Both
 	// spare requests the lock while no endpoint is cold.
 	latest   atomic.Int64
@@ -48,7 +50,7 @@
 
 // New returns a throttler that knows of no endpoint.
 func New(c Config) *Throttler {
-	return &Throttler{Config: c, states: make(map[fescuebank.EndpointID]*state)}
+	return &Throttler{Config: c, began: c.Clock.Now(), states: make(map[fescuebank.EndpointID]*state)}
 }
 
 // SetMembers sets the other instances of the fleet, whether they can be reached or not.
@@ -234,5 +236,5 @@
 
 // mayBeCold reports whether any endpoint may count as cold now.
 func (t *Throttler) mayBeCold() bool {
-	return t.isolated.Load() || t.Clock.Now().UnixNano() < t.latest.Load()
+	return t.isolated.Load() || int64(t.Clock.Now().Sub(t.began)) < t.latest.Load()
 }
