Believe only answers to the attempt that waits

What callers saw: status 503 with "not run" for a request that an endpoint runs (a report of another operator; a test shows it here).

Cause: a refusal without an id was believed on any connection, so the second copy of an earlier one counted as the answer to the request that runs. An item has the same id in all attempts, so a late copy of its failure counted as another one; and the runner believed failures that nobody had signed.

Change: a refusal without an id counts only for the first request on a connection. An id is sent on a connection at most once. A 422 or 500 counts against an item only if the endpoint signed it.

Why it works: what arrives on a connection was caused by a request that was sent on it before. With one request before it, or with ids that differ, it can be told which.

Evidence: TestCopyOfARefusalIsNotTheAnswer (without an id), TestRequestIDIsSentOnceOnAConnection and TestOnlySignedFailuresCountAgainstAnItem fail before and pass now.

--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -70,11 +70,13 @@
 		return manager.CauseNotRun, errNotRun
 	}
 	switch {
+	case !response.Info.Signed:
+		return manager.CauseInterrupted, errCorrupted
 	case response.StatusCode == http.StatusUnprocessableEntity:
 		return 0, errRejected
 	case response.StatusCode == http.StatusInternalServerError:
 		return manager.CauseItemFailed, errItemFailed
-	case response.StatusCode/100 != 2 || !response.Info.Signed:
+	case response.StatusCode/100 != 2:
 		return manager.CauseInterrupted, errCorrupted
 	}
 	eventsBefore := progress.Events
--- a/internal/endpoint/exchanger/exchanger.go
+++ b/internal/endpoint/exchanger/exchanger.go
@@ -47,6 +47,8 @@
 	maxMismatched = 2
 	// maxDiscardBytes bounds the body of a discarded response.
 	maxDiscardBytes = 1 << 20
+	// maxRecordedRequests is how many of the last requests on a connection are recorded.
+	maxRecordedRequests = 64
 )
 
 // Errors of an exchange.
@@ -85,6 +87,27 @@
 	limit *io.LimitedReader
 	// expires is the time from which the idle connection is not reused.
 	expires time.Time
+	// sent are the ids of the last requests that were sent on the connection.
+	sent []fescuebank.RequestID
+}
+
+// record records a request that is sent on the connection.
+func (c *conn) record(id fescuebank.RequestID) {
+	if len(c.sent) == maxRecordedRequests {
+		c.sent = slices.Delete(c.sent, 0, 1)
+	}
+	c.sent = append(c.sent, id)
+}
+
+// isNew reports whether no request was sent on the connection before the current one.
+func (c *conn) isNew() bool {
+	return len(c.sent) == 1
+}
+
+// mayCarry reports whether a request with an id may be sent on the connection. No id is sent twice on one, as a late copy
+// of the earlier response could not be told from the response that is due.
+func (c *conn) mayCarry(id fescuebank.RequestID) bool {
+	return id == "" || !slices.Contains(c.sent, id)
 }
 
 // DialFunc connects to the endpoint at an address. If its connections have a method SingleUse that
@@ -147,7 +170,7 @@
 		return nil, ErrMalformed
 	}
 	addr := target.Endpoint.Addr
-	c, err := x.connect(ctx, addr)
+	c, err := x.connect(ctx, addr, r.ID)
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "%v", err)
 	}
@@ -158,6 +181,7 @@
 	}
 	resp := &Response{SentAt: x.clock.Now(), exchanger: x, conn: c, addr: addr, written: make(chan struct{})}
 	resp.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
+	c.record(r.ID)
 	head := encodeHead(r, x.header(target.Endpoint, r, attempt))
 	if len(head)+len(r.Body) < asyncWriteBytes {
 		resp.write(append(head, r.Body...))
@@ -197,7 +221,8 @@
 }
 
 // readHead reads response heads until one belongs to the request. Endpoints may first send
-// a second response to an earlier request.
+// a second response to an earlier request. A refusal without an id belongs to the request only if there was no
+// earlier one on the connection.
 func (r *Response) readHead(request *fescuebank.Request) error {
 	for range maxMismatched + 1 {
 		r.conn.limit.N = maxHeadBytes
@@ -207,7 +232,7 @@
 			return eris.Wrapf(ErrBroken, "%v", err)
 		}
 		info := r.exchanger.protocol.Decode(resp.StatusCode, resp.Header)
-		if info.Request == request.ID || (info.Request == "" && info.NotRun) {
+		if info.Request == request.ID || (info.Request == "" && info.NotRun && r.conn.isNew()) {
 			r.Response, r.Info = resp, info
 			return nil
 		}
@@ -316,10 +341,10 @@
 	}
 }
 
-// connect returns a reusable idle connection or dials a new one.
-func (x *Exchanger) connect(ctx context.Context, addr string) (*conn, error) {
+// connect returns a reusable idle connection that may carry a request with the id, or dials a new one.
+func (x *Exchanger) connect(ctx context.Context, addr string, id fescuebank.RequestID) (*conn, error) {
 	for {
-		c := x.popIdle(addr)
+		c := x.popIdle(addr, id)
 		if c == nil {
 			break
 		}
@@ -337,17 +362,18 @@
 	return &conn{Conn: dialed, limit: limit, reader: bufio.NewReaderSize(limit, readerBytes)}, nil
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (x *Exchanger) popIdle(addr string) *conn {
+// popIdle removes and returns the most recently used idle connection that may carry a request with the id, or nil.
+func (x *Exchanger) popIdle(addr string, id fescuebank.RequestID) *conn {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	list := x.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if c.mayCarry(id) {
+			x.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	x.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // CloseIdle closes the idle connections to addr.
