Follow streams by one reader that checks the order of events

Cause: batch items and online streams were read with two sets of checks. The relayer looked for ends of events only, so any text before an empty line was one, and a response without length or chunks was complete when its connection ended.

Change: the scanner follows one stream over all of its responses for both. An event has to follow the last one, a line has to be a field or a comment, and an end counts only after an event. What is in place is passed on; then the attempt ends like one whose connection broke. Whether a response is the endpoint's own is one function for both as well.

Why it works: the number of the last event is the only state that a stream has, and nothing is passed on that doesn't continue it.

--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -70,7 +70,7 @@
 		return manager.CauseNotRun, errNotRun
 	}
 	switch {
-	case !response.Info.Signed:
+	case !response.IsIntact():
 		return manager.CauseInterrupted, errCorrupted
 	case response.StatusCode == http.StatusUnprocessableEntity:
 		return 0, errRejected
@@ -166,18 +166,16 @@
 // readEvents reads events until the response ends, which it must do after a complete
 // event.
 func (r *Runner) readEvents(response *exchanger.Response, a *attempt, progress *fescuebank.Progress) error {
-	var events scanner.Scanner
+	events := scanner.New(progress.Last)
 	work := r.Profiler.Begin(a.slot.Endpoint, a.task.Request)
 	buffer := make([]byte, readBufferBytes)
 	response.SetReadDeadline(r.Clock.Now().Add(idleTimeout))
 	for {
 		count, err := response.Read(buffer)
-		complete := scanner.Events(events.Feed(buffer[:count]))
-		work.Arrived(len(complete))
-		for _, e := range complete {
-			if err := appendEvent(progress, e); err != nil {
-				return err
-			}
+		complete, arrived := events.Feed(buffer[:count])
+		work.Arrived(arrived)
+		if arrived > 0 {
+			appendEvents(progress, scanner.Events(complete))
 			// Only events are progress: a stalled endpoint may send bytes now and then.
 			response.SetReadDeadline(r.Clock.Now().Add(idleTimeout))
 		}
@@ -186,10 +184,7 @@
 			return err
 		}
 		if err == io.EOF {
-			if events.Partial() || progress.Events == 0 {
-				return io.ErrUnexpectedEOF
-			}
-			return nil
+			return events.End(response.IsCloseDelimited())
 		}
 		if err != nil {
 			return err
@@ -197,19 +192,16 @@
 	}
 }
 
-// appendEvent appends an event's data to the output. The event must directly follow the
-// last one.
-func appendEvent(progress *fescuebank.Progress, e scanner.Event) error {
-	if e.ID == "" || !follows(progress.Last, e.ID) {
-		return errEventOrder
-	}
-	if progress.Events > 0 {
-		progress.Output = append(progress.Output, '\n')
+// appendEvents appends the data of events to the output.
+func appendEvents(progress *fescuebank.Progress, events []scanner.Event) {
+	for _, e := range events {
+		if progress.Events > 0 {
+			progress.Output = append(progress.Output, '\n')
+		}
+		progress.Output = append(progress.Output, e.Data...)
+		progress.Events++
+		progress.Last = e.ID
 	}
-	progress.Output = append(progress.Output, e.Data...)
-	progress.Events++
-	progress.Last = e.ID
-	return nil
 }
 
 // Errors of an attempt.
@@ -217,5 +209,4 @@
 	errNotRun     = errors.New("endpoint did not execute the item")
 	errItemFailed = errors.New("endpoint reported that the item failed")
 	errCorrupted  = errors.New("response corrupted")
-	errEventOrder = errors.New("event out of order")
 )
--- a/internal/entry/relayer/forward.go
+++ b/internal/entry/relayer/forward.go
@@ -22,7 +22,7 @@
 // forward relays an endpoint's response to the caller. ctx is the request's.
 func (t *transfer) forward(ctx context.Context, resp *exchanger.Response) (done bool, err error) {
 	success := resp.StatusCode/100 == 2
-	if success && !isIntact(resp) {
+	if success && !resp.IsIntact() {
 		t.recordFailure(ctx, t.endpoint, errCorrupted)
 		t.runs-- // Already counted in attempt.
 		return false, errCorrupted
@@ -42,11 +42,6 @@
 	return t.forwardBody(ctx, resp)
 }
 
-// isIntact reports whether a successful response is the endpoint's own.
-func isIntact(resp *exchanger.Response) bool {
-	return resp.Info.Signed && resp.Header.Get("Content-Encoding") == ""
-}
-
 // spool returns the spooler of a response. The slot is free once the endpoint's part has ended, however long the
 // caller takes to read the rest.
 func (t *transfer) spool(resp *exchanger.Response) *spooler.Spooler {
@@ -66,21 +61,21 @@
 
 // forwardEvents relays complete events as they arrive and records their ids.
 func (t *transfer) forwardEvents(ctx context.Context, resp *exchanger.Response) (done bool, err error) {
-	var events scanner.Scanner
+	events := scanner.New(t.resumedAfter())
 	spool := t.spool(resp)
 	defer spool.Close(resp.Abort)
 	work := t.profiler.Begin(t.endpoint, t.request)
 	buffer := make([]byte, readBufferBytes)
 	for {
 		t.stalls.wait(t.lastEvent)
-		complete, readErr := readEvents(spool, &events, buffer)
+		complete, count, readErr := readEvents(spool, events, buffer)
 		if !t.stalls.pause() {
 			resp.Abort()
 			t.attemptHealth.record(false)
 			return false, errMoved
 		}
 		if len(complete) > 0 {
-			work.Arrived(scanner.Count(complete))
+			work.Arrived(count)
 			t.attemptBegun = true
 			t.begin()
 			t.sendHeader(resp)
@@ -88,10 +83,10 @@
 				resp.Abort()
 				return true, context.Canceled
 			}
-			t.lastEvent = scanner.LastID(complete, t.lastEvent)
+			t.lastEvent = events.LastID()
 		}
 		if readErr == io.EOF {
-			return t.endEvents(ctx, resp, events.Partial())
+			return t.endEvents(ctx, resp, events)
 		}
 		if readErr != nil {
 			return t.handleTruncation(ctx, resp, readErr)
@@ -99,26 +94,36 @@
 	}
 }
 
-// readEvents reads until at least one event is complete or the stream ends. Bytes of an incomplete event and
-// comments are no progress: a stalled endpoint may send them now and then. Comments are returned with
+// resumedAfter returns the id of the event that the caller has received last, empty for none.
+func (t *transfer) resumedAfter() string {
+	if t.lastEvent != "" {
+		return t.lastEvent
+	}
+	return t.request.ResumeAfter
+}
+
+// readEvents reads until at least one event is complete or the stream ends, and returns the number of events. Bytes of an
+// incomplete event and comments are no progress: a stalled endpoint may send them now and then. Comments are returned with
 // the event after them.
-func readEvents(resp io.Reader, events *scanner.Scanner, buffer []byte) (complete []byte, err error) {
-	for err == nil && scanner.OnlyComments(complete) {
+func readEvents(resp io.Reader, events *scanner.Scanner, buffer []byte) (complete []byte, count int, err error) {
+	for err == nil && count == 0 {
 		var n int
 		n, err = resp.Read(buffer)
-		if fed := events.Feed(buffer[:n]); len(complete) == 0 {
+		fed, added := events.Feed(buffer[:n])
+		count += added
+		if len(complete) == 0 {
 			complete = fed
 		} else {
 			complete = append(complete, fed...)
 		}
-		if len(complete) > maxBufferedBytes && scanner.OnlyComments(complete) {
-			return nil, scanner.ErrTooLong
+		if len(complete) > maxBufferedBytes && count == 0 {
+			return nil, 0, scanner.ErrTooLong
 		}
-		if tooLong := events.Err(); tooLong != nil {
-			return complete, tooLong
+		if invalid := events.Err(); invalid != nil {
+			return complete, count, invalid
 		}
 	}
-	return complete, err
+	return complete, count, err
 }
 
 // writeEvents sends events to the caller. If that takes long, the next ones are not timed, as they may have
@@ -132,11 +137,10 @@
 	return err
 }
 
-// endEvents handles the end of a stream. Bytes after the last complete event mean that
-// the endpoint stopped within an event.
-func (t *transfer) endEvents(ctx context.Context, resp *exchanger.Response, partial bool) (done bool, err error) {
-	if partial {
-		return t.handleTruncation(ctx, resp, io.ErrUnexpectedEOF)
+// endEvents handles the end of a stream's response.
+func (t *transfer) endEvents(ctx context.Context, resp *exchanger.Response, events *scanner.Scanner) (done bool, err error) {
+	if err := events.End(resp.IsCloseDelimited()); err != nil {
+		return t.handleTruncation(ctx, resp, err)
 	}
 	t.sendHeader(resp)
 	t.recordSuccess(resp)
--- a/internal/entry/relayer/stall.go
+++ b/internal/entry/relayer/stall.go
@@ -178,7 +178,7 @@
 
 // continuesStream reports whether a response is that of an endpoint that runs the request.
 func continuesStream(r *exchanger.Response) bool {
-	return !r.Info.NotRun && r.StatusCode == http.StatusOK && isIntact(r)
+	return !r.Info.NotRun && r.StatusCode == http.StatusOK && r.IsIntact()
 }
 
 // ask acquires the slot of the endpoint to ask. It returns nil and waits for another timeout
