State what all attempts at an owner allow to say

Cause: when the caller's time ended between two attempts at the owner, the error of the last one was returned, although an earlier one had been lost after it was sent. The call that ends a job ignored unknown outcomes at all.

Change: every exit of the loop over attempts reports an unknown outcome; both calls then get status 504 and the state mayHaveRun.

Why it works: "not run" is said only if each attempt certainly had no effect.

--- a/internal/batch/client/client.go
+++ b/internal/batch/client/client.go
@@ -83,12 +83,12 @@
 		if errors.As(err, &refusal) && outcomeUnknown && refusal.State == fescuebank.NotRun {
 			return errOutcomeUnknown // An earlier attempt may still be in progress.
 		}
-		if err == nil || refusal != nil || ctx.Err() != nil {
+		if err == nil || refusal != nil {
 			return err
 		}
 		outcomeUnknown = outcomeUnknown || isOutcomeUnknown(err)
 		if fescuebank.Sleep(ctx, c.Clock, retryPause) != nil {
-			return err
+			break
 		}
 	}
 	c.Log.Warn("Call to the owner failed.", "team", string(team), "kind", int(kind), "err", err.Error())
@@ -125,6 +125,12 @@
 	err := c.call(ctx, job.Team, fescuebank.KindSubmitJob, submitTimeout, job, &reply, func(ctx context.Context) error {
 		return c.Manager.Submit(ctx, job)
 	})
+	return refusalOfChange(err)
+}
+
+// refusalOfChange converts the error of a call that changes something into a refusal that states whether it may
+// have taken effect.
+func refusalOfChange(err error) error {
 	if errors.Is(err, errOutcomeUnknown) || isOutcomeUnknown(err) {
 		return fescuebank.Refuse(http.StatusGatewayTimeout, fescuebank.CodeDeadline, "the owner of the team did not answer").WithState(fescuebank.MayHaveRun)
 	}
@@ -210,7 +216,7 @@
 	err := c.call(ctx, team, fescuebank.KindEndJob, callTimeout, message, &reply, func(ctx context.Context) error {
 		return c.Manager.End(ctx, team, id)
 	})
-	return refusalOf(err)
+	return refusalOfChange(err)
 }
 
 // HandleSubmit handles a submission sent by another instance.
