Decode each object of a list by itself

What callers saw: nothing yet; another operator's instances ended or stopped following the list of endpoints because of one odd entry.

Cause: a page of a list or watch was decoded as one document. One entry nested too deeply, or with metadata of another type, made the call fail, which counted as an outage of the store.

Change: a new package finds the parts of a page without decoding them, and both clients of a store decode each object by itself.

Why it works: what one writer puts into its object is never decoded together with another object.

--- a/internal/batch/submitter/submitter.go
+++ b/internal/batch/submitter/submitter.go
@@ -291,8 +291,8 @@
 	var jobs []*fescuebank.Job
 	for _, o := range objects[:min(len(objects), limit)] {
 		var marker fescuebank.ActiveJob
-		if err := json.Unmarshal(o.Value, &marker); err != nil {
-			return nil, eris.Wrap(err, "Submitter.ActiveJobs")
+		if json.Unmarshal(o.Value, &marker) != nil {
+			continue // One odd marker must not hide all jobs.
 		}
 		id := fescuebank.JobID(strings.TrimPrefix(o.Key, fescuebank.ActivePrefix))
 		if job, err := s.Job(ctx, marker.Team, id); err == nil {
--- a/internal/platform/storer/storer.go
+++ b/internal/platform/storer/storer.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"fescuebank"
+	"fescuebank/internal/platform/unpacker"
 )
 
 const (
@@ -51,15 +52,12 @@
 	}
 }
 
-// listReply is the response body of a list and of a watch.
-type listReply struct {
+// listedObject is the JSON representation of an object in the response to a list or a watch.
+type listedObject struct {
+	Key     string                  `json:"key"`
+	Value   []byte                  `json:"value"`
 	Version fescuebank.StoreVersion `json:"version"`
-	Objects []struct {
-		Key     string                  `json:"key"`
-		Value   []byte                  `json:"value"`
-		Version fescuebank.StoreVersion `json:"version"`
-		Deleted bool                    `json:"deleted"`
-	} `json:"objects"`
+	Deleted bool                    `json:"deleted"`
 }
 
 // Get returns the object or ErrAbsent.
@@ -209,14 +207,32 @@
 	return fescuebank.StoreVersion(n), err
 }
 
+// errNoList means that a response is not that to a list or a watch.
+var errNoList = eris.Wrap(fescuebank.ErrStoreDown, "Storer: response is not a list")
+
+// decodeList decodes the response to a list or a watch. Any party may have written an object, so each is decoded by itself, and
+// those that can't be are left out.
 func decodeList(body []byte) ([]fescuebank.Object, fescuebank.StoreVersion, error) {
-	var reply listReply
-	if err := json.Unmarshal(body, &reply); err != nil {
-		return nil, 0, eris.Wrap(fescuebank.ErrStoreDown, "Storer: list is not valid JSON")
-	}
-	objects := make([]fescuebank.Object, 0, len(reply.Objects))
-	for _, o := range reply.Objects {
-		objects = append(objects, fescuebank.Object(o))
-	}
-	return objects, reply.Version, nil
+	fields, err := unpacker.Fields(body)
+	if err != nil {
+		return nil, 0, errNoList
+	}
+	var version fescuebank.StoreVersion
+	if err := json.Unmarshal(fields["version"], &version); err != nil {
+		return nil, 0, errNoList
+	}
+	var entries []json.RawMessage
+	if raw := fields["objects"]; len(raw) > 0 && string(raw) != "null" {
+		if entries, err = unpacker.Elements(raw); err != nil {
+			return nil, 0, errNoList
+		}
+	}
+	objects := make([]fescuebank.Object, 0, len(entries))
+	for _, entry := range entries {
+		var o listedObject
+		if json.Unmarshal(entry, &o) == nil && o.Key != "" {
+			objects = append(objects, fescuebank.Object(o))
+		}
+	}
+	return objects, version, nil
 }
