Load open jobs first at a takeover, and keep what is loaded

Cause: a new owner loaded every job of the ledger, done ones too, with some three calls to the store each, before it acted on any, and began anew after 8 s.

Change: it loads the open jobs in order of submission and acts on each at once; a later attempt goes on with those that are missing. Of the done ones it loads the newest four, for the lengths of items, and others when they are asked for. The ledger is written once 32 done jobs lack their mark.

Why it works: the calls grow with the open jobs, and no call is lost when a later one fails.

--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -175,6 +175,9 @@
 	if err := m.refresh(ctx, tj); err != nil {
 		return nil, m.refusalOf(err)
 	}
+	if err := m.addDone(ctx, tj, id); err != nil {
+		return nil, m.refusalOf(err)
+	}
 	tj.mu.Lock()
 	defer tj.mu.Unlock()
 	if j := tj.jobs[id]; j != nil {
@@ -186,6 +189,18 @@
 	return nil, fescuebank.Refuse(http.StatusNotFound, fescuebank.CodeNotFound, "no such batch job")
 }
 
+// addDone loads a job that is done and was not loaded at the takeover. The caller holds ledgerLock.
+func (m *Manager) addDone(ctx context.Context, tj *teamJobs, id fescuebank.JobID) error {
+	tj.mu.Lock()
+	entry := tj.ledger.Find(id)
+	isLoaded := tj.jobs[id] != nil
+	tj.mu.Unlock()
+	if entry == nil || !entry.Done || isLoaded {
+		return nil
+	}
+	return m.add(ctx, tj, *entry)
+}
+
 // Read returns the results from position after on. If there is none yet it waits
 // for one, up to wait.
 func (m *Manager) Read(ctx context.Context, team fescuebank.TeamID, id fescuebank.JobID, after int, wait time.Duration) (*fescuebank.ResultPage, error) {
--- a/internal/batch/manager/commit.go
+++ b/internal/batch/manager/commit.go
@@ -25,6 +25,7 @@
 		m.awaitMore(j)
 		batch, segment, more := j.nextSegment()
 		if !more {
+			go m.markDone(j.team)
 			return
 		}
 		stored, err := m.Persister.PutSegment(ctx, j.spec.ID, segment, persister.Segment{Epoch: j.team.epoch, Results: batch, Age: j.age(m.Clock.Now())})
--- a/internal/batch/manager/ledger.go
+++ b/internal/batch/manager/ledger.go
@@ -69,6 +69,41 @@
 	return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeStoreDown, "the store is out of reach").WithRetryAfter(storeRetryAfter)
 }
 
+// markDone writes the ledger if it lists many jobs as open that are done: the next owner would load them all. Otherwise they are
+// marked by the next change of the ledger.
+func (m *Manager) markDone(tj *teamJobs) {
+	if tj.unmarkedDone() < maxUnmarkedDone {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	defer cancel()
+	if tj.lockLedger(ctx) != nil {
+		return
+	}
+	defer tj.unlockLedger()
+	if tj.unmarkedDone() < maxUnmarkedDone {
+		return // Another job that ended meanwhile has done it.
+	}
+	// A failure is logged there; the next job that ends tries again.
+	_ = m.updateLedger(ctx, tj, func(*persister.Ledger) bool { return true })
+}
+
+// unmarkedDone returns the number of done jobs that the ledger lists as open, 0 if the team isn't owned any more.
+func (tj *teamJobs) unmarkedDone() int {
+	tj.mu.Lock()
+	defer tj.mu.Unlock()
+	if tj.closed {
+		return 0
+	}
+	count := 0
+	for _, e := range tj.ledger.Jobs {
+		if j := tj.jobs[e.Job]; !e.Done && j != nil && j.isDone() {
+			count++
+		}
+	}
+	return count
+}
+
 // nextLedger returns a copy of the ledger in which finished jobs are marked done.
 func (tj *teamJobs) nextLedger() persister.Ledger {
 	tj.mu.Lock()
--- a/internal/batch/manager/manager.go
+++ b/internal/batch/manager/manager.go
@@ -34,6 +34,10 @@
 	// unreadableRetryAfter is the Retry-After of calls about a job that is damaged in the store, and the minimum time
 	// between two attempts to read it.
 	unreadableRetryAfter = 10 * time.Second
+	// maxUnmarkedDone bounds the number of done jobs that the ledger lists as open.
+	maxUnmarkedDone = 32
+	// recentDoneJobs is how many done jobs of a team are loaded at a takeover.
+	recentDoneJobs = 4
 	// maxPageBytes bounds the outputs of one page of results.
 	maxPageBytes = 1 << 20
 )
@@ -96,7 +100,8 @@
 	loaded  bool
 	ledger  persister.Ledger
 	version fescuebank.StoreVersion
-	jobs    map[fescuebank.JobID]*job
+	// jobs are the jobs that are loaded: all open ones, and of the done ones those that were open here or were read.
+	jobs map[fescuebank.JobID]*job
 	// unreadable are the listed jobs that could not be read, with the time before which they are not read again.
 	unreadable map[fescuebank.JobID]time.Time
 	// closed is set when this incarnation no longer owns the team.
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -10,8 +10,8 @@
 	"fescuebank/internal/batch/persister"
 )
 
-// refresh reads the ledger, and those jobs in it that are not loaded yet. The
-// caller holds ledgerLock.
+// refresh reads the ledger, and those open jobs in it that are not loaded yet. Each job is acted on as soon as it is loaded,
+// and stays if a later one can't be. The caller holds ledgerLock.
 func (m *Manager) refresh(ctx context.Context, tj *teamJobs) error {
 	ledger, version, err := m.Persister.Ledger(ctx, tj.team)
 	if err != nil {
@@ -21,45 +21,65 @@
 		m.release(tj)
 		return fescuebank.ErrNotOwner
 	}
-	var missing []persister.LedgerEntry
-	now := m.Clock.Now()
+	missing := tj.missing(&ledger)
+	loaded := 0
+	for _, e := range missing {
+		if err := m.add(ctx, tj, e); err != nil {
+			return err
+		}
+		loaded++
+	}
+	tj.mu.Lock()
+	tj.ledger, tj.version, tj.loaded = ledger, version, true
+	tj.mu.Unlock()
+	if loaded > 0 {
+		m.Log.Info("Jobs loaded.", "team", string(tj.team), "jobs", loaded, "listed", len(ledger.Jobs), "version", uint64(version))
+	}
+	return nil
+}
+
+// missing returns the open jobs of a ledger that are not loaded, in order of submission. At the first load the newest done ones
+// follow, from which the lengths of items are learned. It ends the loaded jobs that were ended elsewhere.
+func (tj *teamJobs) missing(ledger *persister.Ledger) []persister.LedgerEntry {
 	tj.mu.Lock()
+	defer tj.mu.Unlock()
+	var open, done []persister.LedgerEntry
 	for _, e := range ledger.Jobs {
 		j := tj.jobs[e.Job]
-		if j == nil && now.Before(tj.unreadable[e.Job]) {
-			continue
-		}
-		if j == nil {
-			missing = append(missing, e)
-			continue
-		}
-		if e.Ended {
+		switch {
+		case j == nil && e.Done:
+			done = append(done, e)
+		case j == nil:
+			open = append(open, e)
+		case e.Ended:
 			j.end()
 		}
 	}
-	tj.mu.Unlock()
-	jobs := make([]*job, 0, len(missing))
-	for _, e := range missing {
-		j, err := m.loadJob(ctx, tj, e)
-		if isUnreadable(err) {
-			m.Log.Error("Job can't be read.", "job", string(e.Job), "team", string(tj.team), "err", err.Error())
-			tj.markUnreadable(e.Job, now.Add(unreadableRetryAfter))
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		jobs = append(jobs, j)
+	if tj.loaded {
+		return open
 	}
-	tj.mu.Lock()
-	for _, j := range jobs {
-		tj.jobs[j.spec.ID] = j
+	return append(open, done[max(0, len(done)-recentDoneJobs):]...)
+}
+
+// add loads a job and adds it to those of the team, unless it can't be read or couldn't a moment ago. The caller
+// holds ledgerLock.
+func (m *Manager) add(ctx context.Context, tj *teamJobs, e persister.LedgerEntry) error {
+	now := m.Clock.Now()
+	if tj.isUnreadable(e.Job, now) {
+		return nil
 	}
-	tj.ledger, tj.version, tj.loaded = ledger, version, true
-	tj.mu.Unlock()
-	if len(jobs) > 0 {
-		m.Log.Info("Jobs loaded.", "team", string(tj.team), "jobs", len(jobs), "version", uint64(version))
+	j, err := m.loadJob(ctx, tj, e)
+	if isUnreadable(err) {
+		m.Log.Error("Job can't be read.", "job", string(e.Job), "team", string(tj.team), "err", err.Error())
+		tj.markUnreadable(e.Job, now.Add(unreadableRetryAfter))
+		return nil
 	}
+	if err != nil {
+		return err
+	}
+	tj.mu.Lock()
+	tj.jobs[e.Job] = j
+	tj.mu.Unlock()
 	m.OnItemsAvailable()
 	return nil
 }
@@ -77,6 +97,13 @@
 	tj.unreadable[id] = until
 }
 
+// isUnreadable reports whether a job could not be read a moment ago.
+func (tj *teamJobs) isUnreadable(id fescuebank.JobID, now time.Time) bool {
+	tj.mu.Lock()
+	defer tj.mu.Unlock()
+	return now.Before(tj.unreadable[id])
+}
+
 // loadJob reads a job and its results. If results are missing it writes the next
 // segment, empty: a former owner that still commits then conflicts with it and
 // learns from its epoch that the team has a new owner.
