End an attempt whose output is longer than its item allows

Cause: events, heads and chunks were bounded, an item's output was not; each event extended the attempt's time.

Change: an attempt ends past 1 MiB of output, the largest page of results, or past the item's tokens and 4,096 events more. What it brought is dropped, the endpoint is excluded for a while, and the item goes elsewhere.

--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -13,9 +13,11 @@
 	// Progress is the output of earlier attempts with which the attempt starts.
 	Progress fescuebank.Progress
 	// Due is when the job's results are due, by the route's completion objective.
-	Due  time.Time
-	job  *job
-	item *item
+	Due time.Time
+	// MaxEvents is the number of events that the item allows, 0 if it states none: each holds a token at least.
+	MaxEvents int
+	job       *job
+	item      *item
 }
 
 // NextTask hands out the most urgent waiting item, or returns nil. The manager calls
@@ -58,7 +60,7 @@
 		}
 		u := m.urgency(j, route, events)
 		if best == nil || u.before(bestUrgency, now) {
-			best, bestUrgency = &Task{job: j, item: it, Due: u.due, Request: m.newRequest(j, it, route, now)}, u
+			best, bestUrgency = &Task{job: j, item: it, Due: u.due, MaxEvents: int(it.spec.Tokens), Request: m.newRequest(j, it, route, now)}, u
 		}
 	}
 	return best
--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -79,11 +79,14 @@
 	case response.StatusCode/100 != 2:
 		return manager.CauseInterrupted, errCorrupted
 	}
-	eventsBefore := progress.Events
+	before := *progress
 	if err := r.readEvents(response, a, progress); err != nil {
 		response.Abort()
+		if errors.Is(err, errTooLong) {
+			*progress = before // What an endpoint sends without end is no output.
+		}
 		cause := r.excludeEndpoint(ctx, endpoint, err)
-		if progress.Events == eventsBefore && exchange.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		if progress.Events == before.Events && exchange.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			run.RecordLost(endpoint)
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
@@ -176,6 +179,9 @@
 		work.Arrived(arrived)
 		if arrived > 0 {
 			appendEvents(progress, scanner.Events(complete))
+			if isTooLong(progress, a.task.MaxEvents) {
+				return errTooLong
+			}
 			// Only events are progress: a stalled endpoint may send bytes now and then.
 			response.SetReadDeadline(r.Clock.Now().Add(idleTimeout))
 		}
@@ -204,9 +210,16 @@
 	}
 }
 
+// isTooLong reports whether an output is longer than any of an item that allows a number of events; 0 means that it states
+// none.
+func isTooLong(progress *fescuebank.Progress, maxEvents int) bool {
+	return len(progress.Output) > maxOutputBytes || (maxEvents > 0 && progress.Events > maxEvents+eventSlack)
+}
+
 // Errors of an attempt.
 var (
 	errNotRun     = errors.New("endpoint did not execute the item")
 	errItemFailed = errors.New("endpoint reported that the item failed")
+	errTooLong    = errors.New("output longer than the item allows")
 	errCorrupted  = errors.New("response corrupted")
 )
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -28,6 +28,10 @@
 	minCheckInterval = 5 * time.Millisecond
 	// idleTimeout is how long an endpoint may send nothing before the attempt ends.
 	idleTimeout = 1500 * time.Millisecond
+	// maxOutputBytes bounds the output of an item, so that it fits on one page of results.
+	maxOutputBytes = 1 << 20
+	// eventSlack is how many more events an item may bring than it allows: callers estimate its tokens.
+	eventSlack = 4096
 	// minItemTime is the time that an endpoint gets for an item at least.
 	minItemTime = time.Second
 	// readBufferBytes is the size of the buffer for reads from an endpoint.
