Name stored jobs of two teams with one id apart

Cause: stored jobs and results were named by the job's id alone, and a commit that found a segment there took it for its own.

Change: the stored job tells whose it is. A job whose id another team has used is named by the id with the team, and so are its results. Other names stay as they were, so older builds beside this one find them.

Why it works: a name belongs to the team of the one job that is stored under it, and that never changes.

--- a/internal/batch/client/client.go
+++ b/internal/batch/client/client.go
@@ -179,9 +179,13 @@
 	if entry == nil {
 		return nil, fescuebank.Refuse(http.StatusNotFound, fescuebank.CodeNotFound, "no such batch job")
 	}
+	_, name, err := c.Persister.Job(ctx, team, id)
+	if err != nil {
+		return nil, refusalOf(err)
+	}
 	var results []fescuebank.RoutedResult
 	for segment := 0; ; segment++ {
-		more, err := c.Persister.Segment(ctx, id, segment)
+		more, err := c.Persister.Segment(ctx, name, segment)
 		if errors.Is(err, fescuebank.ErrAbsent) {
 			break
 		}
--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -27,7 +27,7 @@
 	if err := m.checkCap(tj, spec); err != nil {
 		return err
 	}
-	spec, err = m.store(ctx, spec)
+	spec, name, err := m.store(ctx, spec)
 	if err != nil {
 		return err
 	}
@@ -45,7 +45,7 @@
 	}
 	tj.mu.Lock()
 	if tj.jobs[spec.ID] == nil {
-		tj.jobs[spec.ID] = newJob(tj, spec, m.Clock.Now())
+		tj.jobs[spec.ID] = newJob(tj, spec, name, m.Clock.Now())
 	}
 	tj.mu.Unlock()
 	m.Log.Info("Job accepted.", "job", string(spec.ID), "team", string(spec.Team), "items", len(spec.Items), "bodies", spec.BodyDigests(),
@@ -55,17 +55,17 @@
 }
 
 // store stores a job and returns the stored one: that of an earlier attempt if there was one.
-func (m *Manager) store(ctx context.Context, spec *fescuebank.RoutedJob) (*fescuebank.RoutedJob, error) {
-	stored, err := m.Persister.PutJob(ctx, spec)
-	if err != nil {
+func (m *Manager) store(ctx context.Context, spec *fescuebank.RoutedJob) (*fescuebank.RoutedJob, persister.StoredName, error) {
+	stored, name, err := m.Persister.PutJob(ctx, spec)
+	if err != nil && !errors.Is(err, persister.ErrExists) {
 		m.Log.Warn("Job not stored.", "job", string(spec.ID), "team", string(spec.Team), "err", err.Error())
-		return nil, m.refusalOf(err)
+		return nil, "", m.refusalOf(err)
 	}
-	if !stored.IsSameWork(spec) {
+	if err != nil || !stored.IsSameWork(spec) {
 		m.Log.Warn("Job refused: another one is stored under its id.", "job", string(spec.ID), "team", string(spec.Team))
-		return nil, fescuebank.Refuse(http.StatusConflict, fescuebank.CodeConflict, "another job was submitted under this id")
+		return nil, "", fescuebank.Refuse(http.StatusConflict, fescuebank.CodeConflict, "another job was submitted under this id")
 	}
-	return stored, nil
+	return stored, name, nil
 }
 
 func (tj *teamJobs) lists(id fescuebank.JobID) bool {
--- a/internal/batch/manager/commit.go
+++ b/internal/batch/manager/commit.go
@@ -28,7 +28,7 @@
 			go m.markDone(j.team)
 			return
 		}
-		stored, err := m.Persister.PutSegment(ctx, j.spec.ID, segment, persister.Segment{Epoch: j.team.epoch, Results: batch, Age: j.age(m.Clock.Now())})
+		stored, err := m.Persister.PutSegment(ctx, j.name, segment, persister.Segment{Epoch: j.team.epoch, Results: batch, Age: j.age(m.Clock.Now())})
 		switch {
 		case err == nil:
 			m.Log.Info("Results committed.", "job", string(j.spec.ID), "segment", segment, "results", stored, "pending", len(batch)-stored)
@@ -96,7 +96,7 @@
 // applyForeignSegment applies a segment that another incarnation wrote, or
 // releases the team if the segment's epoch is newer.
 func (m *Manager) applyForeignSegment(ctx context.Context, j *job, number int) {
-	segment, err := m.Persister.Segment(ctx, j.spec.ID, number)
+	segment, err := m.Persister.Segment(ctx, j.name, number)
 	switch {
 	case err != nil:
 		m.Log.Warn("Results of another owner not read.", "job", string(j.spec.ID), "segment", number, "err", err.Error())
--- a/internal/batch/manager/job.go
+++ b/internal/batch/manager/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuebank"
+	"fescuebank/internal/batch/persister"
 )
 
 // phase is an item's processing state.
@@ -41,6 +42,8 @@
 type job struct {
 	team *teamJobs
 	spec *fescuebank.RoutedJob
+	// name is that of the job's objects in the store.
+	name persister.StoredName
 	// submitted is when the job was submitted, as estimated from its submitter's time of day, which may differ from
 	// the one here. It only orders work.
 	submitted time.Time
@@ -71,9 +74,9 @@
 }
 
 // newJob returns a job that exists at least since now.
-func newJob(tj *teamJobs, spec *fescuebank.RoutedJob, now time.Time) *job {
+func newJob(tj *teamJobs, spec *fescuebank.RoutedJob, name persister.StoredName, now time.Time) *job {
 	j := &job{
-		team: tj, spec: spec, submitted: now, existsSince: now,
+		team: tj, spec: spec, name: name, submitted: now, existsSince: now,
 		items: make(map[string]*item, len(spec.Items)), changed: make(chan struct{}),
 	}
 	for i := range spec.Items {
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -108,24 +108,24 @@
 // segment, empty: a former owner that still commits then conflicts with it and
 // learns from its epoch that the team has a new owner.
 func (m *Manager) loadJob(ctx context.Context, tj *teamJobs, e persister.LedgerEntry) (*job, error) {
-	spec, err := m.Persister.Job(ctx, e.Job)
+	spec, name, err := m.Persister.Job(ctx, tj.team, e.Job)
 	if err != nil {
 		return nil, err
 	}
-	j := newJob(tj, spec, m.Clock.Now())
+	j := newJob(tj, spec, name, m.Clock.Now())
 	j.estimateSubmitted(m.Clock.Now())
 	j.delayItems(tj.itemsDelayedUntil(m.Clock.Now()))
 	if e.Ended {
 		j.end()
 	}
 	for {
-		segment, err := m.Persister.Segment(ctx, e.Job, j.segments)
+		segment, err := m.Persister.Segment(ctx, name, j.segments)
 		if errors.Is(err, fescuebank.ErrAbsent) {
 			if j.isDone() {
 				return j, nil
 			}
 			segment = persister.Segment{Epoch: tj.epoch, Age: j.age(m.Clock.Now())}
-			_, err = m.Persister.PutSegment(ctx, e.Job, j.segments, segment)
+			_, err = m.Persister.PutSegment(ctx, name, j.segments, segment)
 			if errors.Is(err, persister.ErrExists) {
 				continue
 			}
--- a/internal/batch/persister/olderbuild_test.go
+++ b/internal/batch/persister/olderbuild_test.go
@@ -62,7 +62,7 @@
 	}
 	putAsOlderBuild(t, store, "batchjobs/job", largeJob())
 	putAsOlderBuild(t, store, "batchresults/job", map[int]any{1: 7, 2: []map[int]any{{1: "a", 3: []byte("text")}}})
-	job, err := p.Job(t.Context(), "job")
+	job, _, err := p.Job(t.Context(), "team", "job")
 	if err != nil || !job.IsSameWork(largeJob()) {
 		t.Errorf("got job %.60v, error %v, want the stored one", job, err)
 	}
@@ -79,7 +79,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := p.PutJob(t.Context(), largeJob()); err != nil {
+	if _, _, err := p.PutJob(t.Context(), largeJob()); err != nil {
 		t.Fatal(err)
 	}
 	var encoded []byte
--- a/internal/batch/persister/persister.go
+++ b/internal/batch/persister/persister.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"time"
 
 	"github.com/klauspost/compress/zstd"
@@ -51,37 +50,6 @@
 	return &Persister{store: store, clock: clock, encoder: encoder, decoder: decoder}, nil
 }
 
-// PutJob stores a job and returns the job that is stored under its id: another encoding of it if an
-// earlier attempt has completed. What is stored never changes.
-func (p *Persister) PutJob(ctx context.Context, job *fescuebank.RoutedJob) (stored *fescuebank.RoutedJob, err error) {
-	encoded, err := p.encode(job)
-	if err != nil {
-		return nil, eris.Wrap(err, "Persister.PutJob")
-	}
-	key := objectKey(jobPrefix, job.ID, 0)
-	plain := func(i int) string { return objectKey(jobPrefix, job.ID, i) }
-	err = p.putValue(ctx, key, encoded, plain)
-	if errors.Is(err, ErrExists) {
-		return p.Job(ctx, job.ID)
-	}
-	return job, eris.Wrap(err, "Persister.PutJob")
-}
-
-func objectKey(prefix string, id fescuebank.JobID, i int) string {
-	return prefix + string(id) + "." + strconv.Itoa(i)
-}
-
-// Job reads a job. It fails with fescuebank.ErrAbsent if there is none, and with ErrUnreadable if what
-// is stored is not a complete job.
-func (p *Persister) Job(ctx context.Context, id fescuebank.JobID) (*fescuebank.RoutedJob, error) {
-	plain := func(i int) string { return objectKey(jobPrefix, id, i) }
-	var job fescuebank.RoutedJob
-	if err := p.readValue(ctx, objectKey(jobPrefix, id, 0), plain, &job); err != nil {
-		return nil, eris.Wrap(err, "Persister.Job")
-	}
-	return &job, nil
-}
-
 // Segment is a part of a job's results, written once.
 type Segment struct {
 	// Epoch is the epoch under which the writer owned the team. An incarnation that
@@ -96,12 +64,12 @@
 // PutSegment stores the next segment of a job's results with as many of the leading results as fit in one
 // object, and returns their number: one at least. It fails with ErrExists if another writer has
 // stored a segment of that number.
-func (p *Persister) PutSegment(ctx context.Context, id fescuebank.JobID, number int, segment Segment) (stored int, err error) {
+func (p *Persister) PutSegment(ctx context.Context, name StoredName, number int, segment Segment) (stored int, err error) {
 	encoded, stored, err := p.encodeLeading(segment)
 	if err != nil {
 		return 0, eris.Wrap(err, "Persister.PutSegment")
 	}
-	return stored, eris.Wrap(p.putValue(ctx, objectKey(resultPrefix, id, number), encoded, nil), "Persister.PutSegment")
+	return stored, eris.Wrap(p.putValue(ctx, objectKey(resultPrefix, name, number), encoded, nil), "Persister.PutSegment")
 }
 
 // encodeLeading encodes a segment without the last ones of its results until it fits in one object or
@@ -118,8 +86,8 @@
 
 // Segment reads one segment of a job's results. It fails with fescuebank.ErrAbsent if there is none, and
 // with ErrUnreadable if what is stored is not a complete segment.
-func (p *Persister) Segment(ctx context.Context, id fescuebank.JobID, number int) (Segment, error) {
+func (p *Persister) Segment(ctx context.Context, name StoredName, number int) (Segment, error) {
 	var segment Segment
-	err := p.readValue(ctx, objectKey(resultPrefix, id, number), nil, &segment)
+	err := p.readValue(ctx, objectKey(resultPrefix, name, number), nil, &segment)
 	return segment, eris.Wrap(err, "Persister.Segment")
 }
