Load ended jobs of a team like done ones: when they are asked for

No item of an ended job runs any more, so a takeover needs none of them. The test of a takeover with 300 old jobs has ended ones among them.

--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -175,7 +175,7 @@
 	if err := m.refresh(ctx, tj); err != nil {
 		return nil, m.refusalOf(err)
 	}
-	if err := m.addDone(ctx, tj, id); err != nil {
+	if err := m.addClosed(ctx, tj, id); err != nil {
 		return nil, m.refusalOf(err)
 	}
 	tj.mu.Lock()
@@ -189,13 +189,13 @@
 	return nil, fescuebank.Refuse(http.StatusNotFound, fescuebank.CodeNotFound, "no such batch job")
 }
 
-// addDone loads a job that is done and was not loaded at the takeover. The caller holds ledgerLock.
-func (m *Manager) addDone(ctx context.Context, tj *teamJobs, id fescuebank.JobID) error {
+// addClosed loads a job that is done or ended and was not loaded at the takeover. The caller holds ledgerLock.
+func (m *Manager) addClosed(ctx context.Context, tj *teamJobs, id fescuebank.JobID) error {
 	tj.mu.Lock()
 	entry := tj.ledger.Find(id)
 	isLoaded := tj.jobs[id] != nil
 	tj.mu.Unlock()
-	if entry == nil || !entry.Done || isLoaded {
+	if entry == nil || entry.IsOpen() || isLoaded {
 		return nil
 	}
 	return m.add(ctx, tj, *entry)
--- a/internal/batch/manager/manager.go
+++ b/internal/batch/manager/manager.go
@@ -36,8 +36,8 @@
 	unreadableRetryAfter = 10 * time.Second
 	// maxUnmarkedDone bounds the number of done jobs that the ledger lists as open.
 	maxUnmarkedDone = 32
-	// recentDoneJobs is how many done jobs of a team are loaded at a takeover.
-	recentDoneJobs = 4
+	// recentClosedJobs is how many jobs of a team that are done or ended are loaded at a takeover.
+	recentClosedJobs = 4
 	// maxPageBytes bounds the outputs of one page of results.
 	maxPageBytes = 1 << 20
 )
@@ -100,7 +100,7 @@
 	loaded  bool
 	ledger  persister.Ledger
 	version fescuebank.StoreVersion
-	// jobs are the jobs that are loaded: all open ones, and of the done ones those that were open here or were read.
+	// jobs are the jobs that are loaded: all open ones, and of the others those that were open here or were read.
 	jobs map[fescuebank.JobID]*job
 	// unreadable are the listed jobs that could not be read, with the time before which they are not read again.
 	unreadable map[fescuebank.JobID]time.Time
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -38,19 +38,19 @@
 	return nil
 }
 
-// missing returns the open jobs of a ledger that are not loaded, in order of submission. At the first load the newest done ones
+// missing returns the open jobs of a ledger that are not loaded, in order of submission. At the first load the newest of the others
 // follow, from which the lengths of items are learned. It ends the loaded jobs that were ended elsewhere.
 func (tj *teamJobs) missing(ledger *persister.Ledger) []persister.LedgerEntry {
 	tj.mu.Lock()
 	defer tj.mu.Unlock()
-	var open, done []persister.LedgerEntry
+	var open, closed []persister.LedgerEntry
 	for _, e := range ledger.Jobs {
 		j := tj.jobs[e.Job]
 		switch {
-		case j == nil && e.Done:
-			done = append(done, e)
-		case j == nil:
+		case j == nil && e.IsOpen():
 			open = append(open, e)
+		case j == nil:
+			closed = append(closed, e)
 		case e.Ended:
 			j.end()
 		}
@@ -58,7 +58,7 @@
 	if tj.loaded {
 		return open
 	}
-	return append(open, done[max(0, len(done)-recentDoneJobs):]...)
+	return append(open, closed[max(0, len(closed)-recentClosedJobs):]...)
 }
 
 // add loads a job and adds it to those of the team, unless it can't be read or couldn't a moment ago. The caller
--- a/internal/batch/manager/takeover_test.go
+++ b/internal/batch/manager/takeover_test.go
@@ -21,6 +21,10 @@
 		p := newOwnerPair()
 		for n := range doneJobs {
 			p.submit(1, fescuebank.JobID(fmt.Sprintf("done%d", n)), 1)
+			if n%3 == 1 {
+				p.endJob(t, fescuebank.JobID(fmt.Sprintf("done%d", n)))
+				continue
+			}
 			p.finishAll(1, 10)
 			time.Sleep(3 * time.Second)
 		}
@@ -44,6 +48,14 @@
 	})
 }
 
+// endJob ends a job at manager 1 at its caller's request.
+func (p *ownerPair) endJob(t *testing.T, id fescuebank.JobID) {
+	t.Helper()
+	if err := p.manager(1).End(t.Context(), team, id); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestDoneJobsAreMarkedWithoutAnotherSubmission guards against a takeover that loads jobs which are all done, as no change of the
 // ledger came after their end.
 func TestDoneJobsAreMarkedWithoutAnotherSubmission(t *testing.T) {
--- a/internal/batch/persister/ledger.go
+++ b/internal/batch/persister/ledger.go
@@ -24,6 +24,11 @@
 	Done bool `json:"done,omitempty"`
 }
 
+// IsOpen reports whether items of the job may still have to run.
+func (e *LedgerEntry) IsOpen() bool {
+	return !e.Done && !e.Ended
+}
+
 // Ledger lists the jobs of a team. A job is accepted only when the ledger lists it.
 type Ledger struct {
 	// Epoch is the highest epoch under which an owner wrote the ledger.
