Add review case 9: items wait beside idle workers of their service

Cause: an item whose service has no free slot ends the round in which an owner starts items, so those of other services wait behind it (internal/batch/runner/runner.go, startOne). Nothing is fixed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -ldflags=-linkmode=external -o target/review-2/ ./review/rig2
+go build -ldflags=-linkmode=external -o target/review-2/case-9 ./review/9
