Add review case 8: a further route makes accepted batch items be given up

The route of an accepted job is looked up by the path of its submission, not by the name that the job keeps. A configuration that adds a route of online requests with a longer prefix of that path makes the job's own route count as removed, and its waiting items fail after 10 s.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6, 7, 9 and 10, and of review/once. Run it after the build of deploy/system.toml.
+# Builds the stand-ins of the cases 6 to 10, and of review/once. Run it after the build of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -ldflags=-linkmode=external -o target/review-2/ ./review/rig2 ./review/rig3 ./review/once/split ./review/once/ends
