Give up items of a removed route after a change of owner

Callers saw batch items that were never listed, neither as completed nor as dead-lettered: the route of their job had been removed, and the owner of their team ended within the next 10 s.

Cause: an owner took a missing route for removed only if it had seen the route itself since its start. What decides over an item was in one incarnation's memory, and retention needs the route, too.

Change: the store's one revision orders the configuration and the ledger. The ledger lists a job at some revision, and the configuration had the job's route before. So a configuration that is current up to that revision and lacks the route has lost it, whoever owns the job, and whichever build accepted it. If the replica is older, the owner reads the configuration again, once a second. New log line "Items given up." with the reason.

TestNextOwnerGivesUpItemsOfARemovedRoute fails in all five cases with the former rule (got 0 results, want 3): after SIGTERM, a kill, several restarts and takeovers by an instance that saw the route or not. TestRouteThatIsNewerThanTheConfigurationIsNotRemoved holds with both.

--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -45,7 +45,7 @@
 	}
 	tj.mu.Lock()
 	if tj.jobs[spec.ID] == nil {
-		tj.jobs[spec.ID] = newJob(tj, spec, name, m.Clock.Now())
+		tj.jobs[spec.ID] = newJob(tj, spec, name, tj.version, m.Clock.Now())
 	}
 	tj.mu.Unlock()
 	m.Log.Info("Job accepted.", "job", string(spec.ID), "team", string(spec.Team), "items", len(spec.Items), "bodies", spec.BodyDigests(),
@@ -194,7 +194,7 @@
 // dropped. The caller holds ledgerLock.
 func (m *Manager) addListed(ctx context.Context, tj *teamJobs, id fescuebank.JobID) (*job, error) {
 	tj.mu.Lock()
-	entry := tj.ledger.Find(id)
+	entry, version := tj.ledger.Find(id), tj.version
 	j := tj.jobs[id]
 	tj.mu.Unlock()
 	if entry == nil || entry.IsOpen() || j != nil {
@@ -202,7 +202,7 @@
 	}
 	m.reloaded.Add(1)
 	defer func() { go m.dropClosed() }()
-	return m.add(ctx, tj, *entry)
+	return m.add(ctx, tj, *entry, version)
 }
 
 // Read returns the results from position after on. If there is none yet it waits
--- a/internal/batch/manager/expiry.go
+++ b/internal/batch/manager/expiry.go
@@ -10,16 +10,40 @@
 // the job's items fail.
 const routeGoneTime = 10 * time.Second
 
+// configRefreshPause is the minimum time between two calls of RefreshConfig.
+const configRefreshPause = time.Second
+
 // Expire fails the waiting items of jobs that are past their route's retention, or whose route
 // was removed routeGoneTime ago.
 func (m *Manager) Expire() {
 	now := m.Clock.Now()
+	asOf := m.ConfigAsOf()
+	isBehind := false
 	for _, j := range m.openJobs() {
 		route := m.route(j.spec)
-		if j.isRouteGone(route != nil, now) || isPastRetention(j, route, now) {
-			m.expire(j, now)
+		isCurrent := asOf >= j.listedAt
+		isBehind = isBehind || (route == nil && !isCurrent)
+		isGone := j.isRouteGone(route != nil, isCurrent, now)
+		if isGone || isPastRetention(j, route, now) {
+			m.expire(j, isGone, now)
 		}
 	}
+	if isBehind {
+		m.refreshConfig(now)
+	}
+}
+
+// refreshConfig reads the configuration again, as one that is older than a job can't tell whether the job's route was removed.
+func (m *Manager) refreshConfig(now time.Time) {
+	m.mu.Lock()
+	isDue := now.Sub(m.refreshedAt) >= configRefreshPause
+	if isDue {
+		m.refreshedAt = now
+	}
+	m.mu.Unlock()
+	if isDue {
+		m.RefreshConfig()
+	}
 }
 
 func isPastRetention(j *job, route *fescuebank.Route, now time.Time) bool {
@@ -27,16 +51,16 @@
 }
 
 // isRouteGone records whether the configuration has the job's route, and reports whether the route
-// was removed at least routeGoneTime ago. A route that this instance has not seen yet may be newer
-// than its configuration, and is not gone.
-func (j *job) isRouteGone(exists bool, now time.Time) bool {
+// was removed at least routeGoneTime ago. A configuration that isn't current up to the job's acceptance may
+// only lack a route that is newer, which is not gone.
+func (j *job) isRouteGone(exists, isCurrent bool, now time.Time) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	switch {
 	case exists:
-		j.routeSeen, j.routeRemovedAt = true, time.Time{}
+		j.routeRemovedAt = time.Time{}
 		return false
-	case !j.routeSeen:
+	case !isCurrent:
 		return false
 	case j.routeRemovedAt.IsZero():
 		j.routeRemovedAt = now
@@ -44,14 +68,20 @@
 	return now.Sub(j.routeRemovedAt) >= routeGoneTime
 }
 
-func (m *Manager) expire(j *job, now time.Time) {
+// expire fails the waiting items of a job, because its route is gone or its retention is over.
+func (m *Manager) expire(j *job, isRouteGone bool, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	count := 0
 	for _, it := range j.items {
 		if it.phase == phaseWaiting {
 			j.recordOutcome(it, true, nil, now)
+			count++
 		}
 	}
+	if count > 0 {
+		m.Log.Info("Items given up.", "job", string(j.spec.ID), "team", string(j.spec.Team), "items", count, "routeRemoved", isRouteGone)
+	}
 	if len(j.pending) > 0 && j.claimCommit() {
 		go m.commit(j)
 	}
--- a/internal/batch/manager/fuzz_test.go
+++ b/internal/batch/manager/fuzz_test.go
@@ -30,19 +30,19 @@
 	capTokens  = 800
 )
 
-func table() *fescuebank.RouteTable {
-	t := &fescuebank.RouteTable{Version: 1, Teams: map[fescuebank.TeamID]fescuebank.TeamSettings{team: {ID: team}}}
-	t.SetRoutes([]fescuebank.Route{{
+// batchRoute returns the route of the jobs.
+func batchRoute() fescuebank.Route {
+	return fescuebank.Route{
 		Name: route, Host: "h", Prefix: "/b/", Kind: fescuebank.RouteBatch, Attempts: 3, MaxWaitingTokens: capTokens,
 		CompletionObjective: 18 * time.Second, Retention: time.Hour, Shares: []fescuebank.ServiceShare{{Service: "s", Weight: 1}},
-	}})
-	return t
+	}
 }
 
 // ownerPair is two managers over one store, both of which may consider themselves
 // the team's owner.
 type ownerPair struct {
-	store *memorystorer.MemoryStorer
+	store  *memorystorer.MemoryStorer
+	config *configuration
 	// mu guards the fields up to epoch, which the managers' goroutines read.
 	mu       sync.Mutex
 	managers [2]*manager.Manager
@@ -70,23 +70,29 @@
 }
 
 func newOwnerPair() *ownerPair {
+	store := &memorystorer.MemoryStorer{}
 	p := &ownerPair{
-		store: &memorystorer.MemoryStorer{}, owns: [2]bool{true, true}, epochs: [2]fescuebank.FencingNumber{1, 2}, epoch: 2,
+		store: store, config: &configuration{store: store}, owns: [2]bool{true, true}, epochs: [2]fescuebank.FencingNumber{1, 2}, epoch: 2,
 		accepted: make(map[fescuebank.JobID]int), refused: make(map[fescuebank.JobID]bool),
 		ended: make(map[fescuebank.JobID]bool), seen: make(map[fescuebank.JobID][]fescuebank.RoutedResult),
 	}
-	p.restart(0)
-	p.restart(1)
+	p.config.put([]fescuebank.Route{batchRoute()})
+	p.kill(0)
+	p.kill(1)
 	return p
 }
 
-// restart replaces a manager by one without loaded jobs.
+// restart replaces a manager, which hands over first, by one without loaded jobs.
 func (p *ownerPair) restart(i int) {
-	if p.manager(i) != nil {
-		was := p.setOwns(i, false)
-		p.manager(i).UpdateOwnership()
-		p.setOwns(i, was)
-	}
+	was := p.setOwns(i, false)
+	p.manager(i).UpdateOwnership()
+	p.setOwns(i, was)
+	p.kill(i)
+}
+
+// kill replaces a manager by one without loaded jobs.
+func (p *ownerPair) kill(i int) {
+	p.config.read(i)
 	jobStore, err := persister.New(p.store, timekeeper.Timekeeper{})
 	if err != nil {
 		panic(err)
@@ -100,8 +106,11 @@
 			defer p.mu.Unlock()
 			return p.epochs[i], p.owns[i]
 		},
-		TookOver: func(fescuebank.TeamID) bool { return true }, Persister: jobStore, Table: table,
-		Clock: timekeeper.Timekeeper{}, Log: hclog.NewNullLogger(), OnItemsAvailable: func() {},
+		TookOver: func(fescuebank.TeamID) bool { return true }, Persister: jobStore,
+		Table:         func() *fescuebank.RouteTable { return p.config.replica(i).table },
+		ConfigAsOf:    func() fescuebank.StoreVersion { return p.config.replica(i).asOf },
+		RefreshConfig: func() { p.config.refresh(i) },
+		Clock:         timekeeper.Timekeeper{}, Log: hclog.NewNullLogger(), OnItemsAvailable: func() {},
 		SendHandover: p.sendHandover, ClosedBudget: p.closedBudget, Self: managerID(i), FormerOwner: func(fescuebank.TeamID) (fescuebank.InstanceID, bool) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/internal/batch/manager/job.go
+++ b/internal/batch/manager/job.go
@@ -65,9 +65,10 @@
 	// expedited is set when outcomes are committed without waiting for others.
 	expedited bool
 	ended     bool
-	// routeSeen is set once the configuration had the job's route; routeRemovedAt is when it was
-	// first found to have been removed since, else zero.
-	routeSeen      bool
+	// listedAt is a store version at which the ledger listed the job. The configuration had the job's route before, so one
+	// that is current up to this version and lacks the route has lost it.
+	listedAt fescuebank.StoreVersion
+	// routeRemovedAt is when the route was first found to have been removed, else zero.
 	routeRemovedAt time.Time
 	// changed is closed when results are added, and then replaced.
 	changed chan struct{}
@@ -77,10 +78,10 @@
 	lastUsed time.Time
 }
 
-// newJob returns a job that exists at least since now.
-func newJob(tj *teamJobs, spec *fescuebank.RoutedJob, name persister.StoredName, now time.Time) *job {
+// newJob returns a job that exists at least since now, and that the ledger lists at a store version.
+func newJob(tj *teamJobs, spec *fescuebank.RoutedJob, name persister.StoredName, listedAt fescuebank.StoreVersion, now time.Time) *job {
 	j := &job{
-		team: tj, spec: spec, name: name, submitted: now, existsSince: now, lastUsed: now,
+		team: tj, spec: spec, name: name, listedAt: listedAt, submitted: now, existsSince: now, lastUsed: now,
 		items: make(map[string]*item, len(spec.Items)), changed: make(chan struct{}),
 	}
 	for i := range spec.Items {
--- a/internal/batch/manager/manager.go
+++ b/internal/batch/manager/manager.go
@@ -53,6 +53,10 @@
 	Persister *persister.Persister
 	// Table returns the current configuration, or nil.
 	Table func() *fescuebank.RouteTable
+	// ConfigAsOf returns the store version up to which the replica of the configuration is current.
+	ConfigAsOf func() fescuebank.StoreVersion
+	// RefreshConfig makes this instance read the configuration from the store soon. It doesn't wait for it.
+	RefreshConfig func()
 	// Estimator estimates the run times of items.
 	Estimator *estimator.Estimator
 	Clock     fescuebank.Clock
@@ -90,6 +94,8 @@
 
 	mu    sync.Mutex
 	teams map[fescuebank.TeamID]*teamJobs
+	// refreshedAt is when RefreshConfig was last called.
+	refreshedAt time.Time
 }
 
 // teamJobs is the state of one team's jobs.
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -24,7 +24,7 @@
 	missing := tj.missing(&ledger)
 	loaded := 0
 	for _, e := range missing {
-		if _, err := m.add(ctx, tj, e); err != nil {
+		if _, err := m.add(ctx, tj, e, version); err != nil {
 			return err
 		}
 		loaded++
@@ -62,14 +62,14 @@
 	return append(open, closed[max(0, len(closed)-recentClosedJobs):]...)
 }
 
-// add loads a job and adds it to those of the team. It returns nil if the job can't be read or couldn't a moment ago. The caller
-// holds ledgerLock.
-func (m *Manager) add(ctx context.Context, tj *teamJobs, e persister.LedgerEntry) (*job, error) {
+// add loads a job that the ledger lists at a store version, and adds it to those of the team. It returns nil if the job can't be
+// read or couldn't a moment ago. The caller holds ledgerLock.
+func (m *Manager) add(ctx context.Context, tj *teamJobs, e persister.LedgerEntry, listedAt fescuebank.StoreVersion) (*job, error) {
 	now := m.Clock.Now()
 	if tj.isUnreadable(e.Job, now) {
 		return nil, nil
 	}
-	j, err := m.loadJob(ctx, tj, e)
+	j, err := m.loadJob(ctx, tj, e, listedAt)
 	if isUnreadable(err) {
 		m.Log.Error("Job can't be read.", "job", string(e.Job), "team", string(tj.team), "err", err.Error())
 		tj.markUnreadable(e.Job, now.Add(unreadableRetryAfter))
@@ -109,12 +109,12 @@
 // segment, empty: a former owner that still commits then conflicts with it and
 // learns from its epoch that the team has a new owner. An ended job whose last segment is of this
 // owner needs none.
-func (m *Manager) loadJob(ctx context.Context, tj *teamJobs, e persister.LedgerEntry) (*job, error) {
+func (m *Manager) loadJob(ctx context.Context, tj *teamJobs, e persister.LedgerEntry, listedAt fescuebank.StoreVersion) (*job, error) {
 	spec, name, err := m.Persister.Job(ctx, tj.team, e.Job)
 	if err != nil {
 		return nil, err
 	}
-	j := newJob(tj, spec, name, m.Clock.Now())
+	j := newJob(tj, spec, name, listedAt, m.Clock.Now())
 	j.estimateSubmitted(m.Clock.Now())
 	j.delayItems(tj.itemsDelayedUntil(m.Clock.Now()))
 	if e.Ended {
--- a/internal/batch/runner/version_test.go
+++ b/internal/batch/runner/version_test.go
@@ -59,7 +59,7 @@
 	m := manager.New(manager.Config{
 		Owns:     func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, true },
 		TookOver: func(fescuebank.TeamID) bool { return false }, Persister: jobs,
-		Table: func() *fescuebank.RouteTable { return table }, Estimator: estimator.New(), Clock: clock, Log: hclog.NewNullLogger(),
+		Table: func() *fescuebank.RouteTable { return table }, ConfigAsOf: func() fescuebank.StoreVersion { return 0 }, RefreshConfig: func() {}, Estimator: estimator.New(), Clock: clock, Log: hclog.NewNullLogger(),
 		OnItemEnd: func(fescuebank.TeamID, bool, bool) {}, OnItemsAvailable: func() {}, SendHandover: func(manager.ProgressHandover) {},
 	})
 	err = m.Submit(t.Context(), &fescuebank.RoutedJob{
--- a/internal/operate/server/leave_test.go
+++ b/internal/operate/server/leave_test.go
@@ -83,7 +83,7 @@
 	m := manager.New(manager.Config{
 		Owns:     func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, *owns },
 		TookOver: func(fescuebank.TeamID) bool { return false }, Persister: jobs, Estimator: estimator.New(),
-		Table: func() *fescuebank.RouteTable { return table }, Clock: clock, Log: hclog.NewNullLogger(), OnItemsAvailable: func() {},
+		Table: func() *fescuebank.RouteTable { return table }, ConfigAsOf: func() fescuebank.StoreVersion { return 0 }, RefreshConfig: func() {}, Clock: clock, Log: hclog.NewNullLogger(), OnItemsAvailable: func() {},
 		SendHandover: send,
 	})
 	spec := &fescuebank.RoutedJob{ID: "job", Team: "team", Route: "batch", Host: "h", Path: "/b/x", Submitted: clock.Now(), Items: []fescuebank.RoutedItem{{ID: "item"}}}
--- a/internal/operate/server/replica.go
+++ b/internal/operate/server/replica.go
@@ -17,6 +17,8 @@
 	// watch of them, and othersFirstPause the same for all other objects.
 	membersFirstPause = 300 * time.Millisecond
 	othersFirstPause  = 700 * time.Millisecond
+	// configReadTimeout bounds one read of the configuration in the background.
+	configReadTimeout = 2 * time.Second
 )
 
 // applyTargets applies a new selection of the instances that this one exchanges gossip with.
@@ -85,6 +87,15 @@
 	return s.members.Poll(ctx)
 }
 
+// refreshConfig reads the configuration from the store in the background.
+func (s *Server) refreshConfig() {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), configReadTimeout)
+		defer cancel()
+		s.config.Poll(ctx)
+	}()
+}
+
 // relistAll makes all replicators list their prefixes again.
 func (s *Server) relistAll() {
 	for _, r := range s.replicators() {
