Find the route of an accepted batch job by its name

Callers saw items of an accepted job dead-lettered, though their route stood and no endpoint had failed them: another route had been added, whose longer prefix begins the path to which the job had been sent. With a route of batch jobs there, the items went to its service and its retention.

Cause: the owner looked up a job's route by host and path again at each step, as for a new request. The job keeps the route's name.

Change: an accepted job belongs to the route that its ledger entry names, until no route of batch jobs has that name: its service, cap, priority, retention and end are of that route, wherever its host and prefix move. A job of which only the items were stored before, and whose path belongs to another route when it is sent again, is accepted on that one.

--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -27,6 +27,7 @@
 	if err := m.checkCap(tj, spec); err != nil {
 		return err
 	}
+	route := spec.Route
 	spec, name, err := m.store(ctx, spec)
 	if err != nil {
 		return err
@@ -36,7 +37,7 @@
 			return false
 		}
 		l.Jobs = append(l.Jobs, persister.LedgerEntry{
-			Job: spec.ID, Route: spec.Route, SubmittedUnixMilli: spec.Submitted.UnixMilli(), Total: len(spec.Items), Tokens: spec.Tokens(),
+			Job: spec.ID, Route: route, SubmittedUnixMilli: spec.Submitted.UnixMilli(), Total: len(spec.Items), Tokens: spec.Tokens(),
 		})
 		return true
 	})
@@ -45,11 +46,11 @@
 	}
 	tj.mu.Lock()
 	if tj.jobs[spec.ID] == nil {
-		tj.jobs[spec.ID] = newJob(tj, spec, name, tj.version, m.Clock.Now())
+		tj.jobs[spec.ID] = newJob(tj, spec, name, listing{route: route, listedAt: tj.version}, m.Clock.Now())
 	}
 	tj.mu.Unlock()
 	m.Log.Info("Job accepted.", "job", string(spec.ID), "team", string(spec.Team), "items", len(spec.Items), "bodies", spec.BodyDigests(),
-		"tokens", int64(spec.Tokens()), "waiting", int64(tj.waiting(spec.Route)), "ledger", uint64(tj.version))
+		"tokens", int64(spec.Tokens()), "waiting", int64(tj.waiting(route)), "ledger", uint64(tj.version))
 	m.OnItemsAvailable()
 	return nil
 }
@@ -85,7 +86,7 @@
 
 // checkCap refuses a job that would exceed the route's cap of waiting tokens.
 func (m *Manager) checkCap(tj *teamJobs, spec *fescuebank.RoutedJob) error {
-	route := m.route(spec)
+	route := m.route(spec.Route)
 	if route == nil {
 		return fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeConfigStale, "the route is not known here yet").WithRetryAfter(storeRetryAfter)
 	}
@@ -98,14 +99,14 @@
 	return nil
 }
 
-// route returns a job's route in the current configuration, or nil.
-func (m *Manager) route(spec *fescuebank.RoutedJob) *fescuebank.Route {
+// route returns the route of batch jobs with a name in the current configuration, or nil.
+func (m *Manager) route(name string) *fescuebank.Route {
 	t := m.Table()
 	if t == nil {
 		return nil
 	}
-	r, ok := t.Match(spec.Host, spec.Path)
-	if !ok || r.Kind != fescuebank.RouteBatch {
+	r, ok := t.BatchRoute(name)
+	if !ok {
 		return nil
 	}
 	return r
@@ -118,7 +119,7 @@
 	defer tj.mu.Unlock()
 	var sum fescuebank.Tokens
 	for _, j := range tj.jobs {
-		if j.spec.Route == route {
+		if j.route == route {
 			sum += j.waitingTokens()
 		}
 	}
--- a/internal/batch/manager/commit.go
+++ b/internal/batch/manager/commit.go
@@ -64,7 +64,7 @@
 
 // due returns when the results of a job are due, or a zero time if its route is gone.
 func (m *Manager) due(j *job) time.Time {
-	route := m.route(j.spec)
+	route := m.route(j.route)
 	if route == nil {
 		return time.Time{}
 	}
--- a/internal/batch/manager/expiry.go
+++ b/internal/batch/manager/expiry.go
@@ -20,7 +20,7 @@
 	asOf := m.ConfigAsOf()
 	isBehind := false
 	for _, j := range m.openJobs() {
-		route := m.route(j.spec)
+		route := m.route(j.route)
 		isCurrent := asOf >= j.listedAt
 		isBehind = isBehind || (route == nil && !isCurrent)
 		isGone := j.isRouteGone(route != nil, isCurrent, now)
--- a/internal/batch/manager/job.go
+++ b/internal/batch/manager/job.go
@@ -38,12 +38,23 @@
 	stop func()
 }
 
+// listing is what the ledger says of a job.
+type listing struct {
+	// route is the name of the route on which the job was accepted, which may differ from that of an earlier submission
+	// that was stored only.
+	route string
+	// listedAt is a store version at which the ledger listed the job. The configuration had the job's route before, so one
+	// that is current up to this version and lacks the route has lost it.
+	listedAt fescuebank.StoreVersion
+}
+
 // job is the state of one job.
 type job struct {
 	team *teamJobs
 	spec *fescuebank.RoutedJob
 	// name is that of the job's objects in the store.
 	name persister.StoredName
+	listing
 	// submitted is when the job was submitted, as estimated from its submitter's time of day, which may differ from
 	// the one here. It only orders work.
 	submitted time.Time
@@ -65,9 +76,6 @@
 	// expedited is set when outcomes are committed without waiting for others.
 	expedited bool
 	ended     bool
-	// listedAt is a store version at which the ledger listed the job. The configuration had the job's route before, so one
-	// that is current up to this version and lacks the route has lost it.
-	listedAt fescuebank.StoreVersion
 	// routeRemovedAt is when the route was first found to have been removed, else zero.
 	routeRemovedAt time.Time
 	// changed is closed when results are added, and then replaced.
@@ -78,10 +86,10 @@
 	lastUsed time.Time
 }
 
-// newJob returns a job that exists at least since now, and that the ledger lists at a store version.
-func newJob(tj *teamJobs, spec *fescuebank.RoutedJob, name persister.StoredName, listedAt fescuebank.StoreVersion, now time.Time) *job {
+// newJob returns a job that exists at least since now.
+func newJob(tj *teamJobs, spec *fescuebank.RoutedJob, name persister.StoredName, l listing, now time.Time) *job {
 	j := &job{
-		team: tj, spec: spec, name: name, listedAt: listedAt, submitted: now, existsSince: now, lastUsed: now,
+		team: tj, spec: spec, name: name, listing: l, submitted: now, existsSince: now, lastUsed: now,
 		items: make(map[string]*item, len(spec.Items)), changed: make(chan struct{}),
 	}
 	for i := range spec.Items {
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	j := newJob(tj, spec, name, listedAt, m.Clock.Now())
+	j := newJob(tj, spec, name, listing{route: e.Route, listedAt: listedAt}, m.Clock.Now())
 	j.estimateSubmitted(m.Clock.Now())
 	j.delayItems(tj.itemsDelayedUntil(m.Clock.Now()))
 	if e.Ended {
@@ -149,7 +149,7 @@
 		j.applySegment(segment.Results)
 		j.recordAge(segment.Age, m.Clock.Now())
 		if isLearned {
-			m.learnLengths(spec.Route, segment.Results)
+			m.learnLengths(e.Route, segment.Results)
 		}
 	}
 }
--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -50,7 +50,7 @@
 	var best *Task
 	var bestUrgency urgency
 	for _, j := range m.openJobs() {
-		route := m.route(j.spec)
+		route := m.route(j.route)
 		if route == nil {
 			continue
 		}
--- a/route.go
+++ b/route.go
@@ -129,21 +129,34 @@
 	Limits CallerLimits
 	// hosts holds the routes of each host, longest prefix first.
 	hosts map[string][]Route
+	// batch holds the routes of batch jobs by name.
+	batch map[string]*Route
 }
 
 // SetRoutes sets and indexes the routes of a new table.
 func (t *RouteTable) SetRoutes(routes []Route) {
 	t.hosts = make(map[string][]Route)
+	t.batch = make(map[string]*Route)
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		if r.Kind == RouteBatch {
+			t.batch[r.Name] = &r
+		}
 	}
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 }
 
-// Match returns the route of a host and path.
+// BatchRoute returns the route of batch jobs with a name. A job keeps the name of the route on which it was accepted; its
+// path may belong to another route by now.
+func (t *RouteTable) BatchRoute(name string) (*Route, bool) {
+	r, ok := t.batch[name]
+	return r, ok
+}
+
+// Match returns the route of the requests for a host and path. A submitted job is found by its route's name instead.
 func (t *RouteTable) Match(host, path string) (*Route, bool) {
 	list := t.hosts[strings.ToLower(host)]
 	for i := range list {
--- a/routedjob.go
+++ b/routedjob.go
@@ -25,11 +25,12 @@
 
 // RoutedJob is a batch job that was submitted on a route. It is immutable.
 type RoutedJob struct {
-	ID    JobID  `cbor:"1,keyasint"`
-	Team  TeamID `cbor:"2,keyasint"`
+	ID   JobID  `cbor:"1,keyasint"`
+	Team TeamID `cbor:"2,keyasint"`
+	// Route is the name of the route of the submission.
 	Route string `cbor:"3,keyasint"`
 	Host  string `cbor:"4,keyasint"`
-	// Path is where the job was submitted; it selects the route.
+	// Path is where the job was submitted. It selected the route then; another route may have it by now.
 	Path string `cbor:"5,keyasint"`
 	// Submitted is when the job was first received.
 	Submitted time.Time    `cbor:"6,keyasint"`
@@ -46,9 +47,9 @@
 }
 
 // IsSameWork reports whether both jobs belong to one team and have the same items: it may be the same
-// job, submitted twice.
+// job, submitted twice. Its path may have come to belong to another route in between.
 func (j *RoutedJob) IsSameWork(other *RoutedJob) bool {
-	if j.Team != other.Team || j.Route != other.Route {
+	if j.Team != other.Team {
 		return false
 	}
 	return slices.EqualFunc(j.Items, other.Items, func(a, b RoutedItem) bool {
