Let batch items wait only for their own service

Callers saw batch items wait beside idle endpoints of their service: one service had no free slot, and a more urgent item of it was first in the order. All other services' items at that owner waited, too, also those of other teams, for as long as that service stayed full.

Cause: the runner took the one most urgent item of all services, and if its service had no room it put the item back and ended.

Change: the manager hands out the most urgent item of the services that have room, and the runner tells which those are. If another request takes the room in between, only that service is left out. Items are held in the order of their job, and a job's state is read once.

TestServiceWithoutRoomHoldsUpNoOther fails before in all 21 cases, seven ways of having no room, in one team and across two (got 0 items started at the idle service, want 3).

--- a/internal/batch/manager/clocks_test.go
+++ b/internal/batch/manager/clocks_test.go
@@ -40,7 +40,7 @@
 				if got := p.failedAfter(t, retention-time.Minute); got != 0 {
 					t.Fatalf("got %d items given up before their retention ends, want none", got)
 				}
-				task := p.manager(1).NextTask(func() {})
+				task := p.manager(1).NextTask(func() {}, nil)
 				if task == nil {
 					t.Fatal("got no item, want it")
 				}
@@ -89,7 +89,7 @@
 				p := newOwnerPair()
 				p.submit(1, "job", 2)
 				time.Sleep(retention - 20*time.Minute)
-				p.manager(1).Finish(p.manager(1).NextTask(func() {}), false, []byte("text"))
+				p.manager(1).Finish(p.manager(1).NextTask(func() {}, nil), false, []byte("text"))
 				time.Sleep(10 * time.Minute)
 				p.moveTeam(0)
 				if tt.handsOver {
--- a/internal/batch/manager/crash_test.go
+++ b/internal/batch/manager/crash_test.go
@@ -82,7 +82,7 @@
 func awaitTask(m *manager.Manager) *manager.Task {
 	const pollInterval = 50 * time.Millisecond
 	for range int(placementTime / pollInterval) {
-		if task := m.NextTask(func() {}); task != nil {
+		if task := m.NextTask(func() {}, nil); task != nil {
 			return task
 		}
 		time.Sleep(pollInterval)
@@ -99,7 +99,7 @@
 		p.submit(1, "job", 1)
 		for n := range 12 {
 			time.Sleep(pause)
-			task := p.manager(1).NextTask(func() {})
+			task := p.manager(1).NextTask(func() {}, nil)
 			if task == nil {
 				t.Fatalf("after %d silent endpoints: got no item after %v, want it", n, pause)
 			}
--- a/internal/batch/manager/fuzz_test.go
+++ b/internal/batch/manager/fuzz_test.go
@@ -324,7 +324,7 @@
 
 // take makes a manager hand out an item.
 func (p *ownerPair) take(i int) {
-	if task := p.manager(i).NextTask(func() {}); task != nil {
+	if task := p.manager(i).NextTask(func() {}, nil); task != nil {
 		p.tasks[i] = append(p.tasks[i], task)
 	}
 }
@@ -361,7 +361,7 @@
 	for range 60 {
 		time.Sleep(time.Second)
 		for {
-			task := p.manager(0).NextTask(func() {})
+			task := p.manager(0).NextTask(func() {}, nil)
 			if task == nil {
 				break
 			}
--- a/internal/batch/manager/handover_test.go
+++ b/internal/batch/manager/handover_test.go
@@ -50,7 +50,7 @@
 		p.setFormerOwnerAlive(true)
 		p.moveTeam(0)
 		time.Sleep(releaseDelay)
-		if early := p.manager(0).NextTask(func() {}); early != nil {
+		if early := p.manager(0).NextTask(func() {}, nil); early != nil {
 			t.Fatalf("got an item with %d events before the former owner released it, want none", early.Progress.Events)
 		}
 		p.releaseTeam(1)
@@ -101,7 +101,7 @@
 					p.releaseTeam(1)
 				}
 				time.Sleep(tt.within)
-				if p.manager(0).NextTask(func() {}) == nil {
+				if p.manager(0).NextTask(func() {}, nil) == nil {
 					t.Errorf("got no item after %v, want it", tt.within)
 				}
 			})
--- a/internal/batch/manager/job.go
+++ b/internal/batch/manager/job.go
@@ -63,7 +63,9 @@
 	// existsSince is a time at which the job certainly existed. Unlike submitted it depends on no other
 	// instance's time of day, so nothing is given up too early by it.
 	existsSince time.Time
-	items       map[string]*item
+	// items holds the items by id, and ordered in the order of the job.
+	items   map[string]*item
+	ordered []*item
 	// results are the committed results in order of commit; segments is the number
 	// of segments that hold them.
 	results  []fescuebank.RoutedResult
@@ -90,10 +92,12 @@
 func newJob(tj *teamJobs, spec *fescuebank.RoutedJob, name persister.StoredName, l listing, now time.Time) *job {
 	j := &job{
 		team: tj, spec: spec, name: name, listing: l, submitted: now, existsSince: now, lastUsed: now,
-		items: make(map[string]*item, len(spec.Items)), changed: make(chan struct{}),
+		items: make(map[string]*item, len(spec.Items)), ordered: make([]*item, 0, len(spec.Items)), changed: make(chan struct{}),
 	}
 	for i := range spec.Items {
-		j.items[spec.Items[i].ID] = &item{spec: &spec.Items[i]}
+		it := &item{spec: &spec.Items[i]}
+		j.items[it.spec.ID] = it
+		j.ordered = append(j.ordered, it)
 		j.bodyBytes += fescuebank.Bytes(len(spec.Items[i].Body))
 	}
 	return j
@@ -137,6 +141,13 @@
 	j.pending = uncommitted
 }
 
+// isOpen reports whether the job has neither ended nor all its results.
+func (j *job) isOpen() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return !j.isClosed()
+}
+
 func (j *job) isDone() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/batch/manager/large_test.go
+++ b/internal/batch/manager/large_test.go
@@ -20,7 +20,7 @@
 func (p *ownerPair) finishAll(i, size int) map[string][]byte {
 	outputs := make(map[string][]byte)
 	for {
-		task := p.manager(i).NextTask(func() {})
+		task := p.manager(i).NextTask(func() {}, nil)
 		if task == nil {
 			return outputs
 		}
--- a/internal/batch/manager/removedroute_test.go
+++ b/internal/batch/manager/removedroute_test.go
@@ -127,7 +127,7 @@
 			t.Errorf("got %d results, want none while the configuration is older than the job", got)
 		}
 		p.config.read(0)
-		if task := p.manager(0).NextTask(func() {}); task == nil {
+		if task := p.manager(0).NextTask(func() {}, nil); task == nil {
 			t.Error("got no item with the newer configuration, want the one that waits")
 		}
 	})
--- a/internal/batch/manager/routechange_test.go
+++ b/internal/batch/manager/routechange_test.go
@@ -68,7 +68,7 @@
 					t.Errorf("got %d results of items that didn't run, want %d", got, want)
 				}
 				var got fescuebank.ServiceName
-				if task := p.manager(1).NextTask(func() {}); task != nil {
+				if task := p.manager(1).NextTask(func() {}, nil); task != nil {
 					got = task.Request.Service
 				}
 				if got != tt.service {
--- a/internal/batch/manager/sameid_test.go
+++ b/internal/batch/manager/sameid_test.go
@@ -24,7 +24,7 @@
 				t.Fatalf("got %v for the job of %s, want it accepted", err, owner)
 			}
 		}
-		for task := p.manager(1).NextTask(func() {}); task != nil; task = p.manager(1).NextTask(func() {}) {
+		for task := p.manager(1).NextTask(func() {}, nil); task != nil; task = p.manager(1).NextTask(func() {}, nil) {
 			p.manager(1).Finish(task, false, []byte("output of "+string(task.Request.Team)))
 		}
 		time.Sleep(5 * time.Second)
--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"fescuebank"
@@ -20,11 +21,12 @@
 	item      *item
 }
 
-// NextTask hands out the most urgent waiting item, or returns nil. The manager calls
-// stop if the attempt should end early.
-func (m *Manager) NextTask(stop func()) *Task {
+// NextTask hands out the most urgent of the waiting items whose service has room, or returns nil. An item whose service has none
+// holds up no item of another service. hasRoom may be nil if all services have room. The manager calls stop if the attempt should end
+// early.
+func (m *Manager) NextTask(stop func(), hasRoom func(fescuebank.ServiceName) bool) *Task {
 	now := m.Clock.Now()
-	best := m.mostUrgent(now)
+	best := m.mostUrgent(now, hasRoom)
 	if best == nil {
 		return nil
 	}
@@ -42,28 +44,64 @@
 
 // HasWaiting reports whether an item can be handed out now.
 func (m *Manager) HasWaiting() bool {
-	return m.mostUrgent(m.Clock.Now()) != nil
+	return m.mostUrgent(m.Clock.Now(), nil) != nil
 }
 
-// mostUrgent returns the waiting item that should run first.
-func (m *Manager) mostUrgent(now time.Time) *Task {
-	var best *Task
-	var bestUrgency urgency
+// mostUrgent returns the waiting item that should run first among those whose service has room.
+func (m *Manager) mostUrgent(now time.Time, hasRoom func(fescuebank.ServiceName) bool) *Task {
+	var best candidate
+	services := make(map[*fescuebank.Route][]fescuebank.ServiceName)
 	for _, j := range m.openJobs() {
 		route := m.route(j.route)
 		if route == nil {
 			continue
 		}
-		it, events := j.firstWaiting(now)
-		if it == nil {
+		if _, known := services[route]; !known {
+			services[route] = servicesWithRoom(route, hasRoom)
+		}
+		c, ok := j.firstWaiting(now, route, services[route])
+		if !ok {
 			continue
 		}
-		u := m.urgency(j, route, events)
-		if best == nil || u.before(bestUrgency, now) {
-			best, bestUrgency = &Task{job: j, item: it, Due: u.due, MaxEvents: int(it.spec.Tokens), Request: m.newRequest(j, it, route, now)}, u
+		c.urgency = m.urgency(c)
+		if best.item == nil || c.urgency.before(best.urgency, now) {
+			best = c
 		}
 	}
-	return best
+	if best.item == nil {
+		return nil
+	}
+	return m.newTask(best, now)
+}
+
+// servicesWithRoom returns those of a route's services that have room.
+func servicesWithRoom(route *fescuebank.Route, hasRoom func(fescuebank.ServiceName) bool) []fescuebank.ServiceName {
+	var list []fescuebank.ServiceName
+	for _, s := range route.Shares {
+		if hasRoom == nil || hasRoom(s.Service) {
+			list = append(list, s.Service)
+		}
+	}
+	return list
+}
+
+// candidate is a waiting item that may run next.
+type candidate struct {
+	job   *job
+	route *fescuebank.Route
+	item  *item
+	// service is the one of the route's services that the item goes to.
+	service fescuebank.ServiceName
+	// events is the number of events that the item has generated.
+	events  int
+	urgency urgency
+}
+
+// newTask returns the task to run an item.
+func (m *Manager) newTask(c candidate, now time.Time) *Task {
+	return &Task{
+		job: c.job, item: c.item, Due: c.urgency.due, MaxEvents: int(c.item.spec.Tokens), Request: m.newRequest(c, now),
+	}
 }
 
 // openJobs returns the jobs of owned teams that have neither ended nor all their results.
@@ -74,7 +112,7 @@
 	for _, tj := range m.teams {
 		tj.mu.Lock()
 		for _, j := range tj.jobs {
-			if !tj.closed && !j.isEnded() && !j.isDone() {
+			if !tj.closed && j.isOpen() {
 				list = append(list, j)
 			}
 		}
@@ -83,22 +121,27 @@
 	return list
 }
 
-// firstWaiting returns the first item that may run now and the number of events that it has
-// generated, or nil.
-func (j *job) firstWaiting(now time.Time) (it *item, events int) {
+// firstWaiting returns the first item that may run now at one of the services, without its urgency. ok is false if there is none.
+func (j *job) firstWaiting(now time.Time, route *fescuebank.Route, services []fescuebank.ServiceName) (c candidate, ok bool) {
+	if len(services) == 0 {
+		return candidate{}, false
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for i := range j.spec.Items {
-		it := j.items[j.spec.Items[i].ID]
-		if it.phase == phaseWaiting && !it.notBefore.After(now) {
-			return it, it.progress.Events
+	for _, it := range j.ordered {
+		if it.phase != phaseWaiting || it.notBefore.After(now) {
+			continue
+		}
+		if service := route.PickService(0); slices.Contains(services, service) {
+			return candidate{job: j, route: route, item: it, service: service, events: it.progress.Events}, true
 		}
 	}
-	return nil, 0
+	return candidate{}, false
 }
 
 // newRequest converts an item into a request to an endpoint.
-func (m *Manager) newRequest(j *job, it *item, route *fescuebank.Route, now time.Time) *fescuebank.Request {
+func (m *Manager) newRequest(c candidate, now time.Time) *fescuebank.Request {
+	j, it, route := c.job, c.item, c.route
 	h := make(http.Header, len(it.spec.Header))
 	for name, value := range it.spec.Header {
 		h.Add(name, value)
@@ -108,7 +151,7 @@
 	retainedUntil := j.existsSince.Add(route.Retention)
 	j.mu.Unlock()
 	return &fescuebank.Request{
-		ID: fescuebank.RequestID(it.spec.ID), Team: j.spec.Team, Route: route, Service: route.PickService(0),
+		ID: fescuebank.RequestID(it.spec.ID), Team: j.spec.Team, Route: route, Service: c.service,
 		Method: "POST", Target: it.spec.Target, Host: j.spec.Host, Header: h, Body: body,
 		Arrived: now, Deadline: retainedUntil, Priority: route.Priority,
 	}
--- a/internal/batch/manager/urgency.go
+++ b/internal/batch/manager/urgency.go
@@ -35,11 +35,11 @@
 	return u.due.Add(-needed).Before(now)
 }
 
-// urgency returns the urgency of an item of a job that has generated some events.
-func (m *Manager) urgency(j *job, route *fescuebank.Route, events int) urgency {
-	u := urgency{due: j.submitted.Add(route.CompletionObjective), remaining: m.Estimator.Remaining(route.Name, events)}
+// urgency returns the urgency of an item.
+func (m *Manager) urgency(c candidate) urgency {
+	u := urgency{due: c.job.submitted.Add(c.route.CompletionObjective), remaining: m.Estimator.Remaining(c.route.Name, c.events)}
 	if m.TimeToEnd != nil && u.remaining > 0 {
-		u.pauses = max(0, m.TimeToEnd(route.PickService(0), u.remaining)-u.remaining)
+		u.pauses = max(0, m.TimeToEnd(c.service, u.remaining)-u.remaining)
 	}
 	return u
 }
--- /dev/null
+++ b/internal/batch/runner/room_test.go
@@ -0,0 +1,115 @@
+package runner
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fescuebank"
+	"fescuebank/internal/endpoint/dialer"
+	"fescuebank/internal/endpoint/exchanger"
+	"fescuebank/internal/entry/allocator"
+	"fescuebank/internal/timing/timekeeper"
+)
+
+// usedUpLimit is a RateLimiter of which one endpoint states a limit that is used up.
+type usedUpLimit fescuebank.EndpointID
+
+func (usedUpLimit) Take(fescuebank.EndpointID) {}
+func (l usedUpLimit) Share(id fescuebank.EndpointID) (fescuebank.RateShare, bool) {
+	return fescuebank.RateShare{}, id == fescuebank.EndpointID(l)
+}
+func (usedUpLimit) Observe(fescuebank.EndpointID, fescuebank.RequestRate) {}
+func (usedUpLimit) ObserveCold(fescuebank.EndpointID, time.Duration)      {}
+
+// newTestRunner returns a runner of the only instance of a fleet.
+func newTestRunner(t *testing.T, a *allocator.Allocator, routes []fescuebank.Route, jobs ...*fescuebank.RoutedJob) *Runner {
+	t.Helper()
+	clock := timekeeper.Timekeeper{}
+	return New(Config{
+		Manager: newManager(t, routes, jobs...), Allocator: a, Exchanger: exchanger.New(resumingProtocol{}, clock, dialer.Direct), Protocol: resumingProtocol{}, Guard: &recordingGuard{},
+		PeerBatchItems: func() int { return 0 }, Owners: func() int { return 1 }, Lag: func() time.Duration { return time.Millisecond },
+		Clock: clock, Log: hclog.NewNullLogger(),
+	})
+}
+
+// hangingEndpoint returns the address of an endpoint that never responds until the test ends.
+func hangingEndpoint(t *testing.T) string {
+	t.Helper()
+	ended := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-ended }))
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { close(ended) })
+	return server.Listener.Addr().String()
+}
+
+// startedServices makes the runner start items and returns how many it has started at each service.
+func startedServices(t *testing.T, r *Runner) map[fescuebank.ServiceName]int {
+	t.Helper()
+	r.startItems()
+	r.mu.Lock()
+	started := make(map[fescuebank.ServiceName]int)
+	for _, a := range r.running {
+		started[a.task.Request.Service]++
+	}
+	r.mu.Unlock()
+	r.Stop()
+	return started
+}
+
+// TestServiceWithoutRoomHoldsUpNoOther guards against items that wait beside idle endpoints of their service, behind more urgent
+// ones of a service without room.
+func TestServiceWithoutRoomHoldsUpNoOther(t *testing.T) {
+	const items = 3
+	for _, tt := range []struct {
+		name string
+		// fill takes all room of the service full.
+		fill func(a *allocator.Allocator, full, idle fescuebank.ServedEndpoint)
+	}{
+		{"no endpoint", func(a *allocator.Allocator, _, idle fescuebank.ServedEndpoint) {
+			a.SetEndpoints([]fescuebank.ServedEndpoint{idle})
+		}},
+		{"all slots taken", func(a *allocator.Allocator, full, _ fescuebank.ServedEndpoint) {
+			for range full.Slots {
+				_ = a.AcquireBatch("full", "", 0)
+			}
+		}},
+		{"all slots taken by other instances", func(a *allocator.Allocator, full, _ fescuebank.ServedEndpoint) {
+			a.SetPeerCounts(fescuebank.EndpointCounts{full.ID.Tag(): full.Slots}, 0, full.Slots)
+		}},
+		{"endpoint leaves", func(a *allocator.Allocator, full, idle fescuebank.ServedEndpoint) {
+			full.Leaving = true
+			a.SetEndpoints([]fescuebank.ServedEndpoint{full, idle})
+		}},
+		{"endpoint excluded", func(a *allocator.Allocator, full, _ fescuebank.ServedEndpoint) { a.Deprioritize(full.ID, time.Hour) }},
+		{"zone evacuated", func(a *allocator.Allocator, full, _ fescuebank.ServedEndpoint) {
+			a.SetEvacuated([]fescuebank.Zone{full.Zone})
+		}},
+		{"limit used up", func(*allocator.Allocator, fescuebank.ServedEndpoint, fescuebank.ServedEndpoint) {}},
+	} {
+		for _, teams := range [][2]fescuebank.TeamID{{testTeam, testTeam}, {"first", "second"}, {"second", "first"}} {
+			t.Run(tt.name, func(t *testing.T) {
+				full := fescuebank.ServedEndpoint{ID: "i-full", Service: "full", Zone: "a", Slots: 4, Addr: hangingEndpoint(t)}
+				idle := fescuebank.ServedEndpoint{ID: "i-idle", Service: "idle", Zone: "b", Slots: 8, Addr: hangingEndpoint(t)}
+				a := allocator.New(timekeeper.Timekeeper{}, func() {})
+				if tt.name == "limit used up" {
+					a = allocator.NewLimited(timekeeper.Timekeeper{}, func() {}, usedUpLimit(full.ID))
+				}
+				a.SetEndpoints([]fescuebank.ServedEndpoint{full, idle})
+				tt.fill(a, full, idle)
+				first, second := testJob("full", "f1", "f2", "f3"), testJob("idle", "i1", "i2", "i3")
+				first.Team, second.Team = teams[0], teams[1]
+				r := newTestRunner(t, a, []fescuebank.Route{
+					testRoute("full", fescuebank.ServiceShare{Service: "full", Weight: 1}), testRoute("idle", fescuebank.ServiceShare{Service: "idle", Weight: 1}),
+				}, first, second)
+				started := startedServices(t, r)
+				if started["full"] != 0 || started["idle"] != items {
+					t.Errorf("got %d items started at the full service and %d at the idle one, want none and %d", started["full"], started["idle"], items)
+				}
+			})
+		}
+	}
+}
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -201,21 +201,28 @@
 	return waiting, slices.DeleteFunc(list, func(a *attempt) bool { return !slices.Contains(full, a.slot.Endpoint.Version) })
 }
 
-// startItems starts items while items wait and the reserve of their service's slots stays free.
+// rooms holds which services have room for one more item, as far as that was asked.
+type rooms map[fescuebank.ServiceName]bool
+
+// startItems starts items while items wait and the reserve of their service's slots stays free. A service without room holds up no
+// other.
 func (r *Runner) startItems() {
-	for {
-		r.mu.Lock()
-		stopped := r.stopped
-		r.mu.Unlock()
-		if stopped || !r.startOne() {
-			return
-		}
+	known := make(rooms)
+	for !r.isStopped() && r.startOne(known) {
 	}
 }
 
-func (r *Runner) startOne() bool {
+func (r *Runner) isStopped() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopped
+}
+
+// startOne starts the most urgent item whose service has room, unless another request takes the slot first. It returns false if there is
+// none.
+func (r *Runner) startOne(known rooms) bool {
 	ctx, cancel := context.WithCancel(context.Background())
-	task := r.Manager.NextTask(cancel)
+	task := r.Manager.NextTask(cancel, func(service fescuebank.ServiceName) bool { return r.hasRoom(service, known) })
 	if task == nil {
 		cancel()
 		return false
@@ -224,8 +231,10 @@
 	if slot == nil {
 		r.Manager.Requeue(task, manager.CausePreempted, task.Progress)
 		cancel()
-		return false
+		known[task.Request.Service] = false
+		return true
 	}
+	delete(known, task.Request.Service)
 	a := &attempt{task: task, slot: slot, cancel: cancel}
 	r.mu.Lock()
 	r.running = append(r.running, a)
@@ -234,6 +243,25 @@
 	return true
 }
 
+// hasRoom reports whether a service has room for one more item of this instance, and adds it to what is known.
+func (r *Runner) hasRoom(service fescuebank.ServiceName, known rooms) bool {
+	has, isKnown := known[service]
+	if !isKnown {
+		r.mu.Lock()
+		has = r.mayStart(service, r.reserve(service), r.Clock.Now())
+		r.mu.Unlock()
+		known[service] = has
+	}
+	return has
+}
+
+// mayStart reports whether this instance may start one more item of a service now. The caller holds mu.
+func (r *Runner) mayStart(service fescuebank.ServiceName, reserve pacer.Reserve, now time.Time) bool {
+	return r.pacer.MayStart(service, now, pacer.Room{
+		Free: r.Allocator.BatchRoom(service, reserve.Start), Instances: r.Owners(), Lag: r.Lag(),
+	})
+}
+
 // acquire returns a slot for an item whose progress is of a software version, preferably at an
 // endpoint of that version. It returns nil if this instance may not take one now.
 func (r *Runner) acquire(service fescuebank.ServiceName, version string) *allocator.Slot {
@@ -241,10 +269,7 @@
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	reserve := r.reserve(service)
-	room := pacer.Room{
-		Free: r.Allocator.BatchRoom(service, reserve.Start), Instances: r.Owners(), Lag: r.Lag(),
-	}
-	if !r.pacer.MayStart(service, now, room) {
+	if !r.mayStart(service, reserve, now) {
 		return nil
 	}
 	slot := r.Allocator.AcquireBatch(service, version, reserve.Start)
--- a/internal/batch/runner/version_test.go
+++ b/internal/batch/runner/version_test.go
@@ -43,31 +43,43 @@
 	return fescuebank.ResponseInfo{Request: fescuebank.RequestID(h.Get(requestHeader)), Signed: true}
 }
 
-// newManager returns a manager with one job of one item.
-func newManager(t *testing.T) *manager.Manager {
+// testRoute returns a route of batch jobs.
+func testRoute(name string, shares ...fescuebank.ServiceShare) fescuebank.Route {
+	return fescuebank.Route{
+		Name: name, Host: "h", Prefix: "/" + name + "/", Kind: fescuebank.RouteBatch, Attempts: 3, CompletionObjective: time.Minute,
+		Retention: time.Hour, Shares: shares,
+	}
+}
+
+// testJob returns a job of a route, whose items have the ids.
+func testJob(route string, items ...string) *fescuebank.RoutedJob {
+	j := &fescuebank.RoutedJob{ID: fescuebank.JobID("job-" + route), Team: testTeam, Route: route, Host: "h", Path: "/" + route + "/x", Submitted: time.Now()}
+	for _, id := range items {
+		j.Items = append(j.Items, fescuebank.RoutedItem{ID: id, Target: "/x/1", Body: []byte("body"), Tokens: 1})
+	}
+	return j
+}
+
+// newManager returns a manager with routes and jobs.
+func newManager(t *testing.T, routes []fescuebank.Route, jobs ...*fescuebank.RoutedJob) *manager.Manager {
 	t.Helper()
 	clock := timekeeper.Timekeeper{}
 	table := &fescuebank.RouteTable{Version: 1}
-	table.SetRoutes([]fescuebank.Route{{
-		Name: "batch", Host: "h", Prefix: "/b/", Kind: fescuebank.RouteBatch, Attempts: 3, CompletionObjective: time.Minute,
-		Retention: time.Hour, Shares: []fescuebank.ServiceShare{{Service: testService, Weight: 1}},
-	}})
-	jobs, err := persister.New(&memorystorer.MemoryStorer{}, clock)
+	table.SetRoutes(routes)
+	store, err := persister.New(&memorystorer.MemoryStorer{}, clock)
 	if err != nil {
 		t.Fatal(err)
 	}
 	m := manager.New(manager.Config{
 		Owns:     func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, true },
-		TookOver: func(fescuebank.TeamID) bool { return false }, Persister: jobs,
+		TookOver: func(fescuebank.TeamID) bool { return false }, Persister: store,
 		Table: func() *fescuebank.RouteTable { return table }, ConfigAsOf: func() fescuebank.StoreVersion { return 0 }, RefreshConfig: func() {}, Estimator: estimator.New(), Clock: clock, Log: hclog.NewNullLogger(),
 		OnItemEnd: func(fescuebank.TeamID, bool, bool) {}, OnItemsAvailable: func() {}, SendHandover: func(manager.ProgressHandover) {},
 	})
-	err = m.Submit(t.Context(), &fescuebank.RoutedJob{
-		ID: "job", Team: testTeam, Route: "batch", Host: "h", Path: "/b/x", Submitted: clock.Now(),
-		Items: []fescuebank.RoutedItem{{ID: "item", Target: "/b/x/1", Body: []byte("body"), Tokens: 1}},
-	})
-	if err != nil {
-		t.Fatal(err)
+	for _, j := range jobs {
+		if err := m.Submit(t.Context(), j); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return m
 }
@@ -109,18 +121,18 @@
 			}
 			a := allocator.New(clock, func() {})
 			a.SetEndpoints([]fescuebank.ServedEndpoint{endpoint})
-			m := newManager(t)
+			m := newManager(t, []fescuebank.Route{testRoute("batch", fescuebank.ServiceShare{Service: testService, Weight: 1})}, testJob("batch", "item"))
 			r := New(Config{
 				Manager: m, Allocator: a, Exchanger: exchanger.New(resumingProtocol{}, clock, dialer.Direct), Protocol: resumingProtocol{}, Guard: &recordingGuard{},
 				Clock: clock, Log: hclog.NewNullLogger(),
 			})
 			ctx, cancel := context.WithCancel(t.Context())
-			task := m.NextTask(cancel)
+			task := m.NextTask(cancel, nil)
 			task.Progress = fescuebank.Progress{
 				Events: 2, Last: "2", Output: fmt.Appendf(nil, "%s-1\n%s-2", tt.begun, tt.begun), Version: tt.begun,
 			}
 			r.run(ctx, &attempt{task: task, slot: a.AcquireBatch(testService, "", 0), cancel: cancel})
-			page, err := m.Read(t.Context(), testTeam, "job", 0, 5*time.Second)
+			page, err := m.Read(t.Context(), testTeam, "job-batch", 0, 5*time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/operate/server/leave_test.go
+++ b/internal/operate/server/leave_test.go
@@ -110,7 +110,7 @@
 		s := &Server{clock: clock, manager: m, elector: e, self: self, log: hclog.NewNullLogger()}
 		progress := fescuebank.Progress{Events: 5, Last: "5", Output: []byte("text")}
 		s.sendHandover(nil, manager.ProgressHandover{Team: "team", From: self.ID, Items: []manager.ItemProgress{{Job: "job", Item: "item", Progress: progress}}})
-		task := m.NextTask(func() {})
+		task := m.NextTask(func() {}, nil)
 		if task == nil || task.Progress.Events != progress.Events {
 			t.Errorf("got %+v, want the item with its progress", task)
 		}
