Spread batch items over the services of a split route

Operators who split a batch route saw all its items at the first service, whatever its share; while that service had no room, the items waited beside idle endpoints of the others.

Cause: items took their service by PickService(0), the first one.

Change: an item's service follows from its id, like that of a resumable stream from the id of its first attempt; both use Route.ServiceOf. It stays the same at all instances and for all attempts while the shares stay.

--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -132,7 +132,7 @@
 		if it.phase != phaseWaiting || it.notBefore.After(now) {
 			continue
 		}
-		if service := route.PickService(0); slices.Contains(services, service) {
+		if service := route.ServiceOf(it.spec.ID); slices.Contains(services, service) {
 			return candidate{job: j, route: route, item: it, service: service, events: it.progress.Events}, true
 		}
 	}
--- a/internal/batch/runner/room_test.go
+++ b/internal/batch/runner/room_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -113,3 +114,39 @@
 		}
 	}
 }
+
+// TestItemsOfASplitRouteGoToAllItsServices guards against a route whose items all go to its first service, and wait for its room.
+func TestItemsOfASplitRouteGoToAllItsServices(t *testing.T) {
+	const (
+		items = 200
+		slots = 1000
+	)
+	ids := make([]string, items)
+	for n := range ids {
+		ids[n] = fmt.Sprintf("item-%d", n)
+	}
+	split := testRoute("batch", fescuebank.ServiceShare{Service: "next", Weight: 10}, fescuebank.ServiceShare{Service: "last", Weight: 90})
+	next := fescuebank.ServedEndpoint{ID: "i-next", Service: "next", Slots: slots, Addr: hangingEndpoint(t)}
+	last := fescuebank.ServedEndpoint{ID: "i-last", Service: "last", Slots: slots, Addr: hangingEndpoint(t)}
+	for _, tt := range []struct {
+		name      string
+		endpoints []fescuebank.ServedEndpoint
+		// least and most bound the number of items started at each service.
+		least, most map[fescuebank.ServiceName]int
+	}{
+		{"both have room", []fescuebank.ServedEndpoint{next, last}, map[fescuebank.ServiceName]int{"next": 10, "last": 160}, map[fescuebank.ServiceName]int{"next": 40, "last": 190}},
+		{"the first has none", []fescuebank.ServedEndpoint{last}, map[fescuebank.ServiceName]int{"last": 160}, map[fescuebank.ServiceName]int{"last": 190}},
+		{"the last has none", []fescuebank.ServedEndpoint{next}, map[fescuebank.ServiceName]int{"next": 10}, map[fescuebank.ServiceName]int{"next": 40}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			a := allocator.New(timekeeper.Timekeeper{}, func() {})
+			a.SetEndpoints(tt.endpoints)
+			got := startedServices(t, newTestRunner(t, a, []fescuebank.Route{split}, testJob("batch", ids...)))
+			for _, service := range []fescuebank.ServiceName{"next", "last"} {
+				if got[service] < tt.least[service] || got[service] > tt.most[service] {
+					t.Errorf("got %d items started at %s, want %d to %d", got[service], service, tt.least[service], tt.most[service])
+				}
+			}
+		})
+	}
+}
--- a/internal/entry/relayer/version.go
+++ b/internal/entry/relayer/version.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fescuebank"
 )
 
@@ -18,16 +16,10 @@
 		began = r.Resumes
 	}
 	if r.Route.Resumable && began != "" {
-		r.Service = r.Route.PickService(fraction(string(began)))
+		r.Service = r.Route.ServiceOf(string(began))
 	}
 }
 
-// fraction maps a text to a uniformly distributed number in [0,1).
-func fraction(text string) float64 {
-	const mantissaBits = 53
-	return float64(xxhash.Sum64String(text)>>(64-mantissaBits)) / (1 << mantissaBits)
-}
-
 // findVersion determines the software version of the endpoints at which a stream that the
 // caller takes up has begun. What two versions generate doesn't fit together, so the request
 // is refused if the version can't be found out.
--- a/route.go
+++ b/route.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // RouteKind determines whether requests on a route may be repeated.
@@ -84,6 +86,16 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// ServiceOf returns the service of the request or item with an id, which is the same at all instances and at each attempt while the
+// route's shares stay.
+func (r *Route) ServiceOf(id string) ServiceName {
+	const mantissaBits = 53
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	return r.PickService(float64(xxhash.Sum64String(id)>>(64-mantissaBits)) / (1 << mantissaBits))
+}
+
 // RoutedService is a group of endpoints that routes refer to.
 type RoutedService struct {
 	Name ServiceName
