Let online requests hold back the batch items of their service only

Callers of one service saw batch items neither start nor go on while online requests waited for another service, whose slots the items don't share.

Cause: instances state how many requests wait, but not for which service, so batch items of all services left their slots to them.

Change: gossip states the waiting requests by service, once the endpoints known are of more than one. Where an older build doesn't state it, its requests count for every service, as before.

Evidence: with the former count, the case "requests wait for it at other instances" of TestServiceWithoutRoomHoldsUpNoOther fails in three of three variants (got 0 items started at the idle service, want 3), and so does TestRequestsThatWaitForOneServiceLeaveTheOthersToBatchWork. Not seen in a run of real processes.

--- a/gossip.go
+++ b/gossip.go
@@ -31,6 +31,26 @@
 	}
 }
 
+// ServiceCounts holds a number of requests for each service. Counts of 0 are omitted.
+type ServiceCounts map[ServiceName]int
+
+// Add adds other to c.
+func (c ServiceCounts) Add(other ServiceCounts) {
+	for service, n := range other {
+		c[service] += n
+	}
+}
+
+// Subtract subtracts other, which was added to c before.
+func (c ServiceCounts) Subtract(other ServiceCounts) {
+	for service, n := range other {
+		c[service] -= n
+		if c[service] == 0 {
+			delete(c, service)
+		}
+	}
+}
+
 // Sum returns the number of requests at all endpoints.
 func (c EndpointCounts) Sum() int {
 	sum := 0
@@ -56,6 +76,9 @@
 	Batch  EndpointCounts `cbor:"7,keyasint,omitempty"`
 	// Waiting is the number of online requests that wait for a slot.
 	Waiting int `cbor:"8,keyasint,omitempty"`
+	// WaitingAt divides Waiting among the services. It is left out while all endpoints known are of one service, and by
+	// older builds.
+	WaitingAt ServiceCounts `cbor:"34,keyasint,omitempty"`
 	// ConfigVersion and EndpointsVersion are the store versions at which the instance last saw
 	// a change of the configuration and of the endpoints.
 	ConfigVersion    StoreVersion `cbor:"9,keyasint"`
--- a/internal/batch/runner/room_test.go
+++ b/internal/batch/runner/room_test.go
@@ -89,6 +89,10 @@
 		{"zone evacuated", func(a *allocator.Allocator, full, _ fescuebank.ServedEndpoint) {
 			a.SetEvacuated([]fescuebank.Zone{full.Zone})
 		}},
+		{"requests wait for it at other instances", func(a *allocator.Allocator, _, _ fescuebank.ServedEndpoint) {
+			a.SetPeersWaitingAt(fescuebank.ServiceCounts{"full": 5})
+			a.SetPeerCounts(nil, 5, 0)
+		}},
 		{"limit used up", func(*allocator.Allocator, fescuebank.ServedEndpoint, fescuebank.ServedEndpoint) {}},
 	} {
 		for _, teams := range [][2]fescuebank.TeamID{{testTeam, testTeam}, {"first", "second"}, {"second", "first"}} {
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -70,6 +70,8 @@
 	// number of slots held by their batch work, which is preempted for waiting requests.
 	peersWaiting int
 	peerBatch    int
+	// peersWaitingAt holds those of peersWaiting whose service is known.
+	peersWaitingAt fescuebank.ServiceCounts
 	// peerOnline are the other instances' online requests at each endpoint.
 	peerOnline fescuebank.EndpointCounts
 	// sharedAt is when this instance last took its share of the free slots for which requests of
--- a/internal/entry/allocator/batch.go
+++ b/internal/entry/allocator/batch.go
@@ -10,7 +10,7 @@
 // instances are expected to have taken unseen.
 
 // AcquireBatch returns a slot for batch work without waiting, at an endpoint of the software
-// version if that is set and one has a free slot. If requests wait at other instances or the
+// version if that is set and one has a free slot. If requests for the service wait at other instances or the
 // free slots would fall below the reserve, it returns one at an endpoint whose request limit this
 // instance has a part of, or nil.
 func (a *Allocator) AcquireBatch(service fescuebank.ServiceName, version string, reservedShare float64) *Slot {
@@ -30,7 +30,7 @@
 }
 
 // BatchRoom returns the number of slots that batch work may take: those that are free beyond
-// the reserve, or none while requests wait at other instances, and what request limits allow this
+// the reserve, or none while requests for the service wait at other instances, and what request limits allow this
 // instance.
 func (a *Allocator) BatchRoom(service fescuebank.ServiceName, reservedShare float64) int {
 	a.mu.Lock()
@@ -42,7 +42,7 @@
 
 // unlimitedRoom is BatchRoom for the endpoints without a request limit. The caller holds the lock.
 func (a *Allocator) unlimitedRoom(service fescuebank.ServiceName, reservedShare float64, now time.Time) int {
-	if a.peersWaiting > 0 {
+	if a.peersWaitingFor(service) > 0 {
 		return 0
 	}
 	slots, free := a.batchCapacity(service, now)
@@ -50,14 +50,14 @@
 }
 
 // BatchExcess returns the number of slots that batch work of all instances must release so
-// that the requests waiting at other instances get slots and the reserve is free. It is 0 or
+// that the requests for the service that wait at other instances get slots and the reserve is free. It is 0 or
 // more.
 func (a *Allocator) BatchExcess(service fescuebank.ServiceName, reservedShare float64) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	slots, free := a.batchCapacity(service, now)
-	return max(0, a.peersWaiting+int(reservedShare*float64(slots)+a.estimateUnreported(now))-free)
+	return max(0, a.peersWaitingFor(service)+int(reservedShare*float64(slots)+a.estimateUnreported(now))-free)
 }
 
 // FullVersions returns the software versions of a service whose slots are all taken while another
@@ -83,7 +83,7 @@
 	if len(versions) == len(free) {
 		return nil, 0
 	}
-	return versions, a.peersWaiting
+	return versions, a.peersWaitingFor(service)
 }
 
 // SetPeerOnline sets the other instances' online requests at each endpoint.
--- a/internal/fleet/gossiper/gossip.go
+++ b/internal/fleet/gossiper/gossip.go
@@ -182,6 +182,13 @@
 	return maps.Clone(g.totals.online)
 }
 
+// PeerWaitingAt returns the sums of the waiting online requests of which the live peers state the service.
+func (g *Gossiper) PeerWaitingAt() fescuebank.ServiceCounts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.totals.waitingAt)
+}
+
 // PeerDemand returns the sum of the demand for slots that the live peers state.
 func (g *Gossiper) PeerDemand() fescuebank.SlotDemand {
 	g.mu.Lock()
@@ -209,6 +216,8 @@
 	online fescuebank.EndpointCounts
 	// waiting is the number of online requests that wait for a slot at an endpoint.
 	waiting int
+	// waitingAt holds those of them whose service the instances state.
+	waitingAt fescuebank.ServiceCounts
 	// demand is the demand for slots that the instances state.
 	demand fescuebank.SlotDemand
 }
@@ -219,6 +228,7 @@
 	t.counts.Add(msg.Batch)
 	t.batch += msg.Batch.Sum()
 	t.waiting += msg.Waiting
+	t.waitingAt.Add(msg.WaitingAt)
 	t.demand.Add(msg.Demand)
 }
 
@@ -228,5 +238,6 @@
 	t.counts.Subtract(msg.Batch)
 	t.batch -= msg.Batch.Sum()
 	t.waiting -= msg.Waiting
+	t.waitingAt.Subtract(msg.WaitingAt)
 	t.demand.Subtract(msg.Demand)
 }
--- a/internal/fleet/gossiper/gossip_test.go
+++ b/internal/fleet/gossiper/gossip_test.go
@@ -82,6 +82,9 @@
 						Teams: map[fescuebank.TeamTag]int{fescuebank.TeamTag(rapid.IntRange(1, 3).Draw(t, "team")): rapid.IntRange(1, 8).Draw(t, "teamUse")},
 					}
 				}
+				if rapid.Bool().Draw(t, "several services") {
+					p.gossip.WaitingAt = fescuebank.ServiceCounts{fescuebank.ServiceName(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service")): rapid.IntRange(1, 9).Draw(t, "waitingAt")}
+				}
 				receive(g, *p.gossip)
 			},
 			"wait": func(t *rapid.T) {
@@ -91,6 +94,7 @@
 			"": func(t *rapid.T) {
 				want, waiting, batch := fescuebank.EndpointCounts{}, 0, 0
 				var demand fescuebank.SlotDemand
+				waitingAt := fescuebank.ServiceCounts{}
 				for _, p := range peers {
 					if p.gossip != nil && clock.now.Sub(p.receivedAt) < minSuspectTimeout {
 						want.Add(p.gossip.Online)
@@ -98,12 +102,16 @@
 						batch += p.gossip.Batch.Sum()
 						waiting += p.gossip.Waiting
 						demand.Add(p.gossip.Demand)
+						waitingAt.Add(p.gossip.WaitingAt)
 					}
 				}
 				got, gotWaiting, gotBatch := g.PeerTotals()
 				if !maps.Equal(got, want) || gotWaiting != waiting || gotBatch != batch {
 					t.Fatalf("got %v, %d waiting, %d of batch, want %v, %d, %d", got, gotWaiting, gotBatch, want, waiting, batch)
 				}
+				if got := g.PeerWaitingAt(); !maps.Equal(got, waitingAt) {
+					t.Fatalf("got %v waiting at services, want %v", got, waitingAt)
+				}
 				if got := g.PeerDemand(); got.Use != demand.Use || got.Behind != demand.Behind || got.Returning != demand.Returning || !maps.Equal(got.Teams, demand.Teams) {
 					t.Fatalf("got demand %+v, want %+v", got, demand)
 				}
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -101,7 +101,7 @@
 	g := &Gossiper{
 		Config: c, wake: make(chan struct{}, 1), listed: make(chan struct{}), entryLost: true,
 		tag:     fescuebank.Holder{ID: c.Self.ID, Incarnation: c.Self.Incarnation}.Tag(),
-		members: make(map[fescuebank.InstanceID]*member), totals: totals{counts: make(fescuebank.EndpointCounts), online: make(fescuebank.EndpointCounts)},
+		members: make(map[fescuebank.InstanceID]*member), totals: totals{counts: make(fescuebank.EndpointCounts), online: make(fescuebank.EndpointCounts), waitingAt: make(fescuebank.ServiceCounts)},
 	}
 	g.targets.Direct = true
 	c.Linker.HandleNotification(fescuebank.KindGossip, g.handleGossip)
--- a/internal/operate/server/gossip.go
+++ b/internal/operate/server/gossip.go
@@ -19,7 +19,7 @@
 	counts, waiting := s.allocator.Counts()
 	if s.settings.Roles.Entry {
 		g.Online, g.Waiting, g.Started = counts, waiting, s.allocator.Started()
-		g.Demand = s.allocator.Demand()
+		g.WaitingAt, g.Demand = s.allocator.WaitingAt(), s.allocator.Demand()
 	} else {
 		g.Batch = counts
 	}
@@ -70,6 +70,7 @@
 	}
 	s.allocator.SetPeerStarts(s.gossiper.PeerStarts(), s.gossiper.Lag())
 	s.allocator.SetPeerDemand(s.gossiper.PeerDemand(), s.gossiper.LiveCount())
+	s.allocator.SetPeersWaitingAt(s.gossiper.PeerWaitingAt())
 	s.allocator.SetPeerCounts(s.gossiper.PeerTotals())
 	s.observeLoad()
 	s.runner.Wake()
