Give items up by no configuration that is older than their job

Callers could see items given up before their route's retention: an owner whose configuration was older than the job, in which the retention was shorter, decided by it.

Cause: the same as for a missing route. Of two instances, the one that accepts a job may know a newer configuration than the one that takes it over.

Change: an owner gives up nothing by a configuration that isn't current up to the revision at which the ledger lists the job.

TestOlderRetentionDoesNotCount got 1 result of an item that didn't run before, want none. TestAgeOfJobsIsPassedOn called Expire once, when the owner's replica was older than the job's last listing; it now lets the owner check for a second, as an instance does, and still wants the item given up right after the end of its retention.

--- a/internal/batch/manager/clocks_test.go
+++ b/internal/batch/manager/clocks_test.go
@@ -96,7 +96,7 @@
 					p.releaseTeam(1)
 				}
 				time.Sleep(10*time.Minute + tt.lost)
-				p.manager(0).Expire()
+				p.expireFor(0, time.Second)
 				time.Sleep(10 * time.Second)
 				page, err := p.manager(0).Read(t.Context(), team, "job", 0, 0)
 				if err != nil {
--- a/internal/batch/manager/config_test.go
+++ b/internal/batch/manager/config_test.go
@@ -65,8 +65,25 @@
 	}
 }
 
+// setUnreadable sets whether the managers can't read the configuration when they ask for it.
+func (c *configuration) setUnreadable(unreadable bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unreadable = unreadable
+}
+
 func (c *configuration) replica(i int) configReplica {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.replicas[i]
 }
+
+// newestVersion returns the version that was stored last, 0 if there is none.
+func (c *configuration) newestVersion() fescuebank.Generation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.newest.table == nil {
+		return 0
+	}
+	return c.newest.table.Version
+}
--- a/internal/batch/manager/expiry.go
+++ b/internal/batch/manager/expiry.go
@@ -14,7 +14,7 @@
 const configRefreshPause = time.Second
 
 // Expire fails the waiting items of jobs that are past their route's retention, or whose route
-// was removed routeGoneTime ago.
+// was removed routeGoneTime ago. Only a configuration that is current up to a job's acceptance decides over it.
 func (m *Manager) Expire() {
 	now := m.Clock.Now()
 	asOf := m.ConfigAsOf()
@@ -22,9 +22,12 @@
 	for _, j := range m.openJobs() {
 		route := m.route(j.route)
 		isCurrent := asOf >= j.listedAt
-		isBehind = isBehind || (route == nil && !isCurrent)
 		isGone := j.isRouteGone(route != nil, isCurrent, now)
-		if isGone || isPastRetention(j, route, now) {
+		isPast := isPastRetention(j, route, now)
+		switch {
+		case !isCurrent:
+			isBehind = isBehind || isPast || route == nil
+		case isGone || isPast:
 			m.expire(j, isGone, now)
 		}
 	}
@@ -33,7 +36,8 @@
 	}
 }
 
-// refreshConfig reads the configuration again, as one that is older than a job can't tell whether the job's route was removed.
+// refreshConfig reads the configuration again, as one that is older than a job can't tell whether the job's route was removed, nor its
+// retention.
 func (m *Manager) refreshConfig(now time.Time) {
 	m.mu.Lock()
 	isDue := now.Sub(m.refreshedAt) >= configRefreshPause
--- a/internal/batch/manager/removedroute_test.go
+++ b/internal/batch/manager/removedroute_test.go
@@ -109,6 +109,24 @@
 	}
 }
 
+// TestOlderRetentionDoesNotCount guards against items that are given up by the retention of a configuration that is older than their job.
+func TestOlderRetentionDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newOwnerPair()
+		p.config.put([]fescuebank.Route{changed(func(r *fescuebank.Route) { r.Retention = time.Second })})
+		p.config.read(0)
+		p.config.put([]fescuebank.Route{batchRoute()})
+		p.config.read(1)
+		p.submit(1, "job", 1)
+		p.releaseTeam(1)
+		p.moveTeam(0)
+		p.expireFor(0, time.Minute)
+		if got := p.results(t, 0, "job"); got != 0 {
+			t.Errorf("got %d results of items that didn't run, want none within the retention of an hour", got)
+		}
+	})
+}
+
 // TestRouteThatIsNewerThanTheConfigurationIsNotRemoved guards against items that are given up by an owner whose configuration is
 // older than their route.
 func TestRouteThatIsNewerThanTheConfigurationIsNotRemoved(t *testing.T) {
@@ -117,7 +135,7 @@
 		p.config.put(nil)
 		p.config.read(0)
 		p.config.put([]fescuebank.Route{batchRoute()})
-		p.config.unreadable = true
+		p.config.setUnreadable(true)
 		p.config.read(1)
 		p.submit(1, "job", 1)
 		p.releaseTeam(1)
