Take a status outside the classes for no answer

A faulty service's call got status 0, 99, 101, 600 or 999 as an answer; with 0 and 99 the handler that relays it ends with a panic. On the platform's routes, 600 and 999 were relayed with the endpoint's signature where a request may run once, and lost elsewhere.

Cause: the transport accepts any three digits, and the two readers of endpoints' answers checked different parts of them.

Change: both ask IsFinalStatus: an answer has a status of 200 to 599 (RFC 9110, section 15). Any other is status 502 of a request that may have run, without a signature; where the request may be repeated it goes elsewhere.

--- a/internal/endpoint/exchanger/head.go
+++ b/internal/endpoint/exchanger/head.go
@@ -63,11 +63,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, fmt.Errorf("response with status %d", resp.StatusCode)
-		}
-		if resp.StatusCode >= http.StatusOK {
+		if fescuebank.IsFinalStatus(resp.StatusCode) {
 			return resp, nil
 		}
+		if resp.StatusCode/100 != 1 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, fmt.Errorf("response with status %d", resp.StatusCode)
+		}
 	}
 }
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -257,6 +257,9 @@
 		return nil, connected.Load(), err
 	}
 	defer resp.Body.Close()
+	if !fescuebank.IsFinalStatus(resp.StatusCode) {
+		return nil, true, errNoFinalStatus
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
 		err = errors.New("response too large")
@@ -276,6 +279,9 @@
 	return response, true, nil
 }
 
+// errNoFinalStatus means that a service responded with a status that no response to a call can have.
+var errNoFinalStatus = errors.New("response without a final status")
+
 // errMayBeReset means that a response ended with its connection before the request was written. Of a reset that the write
 // reports, the reads only see the end.
 var errMayBeReset = errors.New("connection ended before the request was written")
