Bound what a service's answers may hold in the forwarder

A faulty service that sends without end made the instance that had called it keep up to 32 MiB of a body and 10 MB of a head for each call, until their number ended the process, and with it the requests of all others.

Cause: bodies of plain services' answers counted against no budget, heads were bounded by the transport's default, and only instances on an object platform limit the runtime's memory by that of the machine.

A call beyond it is status 503 (overloaded) that may have run. Heads of services and model endpoints are bounded to 256 KiB. Both kinds of instances limit the runtime's memory.

--- a/cmd/fescuebankd/objectplatform.go
+++ b/cmd/fescuebankd/objectplatform.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -23,16 +22,9 @@
 	"fescuebank/platform/storer"
 )
 
-// memoryShare is the fraction of the machine's memory, which the settings state, that
-// the Go runtime may use.
-const memoryShare = 0.6
-
 // serveObjectPlatform runs an instance on a platform whose object store holds the
 // configuration and the endpoints.
 func serveObjectPlatform(ctx context.Context, path string, s *fescuebank.Settings, hangups <-chan os.Signal) error {
-	if s.Limits.MemoryMiB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(fescuebank.Bytes(s.Limits.MemoryMiB)*fescuebank.MiB)))
-	}
 	clock := timekeeper.Timekeeper{}
 	output := logwriter.New(os.Stdout, clock, logwriter.Rate{Ordinary: s.Log.Ordinary, All: s.Log.Lines}, relayer.IsOrdinary)
 	defer output.Close()
--- a/cmd/fescuebankd/serve.go
+++ b/cmd/fescuebankd/serve.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"fescuebank"
@@ -31,6 +32,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(settings.Limits.MemoryMiB)
 	if settings.Platform.Kind == fescuebank.PlatformObjects {
 		return serveObjectPlatform(ctx, c.Settings, settings, hangups)
 	}
@@ -48,6 +50,17 @@
 	return instance.Run(ctx)
 }
 
+// heapShare is the fraction of the machine's memory, which the settings state, that
+// the Go runtime may use.
+const heapShare = 0.6
+
+// limitHeap limits the memory of the Go runtime by that of the machine in MiB, 0 if unknown.
+func limitHeap(memoryMiB int) {
+	if memoryMiB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(fescuebank.Bytes(memoryMiB)*fescuebank.MiB)))
+	}
+}
+
 // checkCommand validates a settings file.
 type checkCommand struct {
 	Settings string `arg:"--settings,required" placeholder:"FILE" help:"INI file"`
--- a/internal/endpoint/invoker/invoker.go
+++ b/internal/endpoint/invoker/invoker.go
@@ -26,6 +26,8 @@
 	commandTimeout = 10 * time.Minute
 	// maxErrorBodyBytes bounds the bytes read of an error response or a load report.
 	maxErrorBodyBytes = 64 << 10
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 256 << 10
 	// maxIdleConns is the number of idle connections kept to the endpoint.
 	maxIdleConns = 64
 )
@@ -48,6 +50,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Invoker{spec: spec, clock: clock, progressTimeout: progressTimeout, client: &http.Client{Transport: transport}}
 }
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -20,12 +20,17 @@
 	"fescuebank"
 	"fescuebank/internal/entry/authenticator"
 	"fescuebank/internal/entry/deduplicator"
+	"fescuebank/internal/limit/holder"
 )
 
 const (
 	dialTimeout = 2 * time.Second
 	// maxResponseBytes bounds a response body, which is buffered completely.
 	maxResponseBytes = 32 << 20
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 256 << 10
+	// memoryRetryAfter is the Retry-After of a call for whose response too little memory is left.
+	memoryRetryAfter = time.Second
 	// maxKeyBytes bounds an idempotency key.
 	maxKeyBytes = 255
 	// minAttempts is the number of attempts allowed for a call to a service with fewer
@@ -58,12 +63,13 @@
 	unpooled     *http.Client
 	hedger       *hedger
 	deduplicator *deduplicator.Deduplicator
+	memory       fescuebank.MemoryBudget
 	clock        fescuebank.Clock
 }
 
-// New returns a forwarder.
-func New(d *deduplicator.Deduplicator, clock fescuebank.Clock) *Forwarder {
-	return &Forwarder{client: newClient(true), unpooled: newClient(false), hedger: newHedger(), deduplicator: d, clock: clock}
+// New returns a forwarder that holds the bodies of responses within a memory budget.
+func New(d *deduplicator.Deduplicator, memory fescuebank.MemoryBudget, clock fescuebank.Clock) *Forwarder {
+	return &Forwarder{client: newClient(true), unpooled: newClient(false), hedger: newHedger(), deduplicator: d, memory: memory, clock: clock}
 }
 
 func newClient(reuse bool) *http.Client {
@@ -74,6 +80,8 @@
 			IdleConnTimeout:     30 * time.Second,
 			DisableCompression:  true,
 			DisableKeepAlives:   !reuse,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -98,10 +106,19 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// held holds the body if it was read from the service, else nil.
+	held *holder.Holder
+}
+
+// Release returns the memory of the body, which must not be used any more.
+func (r *Response) Release() {
+	if r.held != nil {
+		r.held.Release()
+	}
 }
 
 // Forward makes the call. A call that may not be repeated is sent at most once; with an
-// idempotency key it runs at most once over all resends of the caller.
+// idempotency key it runs at most once over all resends of the caller. The caller releases the response.
 func (f *Forwarder) Forward(ctx context.Context, c *Call) (*Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Service.Timeout.Duration())
 	defer cancel()
@@ -160,6 +177,10 @@
 			return resp, nil
 		}
 		mayHaveRun = mayHaveRun || sent
+		if errors.Is(err, holder.ErrNoMemory) {
+			return nil, fescuebank.Refuse(http.StatusServiceUnavailable, fescuebank.CodeOverloaded, "no memory is left for the response").
+				WithState(fescuebank.MayHaveRun).WithRetryAfter(memoryRetryAfter)
+		}
 		if ctx.Err() != nil || (sent && !repeatable) {
 			break
 		}
@@ -192,6 +213,7 @@
 	}
 	go run(address, f.client)
 	pending := 1
+	defer func() { go releaseAll(results, pending) }()
 	var late <-chan time.Time
 	if address != other {
 		late = f.clock.After(f.hedger.delay(c.Service.Name))
@@ -227,6 +249,15 @@
 	err      error
 }
 
+// releaseAll releases the responses of the calls that are pending, which nobody uses.
+func releaseAll(results <-chan result, pending int) {
+	for range pending {
+		if r := <-results; r.response != nil {
+			r.response.Release()
+		}
+	}
+}
+
 // call makes one attempt. sent is false only if no connection was obtained, so that no
 // byte was sent.
 func (f *Forwarder) call(ctx context.Context, c *Call, address string, client *http.Client) (response *Response, sent bool, err error) {
@@ -260,17 +291,19 @@
 	if !fescuebank.IsFinalStatus(resp.StatusCode) {
 		return nil, true, errNoFinalStatus
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
+	held := holder.New(f.memory)
+	err = held.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1), -1)
+	if err == nil && len(held.Bytes()) > maxResponseBytes {
 		err = errors.New("response too large")
 	}
 	if err == nil && isCloseDelimited(resp) && !written.succeeded(ctx) {
 		err = errMayBeReset
 	}
 	if err != nil {
+		held.Release()
 		return nil, true, err
 	}
-	response = &Response{Status: resp.StatusCode, Header: http.Header{}, Body: body}
+	response = &Response{Status: resp.StatusCode, Header: http.Header{}, Body: held.Bytes(), held: held}
 	for _, name := range responseHeaders {
 		if values := resp.Header.Values(name); len(values) > 0 {
 			response.Header[name] = values
--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -12,6 +12,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/entry/forwarder"
+	"fescuebank/internal/limit/reserver"
 	"fescuebank/internal/timing/timekeeper"
 )
 
@@ -44,7 +45,7 @@
 			if tt.repeatable {
 				service.URLs = append(service.URLs, responding.URL)
 			}
-			f := forwarder.New(nil, timekeeper.Timekeeper{})
+			f := forwarder.New(nil, reserver.New(64*fescuebank.MiB), timekeeper.Timekeeper{})
 			request := httptest.NewRequest(http.MethodPost, "/s/s/x", strings.NewReader("body"))
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			defer cancel()
--- a/internal/entry/forwarder/reset_test.go
+++ b/internal/entry/forwarder/reset_test.go
@@ -11,6 +11,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/entry/forwarder"
+	"fescuebank/internal/limit/reserver"
 	"fescuebank/internal/standin/responder"
 	"fescuebank/internal/timing/timekeeper"
 )
@@ -48,7 +49,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			service := &fescuebank.Service{Name: "s", URLs: []string{serveUnframed(t, tt.reset)}, Timeout: 2}
-			f := forwarder.New(nil, timekeeper.Timekeeper{})
+			f := forwarder.New(nil, reserver.New(64*fescuebank.MiB), timekeeper.Timekeeper{})
 			for n := range trials {
 				request := httptest.NewRequest(http.MethodPost, "/s/s/x", nil)
 				call := &forwarder.Call{Service: service, Path: "/x", Request: request, Body: tt.body, IsKey: func(string) bool { return false }}
--- a/internal/entry/forwarder/slow_test.go
+++ b/internal/entry/forwarder/slow_test.go
@@ -10,6 +10,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/entry/forwarder"
+	"fescuebank/internal/limit/reserver"
 	"fescuebank/internal/timing/timekeeper"
 )
 
@@ -25,7 +26,7 @@
 		service := &fescuebank.Service{Name: "s", URLs: urls, Repeatable: true, Timeout: 2}
 		request := httptest.NewRequest(http.MethodPost, "/s/s/x", strings.NewReader("body"))
 		call := &forwarder.Call{Service: service, Path: "/x", Request: request, Body: []byte("body"), IsKey: func(string) bool { return false }}
-		resp, err := forwarder.New(nil, timekeeper.Timekeeper{}).Forward(context.Background(), call)
+		resp, err := forwarder.New(nil, reserver.New(64*fescuebank.MiB), timekeeper.Timekeeper{}).Forward(context.Background(), call)
 		if err != nil || string(resp.Body) != "done" {
 			t.Errorf("got %v, %v, want the response", resp, err)
 		}
--- a/internal/entry/forwarder/status_test.go
+++ b/internal/entry/forwarder/status_test.go
@@ -10,6 +10,7 @@
 
 	"fescuebank"
 	"fescuebank/internal/entry/forwarder"
+	"fescuebank/internal/limit/reserver"
 	"fescuebank/internal/standin/responder"
 	"fescuebank/internal/timing/timekeeper"
 )
@@ -40,7 +41,7 @@
 				call := &forwarder.Call{
 					Service: service, Path: "/x", Request: httptest.NewRequest(http.MethodPost, "/s/s/x", nil), Body: []byte("body"), IsKey: func(string) bool { return false },
 				}
-				resp, err := forwarder.New(nil, timekeeper.Timekeeper{}).Forward(t.Context(), call)
+				resp, err := forwarder.New(nil, reserver.New(64*fescuebank.MiB), timekeeper.Timekeeper{}).Forward(t.Context(), call)
 				if tt.want != 0 {
 					if err != nil || resp.Status != tt.want || string(resp.Body) != "body" {
 						t.Errorf("got %+v, error %v, want status %d", resp, err, tt.want)
--- a/internal/entry/gateway/services.go
+++ b/internal/entry/gateway/services.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return err
 	}
+	defer resp.Release()
 	for name, values := range resp.Header {
 		w.Header()[name] = values
 	}
--- a/internal/operate/server/build.go
+++ b/internal/operate/server/build.go
@@ -137,7 +137,7 @@
 
 // buildLimits creates what limits the requests of teams and the memory that they hold.
 func (s *Server) buildLimits(caller *rerouter.Rerouter) {
-	s.memory = reserver.New(heldMemory(s.settings.Limits.MemoryMiB))
+	s.memory = reserver.New(fescuebank.HeldMemory(s.settings.Limits.MemoryMiB))
 	s.acquirer = acquirer.New(acquirer.Config{
 		Self: s.holder(), Owners: s.elector, Caller: breaker.New(caller, s.clock), Issuer: issuer.New(s.clock), Table: s.table.Load,
 		Registered: s.gossiper.Registered, Clock: s.clock, Log: s.logFor("limit"),
--- a/internal/operate/supervisor/build.go
+++ b/internal/operate/supervisor/build.go
@@ -37,6 +37,7 @@
 	"fescuebank/internal/fleet/registrar"
 	"fescuebank/internal/fleet/watcher"
 	"fescuebank/internal/limit/admitter"
+	"fescuebank/internal/limit/reserver"
 	"fescuebank/internal/operate/administrator"
 	"fescuebank/internal/operate/collector"
 	"fescuebank/internal/platform/lister"
@@ -217,7 +218,7 @@
 	c.Admitter = v.admitter
 	c.Router = routes
 	c.Locator = locator.New(v.registrar, s.Timing.AddressTTL, v.drainer.Leaving)
-	c.Forwarder = forwarder.New(deduplicator.New(v.store, v.clock), v.clock)
+	c.Forwarder = forwarder.New(deduplicator.New(v.store, v.clock), reserver.New(fescuebank.HeldMemory(s.Limits.MemoryMiB)), v.clock)
 	c.Drainer = v.drainer
 	c.Observer = v.collector
 	c.Limits = s.Limits
