Mend two tests that failed now and then by their own means

TestTakeoverGoesOnWhereItFailed: the manager that it stopped sent a handover, which was delivered beside the test, and the takeover that this began used up the writes that the store still takes.

TestEvacuatedZoneGetsNoRequest: of two equal endpoints, all requests that come one after the other may go to one, so that the first step waited in vain on a slow machine. It sends eight at a time.

--- a/cmd/fescuebankd/evacuation_test.go
+++ b/cmd/fescuebankd/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +31,17 @@
 	return sent, served
 }
 
+// sendAtOnce sends requests through the instances at the same time, so that they need both endpoints: of requests that come one after the
+// other, the same endpoint may get all.
+func (d *deployment) sendAtOnce(name string, instances ...*runningInstance) {
+	const senders = 8
+	var running sync.WaitGroup
+	for n := range senders {
+		running.Go(func() { d.sendFor(100*time.Millisecond, fmt.Sprint(name, n, "-"), instances...) })
+	}
+	running.Wait()
+}
+
 // TestEvacuatedZoneGetsNoRequest checks online requests and batch items, an instance that starts while
 // the store is away, all zones at once, and the end of an evacuation.
 func TestEvacuatedZoneGetsNoRequest(t *testing.T) {
@@ -38,7 +50,7 @@
 	d.placeInZones()
 	a, b := d.startAll()
 	d.eventually("requests in both zones", 10*time.Second, func() bool {
-		d.sendFor(100*time.Millisecond, "both", a, b)
+		d.sendAtOnce("both", a, b)
 		return len(d.endpoints[0].Requests()) > 0 && len(d.endpoints[1].Requests()) > 0
 	})
 	d.putObject("evacuations/z0", "{}")
--- a/internal/batch/manager/takeover_test.go
+++ b/internal/batch/manager/takeover_test.go
@@ -99,8 +99,8 @@
 		for n := range jobs {
 			p.submit(1, fescuebank.JobID(fmt.Sprintf("job%d", n)), 1)
 		}
-		// Each takeover writes one segment for each open job.
-		p.restart(1)
+		// Each takeover writes one segment for each open job. A handover would begin another one beside the test.
+		p.kill(1)
 		p.store.SetFaults(memorystorer.Faults{DownAfterWrites: jobs / 2})
 		if _, err := p.manager(1).Item(t.Context(), team, "job0", "job0-0"); err == nil {
 			t.Fatal("got no error while the store is down, want one")
