Start batch items over when their route moves to another service

Callers could get an output of which one service had generated the first events and another service the rest, if endpoints of both state the same software version: their route had moved in between, or its shares had changed.

Cause: progress named the version that generated it, not the service.

Change: progress names its service, and an item continues only there. From an owner of an older build, progress states none and continues as before.

--- a/internal/batch/manager/version_test.go
+++ b/internal/batch/manager/version_test.go
@@ -31,7 +31,7 @@
 				task := awaitTask(p.manager(1))
 				p.manager(1).Requeue(task, manager.CausePreempted, earlier)
 				task = awaitTask(p.manager(1))
-				task.Progress = task.Progress.ContinuedAt(tt.ended.Version)
+				task.Progress = task.Progress.ContinuedAt("", tt.ended.Version)
 				p.manager(1).Requeue(task, manager.CausePreempted, tt.ended)
 				got := awaitTask(p.manager(1)).Progress
 				if got.Events != tt.want.Events || got.Last != tt.want.Last || got.Version != tt.want.Version {
--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -104,7 +104,7 @@
 
 func (r *Runner) run(ctx context.Context, a *attempt) {
 	started := r.Clock.Now()
-	a.task.Progress = a.task.Progress.ContinuedAt(a.slot.Endpoint.Version)
+	a.task.Progress = a.task.Progress.ContinuedAt(a.slot.Endpoint.Service, a.slot.Endpoint.Version)
 	progress := a.task.Progress
 	progress.Output = slices.Clip(progress.Output)
 	a.events.Store(int64(progress.Events))
--- a/internal/batch/runner/version_test.go
+++ b/internal/batch/runner/version_test.go
@@ -97,20 +97,24 @@
 }
 
 // TestTextNeverJoinsVersions checks that an item continues only at an endpoint of the software
-// version that generated its progress, and starts over at any other.
+// version that generated its progress, and of its service, and starts over at any other.
 func TestTextNeverJoinsVersions(t *testing.T) {
 	for _, tt := range []struct {
 		name string
-		// begun is the version that generated the progress, and version that of the endpoint.
-		begun, version string
-		want           string
+		// begun is the version that generated the progress, at endpoints of a service, and version that of the endpoint.
+		begun   string
+		service fescuebank.ServiceName
+		version string
+		want    string
 	}{
-		{"same version", "v1", "v1", "v1-1 v1-2 v1-3"},
-		{"newer version", "v1", "v2", "v2-1 v2-2 v2-3"},
-		{"older version", "v2", "v1", "v1-1 v1-2 v1-3"},
-		{"progress of an unknown version", "", "v1", "v1-1 v1-2 v1-3"},
-		{"endpoint of an unknown version", "v1", "", "-1 -2 -3"},
-		{"no versions", "", "", "-1 -2 -3"},
+		{"same version", "v1", testService, "v1", "v1-1 v1-2 v1-3"},
+		{"newer version", "v1", testService, "v2", "v2-1 v2-2 v2-3"},
+		{"older version", "v2", testService, "v1", "v1-1 v1-2 v1-3"},
+		{"progress of an unknown version", "", testService, "v1", "v1-1 v1-2 v1-3"},
+		{"endpoint of an unknown version", "v1", testService, "", "-1 -2 -3"},
+		{"no versions", "", testService, "", "-1 -2 -3"},
+		{"same version of another service", "old", "other", "old", "old-1 old-2 old-3"},
+		{"progress from an older build", "v1", "", "v1", "v1-1 v1-2 v1-3"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			server := httptest.NewServer(generate(tt.version))
@@ -129,7 +133,10 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			task := m.NextTask(cancel, nil)
 			task.Progress = fescuebank.Progress{
-				Events: 2, Last: "2", Output: fmt.Appendf(nil, "%s-1\n%s-2", tt.begun, tt.begun), Version: tt.begun,
+				Events: 2, Last: "2", Output: fmt.Appendf(nil, "%s-1\n%s-2", tt.begun, tt.begun), Version: tt.begun, Service: tt.service,
+			}
+			if tt.service == "other" {
+				task.Progress.Output = []byte("other-1\nother-2")
 			}
 			r.run(ctx, &attempt{task: task, slot: a.AcquireBatch(testService, "", 0), cancel: cancel})
 			page, err := m.Read(t.Context(), testTeam, "job-batch", 0, 5*time.Second)
