Keep the failures of batch items when their owner ends

An item that fails at every endpoint reached endpoints again and again: each owner counted its failures anew, and the outcome of an item that had failed in all its attempts waited up to 1.8 s for others before it was stored.

Cause: the count is in one incarnation's memory.

Change: a handover carries it, and outcomes of failed items are stored within 100 ms. Progress and outputs are handed over as before; an older build ignores the count.

What remains: a kill within those 100 ms, or between two failures, still loses the count.

--- a/internal/batch/manager/commit.go
+++ b/internal/batch/manager/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"fescuebank"
@@ -12,6 +13,9 @@
 const (
 	// commitTime is the time allowed for the commit of an outcome before its due time.
 	commitTime = 500 * time.Millisecond
+	// failureCommitDelay is how long an item that ended as failed waits for others: what is known of its failures is lost with its owner
+	// until then, so that endpoints would get it again.
+	failureCommitDelay = 100 * time.Millisecond
 	// commitPollInterval is how often awaitMore checks whether commits are expedited.
 	commitPollInterval = 100 * time.Millisecond
 )
@@ -79,7 +83,11 @@
 	if len(j.pending)+len(j.results) >= len(j.spec.Items) || j.expedited {
 		return 0
 	}
-	until := j.pendingSince.Add(maxCommitDelay)
+	delay := maxCommitDelay
+	if slices.ContainsFunc(j.pending, func(r fescuebank.RoutedResult) bool { return r.Failed }) {
+		delay = failureCommitDelay
+	}
+	until := j.pendingSince.Add(delay)
 	if latest := due.Add(-commitTime); now.Before(due) && latest.Before(until) {
 		until = latest
 	}
--- a/internal/batch/manager/handover.go
+++ b/internal/batch/manager/handover.go
@@ -26,6 +26,8 @@
 	Progress fescuebank.Progress `cbor:"3,keyasint"`
 	// Outcome is set for an item that ended at the former owner but whose result isn't committed.
 	Outcome *ItemOutcome `cbor:"4,keyasint,omitempty"`
+	// Failures is the number of attempts for which endpoints responded that the item failed.
+	Failures int `cbor:"5,keyasint,omitempty"`
 }
 
 // ItemOutcome is how an item ended.
@@ -131,7 +133,7 @@
 	return false
 }
 
-// startedItems returns the progress of those waiting items that earlier attempts
+// startedItems returns the progress and the failures of those waiting items that earlier attempts
 // have started, unless the job has ended.
 func (j *job) startedItems() []ItemProgress {
 	j.mu.Lock()
@@ -141,8 +143,8 @@
 	}
 	var list []ItemProgress
 	for id, it := range j.items {
-		if it.phase == phaseWaiting && it.progress.Events > 0 {
-			list = append(list, ItemProgress{Job: j.spec.ID, Item: id, Progress: it.progress})
+		if it.phase == phaseWaiting && (it.progress.Events > 0 || it.failures > 0) {
+			list = append(list, ItemProgress{Job: j.spec.ID, Item: id, Progress: it.progress, Failures: it.failures})
 		}
 	}
 	return list
--- a/internal/batch/manager/receive.go
+++ b/internal/batch/manager/receive.go
@@ -122,12 +122,16 @@
 }
 
 // applyProgress updates a waiting item if the handover has more of its output, and
-// lets it start at once. It reports whether it did.
+// lets it start at once. It reports whether it did. The failures at the former owner count, too.
 func (j *job) applyProgress(p ItemProgress) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	it := j.items[p.Item]
-	if it == nil || it.phase != phaseWaiting || it.progress.Events >= p.Progress.Events {
+	if it == nil {
+		return false
+	}
+	it.failures = max(it.failures, p.Failures)
+	if it.phase != phaseWaiting || it.progress.Events >= p.Progress.Events {
 		return false
 	}
 	it.progress = p.Progress
