Ask for the room of a service only when items of it wait

Each pass of the runner asked for the room of all services with open jobs, also while all their items run, which passes over all endpoints and predictions. The manager finds the item first and asks then, so that a pass without waiting items costs what it did before.

--- a/internal/batch/manager/task.go
+++ b/internal/batch/manager/task.go
@@ -22,9 +22,12 @@
 }
 
 // NextTask hands out the most urgent of the waiting items whose service has room, or returns nil. An item whose service has none
-// holds up no item of another service. hasRoom may be nil if all services have room. The manager calls stop if the attempt should end
-// early.
+// holds up no item of another service. hasRoom is asked only for services for which items wait; nil means that all have room. The manager
+// calls stop if the attempt should end early.
 func (m *Manager) NextTask(stop func(), hasRoom func(fescuebank.ServiceName) bool) *Task {
+	if hasRoom == nil {
+		hasRoom = anyService
+	}
 	now := m.Clock.Now()
 	best := m.mostUrgent(now, hasRoom)
 	if best == nil {
@@ -44,22 +47,21 @@
 
 // HasWaiting reports whether an item can be handed out now.
 func (m *Manager) HasWaiting() bool {
-	return m.mostUrgent(m.Clock.Now(), nil) != nil
+	return m.mostUrgent(m.Clock.Now(), anyService) != nil
 }
 
+// anyService is a condition that holds for all services.
+func anyService(fescuebank.ServiceName) bool { return true }
+
 // mostUrgent returns the waiting item that should run first among those whose service has room.
 func (m *Manager) mostUrgent(now time.Time, hasRoom func(fescuebank.ServiceName) bool) *Task {
 	var best candidate
-	services := make(map[*fescuebank.Route][]fescuebank.ServiceName)
 	for _, j := range m.openJobs() {
 		route := m.route(j.route)
 		if route == nil {
 			continue
 		}
-		if _, known := services[route]; !known {
-			services[route] = servicesWithRoom(route, hasRoom)
-		}
-		c, ok := j.firstWaiting(now, route, services[route])
+		c, ok := j.firstWaiting(now, route, hasRoom)
 		if !ok {
 			continue
 		}
@@ -74,17 +76,6 @@
 	return m.newTask(best, now)
 }
 
-// servicesWithRoom returns those of a route's services that have room.
-func servicesWithRoom(route *fescuebank.Route, hasRoom func(fescuebank.ServiceName) bool) []fescuebank.ServiceName {
-	var list []fescuebank.ServiceName
-	for _, s := range route.Shares {
-		if hasRoom == nil || hasRoom(s.Service) {
-			list = append(list, s.Service)
-		}
-	}
-	return list
-}
-
 // candidate is a waiting item that may run next.
 type candidate struct {
 	job   *job
@@ -121,18 +112,33 @@
 	return list
 }
 
-// firstWaiting returns the first item that may run now at one of the services, without its urgency. ok is false if there is none.
-func (j *job) firstWaiting(now time.Time, route *fescuebank.Route, services []fescuebank.ServiceName) (c candidate, ok bool) {
-	if len(services) == 0 {
+// firstWaiting returns the first item that may run now and whose service has room, without its urgency. ok is false if there is none.
+func (j *job) firstWaiting(now time.Time, route *fescuebank.Route, hasRoom func(fescuebank.ServiceName) bool) (c candidate, ok bool) {
+	c, ok = j.firstWaitingAt(now, route, anyService)
+	if !ok || hasRoom(c.service) {
+		return c, ok
+	}
+	var others []fescuebank.ServiceName
+	for _, s := range route.Shares {
+		if s.Service != c.service && hasRoom(s.Service) {
+			others = append(others, s.Service)
+		}
+	}
+	if len(others) == 0 {
 		return candidate{}, false
 	}
+	return j.firstWaitingAt(now, route, func(s fescuebank.ServiceName) bool { return slices.Contains(others, s) })
+}
+
+// firstWaitingAt returns the first item that may run now at a service that is suitable. The lock is held when isSuitable is called.
+func (j *job) firstWaitingAt(now time.Time, route *fescuebank.Route, isSuitable func(fescuebank.ServiceName) bool) (c candidate, ok bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, it := range j.ordered {
 		if it.phase != phaseWaiting || it.notBefore.After(now) {
 			continue
 		}
-		if service := route.ServiceOf(it.spec.ID); slices.Contains(services, service) {
+		if service := route.ServiceOf(it.spec.ID); isSuitable(service) {
 			return candidate{job: j, route: route, item: it, service: service, events: it.progress.Events}, true
 		}
 	}
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -208,7 +208,10 @@
 // other.
 func (r *Runner) startItems() {
 	known := make(rooms)
-	for !r.isStopped() && r.startOne(known) {
+	for !r.isStopped() {
+		if !r.startOne(known) {
+			return
+		}
 	}
 }
 
