Add a case of a truncated answer that looks complete

Whether an endpoint is up is asked when the end of its connection is read. A slow caller makes that late, so an answer that a crash has cut counts as whole once the endpoint is back.

--- a/review/rig4/rig.go
+++ b/review/rig4/rig.go
@@ -68,7 +68,7 @@
 }
 
 // New starts the store and writes the configuration: a route of streams that may be resumed under /chat/, one of
-// streams that may not under /once/, one of batch jobs under /jobs/, and the teams, which have no rate limit.
+// streams that may not under /once/, one of answers that may be asked for again under /docs/, one of batch jobs under /jobs/, and the teams, which have no rate limit.
 func New(recordPath string, teams ...string) (*Rig, error) {
 	record, err := os.Create(recordPath)
 	if err != nil {
@@ -97,6 +97,7 @@
 const config = `{"version":1,"routes":[
 {"name":"chat","host":"app.example","pathPrefix":"/chat/","kind":"streaming","resumable":true,"timeoutMs":5000,"targetLatencyMs":300,"targetGapMs":400,"priority":0,"trafficSplit":[{"service":"lm","weight":100}],"maxAttempts":2,"public":false,"sticky":true},
 {"name":"once","host":"app.example","pathPrefix":"/once/","kind":"streaming","resumable":false,"timeoutMs":5000,"targetLatencyMs":300,"targetGapMs":400,"priority":0,"trafficSplit":[{"service":"lm","weight":100}],"maxAttempts":1,"public":false,"sticky":true},
+{"name":"docs","host":"app.example","pathPrefix":"/docs/","kind":"idempotent","timeoutMs":10000,"targetLatencyMs":300,"priority":0,"trafficSplit":[{"service":"lm","weight":100}],"maxAttempts":2,"public":false},
 {"name":"jobs","host":"app.example","pathPrefix":"/jobs/","kind":"batch","resumable":true,"timeoutMs":15000,"targetLatencyMs":400,"targetGapMs":400,"priority":2,"trafficSplit":[{"service":"lm","weight":100}],"maxAttempts":3,"public":false,"cap":820000,"targetRunMs":18000,"retentionS":60}],
 "services":[{"name":"lm","healthPath":"/healthz","maxConnections":370}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
@@ -197,10 +198,10 @@
 	_, _ = fmt.Fprintf(r.record, "%8.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// Entry returns the entry of an endpoint as the endpoint itself writes it.
-func Entry(e *simulator.Endpoint, addr string, born time.Time, sequence int) string {
+// Entry returns the entry of an endpoint of a version as the endpoint itself writes it.
+func Entry(version, addr string, born time.Time, sequence int) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":%d,"state":"ready","coldLeftMs":0,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"seq":%d,"born":%d}`,
-		Service, addr, e.Version, slots, sequence, born.UnixMilli())
+		Service, addr, version, slots, sequence, born.UnixMilli())
 }
 
 // StartEndpoint starts an endpoint, which writes its entry at each heartbeat.
@@ -209,14 +210,14 @@
 		return "", time.Time{}, err
 	}
 	born = time.Now()
-	if err := r.Put(simulator.EntryKey(e.ID), Entry(e, addr, born, 0)); err != nil {
+	if err := r.Put(simulator.EntryKey(e.ID), Entry(e.Version, addr, born, 0)); err != nil {
 		return "", time.Time{}, err
 	}
 	r.Log("endpoint %s of version %s serves at %s", e.ID, e.Version, addr)
 	go func() {
 		for sequence := 1; ; sequence++ {
 			time.Sleep(heartbeatInterval)
-			_ = r.Put(simulator.EntryKey(e.ID), Entry(e, addr, born, sequence))
+			_ = r.Put(simulator.EntryKey(e.ID), Entry(e.Version, addr, born, sequence))
 		}
 	}()
 	return addr, born, nil
@@ -245,7 +246,7 @@
 
 // startInstance writes settings as the platform renders them, and starts the process.
 func (r *Rig) startInstance(name string, entry bool) error {
-	ports := r.freePorts(4)
+	ports := r.FreePorts(4)
 	callers, ready, addresses, memory, weight := "", "", "", 154, 0.8
 	if entry {
 		callers, ready, addresses, memory, weight = ports[1], ports[2], ports[3], 134, 0.4
@@ -294,8 +295,8 @@
 	return r.run(name)
 }
 
-// freePorts returns loopback addresses with ports below the range from which the system picks.
-func (r *Rig) freePorts(count int) []string {
+// FreePorts returns loopback addresses with ports below the range from which the system picks.
+func (r *Rig) FreePorts(count int) []string {
 	var list []string
 	for tries := 0; len(list) < count && tries < portCount; tries++ {
 		r.nextPort++
