--- a/review/slow/main.go
+++ b/review/slow/main.go
@@ -1,4 +1,4 @@
-// Command 13 shows that an answer that a crash of its endpoint has cut is passed on as complete, if the end of the
+// Command slow shows that an answer that a crash of its endpoint has cut is passed on as complete, if the end of the
 // connection is read when the endpoint is up again.
 package main
 
@@ -52,7 +52,7 @@
 }
 
 func run() int {
-	rig, err := rig4.New("review/13/record.txt", team)
+	rig, err := rig4.New("review/slow/record.txt", team)
 	if err != nil {
 		fmt.Println("not played:", err)
 		return rig4.ExitNotPlayed
