Acknowledge changes of batch jobs only while the store names the owner

Submitted in the same moment, a job got 202 and never ran until its team had yet another owner.

Cause: an owner knew by gossip that it owns the team, and wrote the ledger under the condition of its version alone. An owner that had been replaced and didn't know it yet still met that condition, as the next one only reads the ledger, and reads it once. Both acted on: the former one had acknowledged the call, the present one never learned of it.

Log lines were enough to tell an end that was never written from one that wasn't read ("ledger" version in "Job ended by its caller." and "Jobs loaded.").

Change: after the ledger says what the call asked, the owner reads the list of owners from the store. If it is still named, every later owner reads the ledger after that, so it knows. Otherwise the call gets 504 ownerChanged, which may have run, and the instance that took it repeats it at the present owner. This needs no clock: a freeze, a late reply of the store or a lost one between check and write change nothing, as the check comes last. It costs one read for each acknowledged submission or end, and nothing at a takeover.

--- a/internal/batch/client/client.go
+++ b/internal/batch/client/client.go
@@ -83,7 +83,7 @@
 		if errors.As(err, &refusal) && outcomeUnknown && refusal.State == fescuebank.NotRun {
 			return errOutcomeUnknown // An earlier attempt may still be in progress.
 		}
-		if err == nil || refusal != nil {
+		if err == nil || (refusal != nil && refusal.Code != fescuebank.CodeOwnerChanged) {
 			return err
 		}
 		outcomeUnknown = outcomeUnknown || isOutcomeUnknown(err)
@@ -102,7 +102,9 @@
 var errOutcomeUnknown = errors.New("outcome of the call is unknown")
 
 func isOutcomeUnknown(err error) bool {
-	return errors.Is(err, fescuebank.ErrPeerLost) || errors.Is(err, context.DeadlineExceeded)
+	var refusal *fescuebank.Refusal
+	hasOtherOwner := errors.As(err, &refusal) && refusal.Code == fescuebank.CodeOwnerChanged
+	return hasOtherOwner || errors.Is(err, fescuebank.ErrPeerLost) || errors.Is(err, context.DeadlineExceeded)
 }
 
 func (c *Client) attempt(ctx context.Context, team fescuebank.TeamID, kind fescuebank.MessageKind, timeout time.Duration, message, reply any, local func(context.Context) error) error {
--- a/internal/batch/client/client_test.go
+++ b/internal/batch/client/client_test.go
@@ -31,6 +31,7 @@
 // owner, when the caller's time ends before the last attempt.
 func TestRefusalStatesWhetherACallMayHaveRun(t *testing.T) {
 	notRun := fescuebank.Refuse(503, fescuebank.CodeStoreDown, "down")
+	otherOwner := fescuebank.Refuse(504, fescuebank.CodeOwnerChanged, "changed").WithState(fescuebank.MayHaveRun)
 	for _, tt := range []struct {
 		name    string
 		replies []error
@@ -44,6 +45,8 @@
 		{"owner lost, then no owner until the time ends", []error{fescuebank.ErrPeerLost}, 200 * time.Millisecond, fescuebank.MayHaveRun},
 		{"owner lost as the time ends", []error{fescuebank.ErrPeerLost}, 50 * time.Millisecond, fescuebank.MayHaveRun},
 		{"owner lost, then refused", []error{fescuebank.ErrPeerLost, notRun}, time.Minute, fescuebank.MayHaveRun},
+		{"owner changed, then refused", []error{otherOwner, notRun}, time.Minute, fescuebank.MayHaveRun},
+		{"owner changed, then no owner", []error{otherOwner}, time.Minute, fescuebank.MayHaveRun},
 	} {
 		for _, call := range []struct {
 			name string
@@ -73,6 +76,20 @@
 	}
 }
 
+// TestCallIsRepeatedAtTheOwnerThatFollows guards against an error for a caller whose call met a change of the team's owner.
+func TestCallIsRepeatedAtTheOwnerThatFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		changed := fescuebank.Refuse(504, fescuebank.CodeOwnerChanged, "changed").WithState(fescuebank.MayHaveRun)
+		owner := &scriptedOwner{replies: []error{changed, fescuebank.ErrNotOwner, nil}}
+		c := client.New(client.Config{
+			Self: fescuebank.Holder{ID: "self"}, Owners: owner, Caller: owner, Clock: timekeeper.Timekeeper{}, Log: hclog.NewNullLogger(),
+		})
+		if err := c.End(t.Context(), "team", "job"); err != nil {
+			t.Errorf("got %v, want the acknowledgement of the owner that followed", err)
+		}
+	})
+}
+
 // silentOwner is an owner that replies to no call.
 type silentOwner struct{}
 
--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -17,6 +17,14 @@
 	if err != nil {
 		return m.refusalOf(err)
 	}
+	if err := m.addSubmitted(ctx, tj, spec); err != nil {
+		return err
+	}
+	return m.confirm(ctx, tj, spec.ID)
+}
+
+// addSubmitted stores a job, lists it in the ledger and adds it to the team's jobs, unless the ledger lists it already.
+func (m *Manager) addSubmitted(ctx context.Context, tj *teamJobs, spec *fescuebank.RoutedJob) error {
 	if err := tj.lockLedger(ctx); err != nil {
 		return m.refusalOf(err)
 	}
@@ -55,6 +63,22 @@
 	return nil
 }
 
+// confirm returns nil if what the ledger says of a job may be acknowledged to its caller: this incarnation still owned the team when the
+// ledger already said so. A later owner reads the ledger after it is on the list of owners, so it knows. Otherwise the present owner
+// may have read the ledger before, and the call has to be repeated there. Nothing is held while the list is read.
+func (m *Manager) confirm(ctx context.Context, tj *teamJobs, id fescuebank.JobID) error {
+	isOwner, err := m.ConfirmOwner(ctx, tj.team)
+	if err != nil {
+		m.Log.Warn("Change not confirmed: the list of owners was not read.", "job", string(id), "team", string(tj.team), "err", err.Error())
+		return fescuebank.Refuse(http.StatusGatewayTimeout, fescuebank.CodeStoreDown, "the store did not answer").WithState(fescuebank.MayHaveRun)
+	}
+	if !isOwner || tj.isClosed() {
+		m.Log.Warn("Change not confirmed: the team has another owner.", "job", string(id), "team", string(tj.team), "epoch", uint64(tj.epoch))
+		return fescuebank.Refuse(http.StatusGatewayTimeout, fescuebank.CodeOwnerChanged, "the owner of the team has changed").WithState(fescuebank.MayHaveRun)
+	}
+	return nil
+}
+
 // store stores a job and returns the stored one: that of an earlier attempt if there was one.
 func (m *Manager) store(ctx context.Context, spec *fescuebank.RoutedJob) (*fescuebank.RoutedJob, persister.StoredName, error) {
 	stored, name, err := m.Persister.PutJob(ctx, spec)
@@ -135,11 +159,19 @@
 	if _, err := m.find(ctx, tj, id); err != nil {
 		return err
 	}
+	if err := m.markEnded(ctx, tj, id); err != nil {
+		return err
+	}
+	return m.confirm(ctx, tj, id)
+}
+
+// markEnded marks a job as ended in the ledger and stops its attempts.
+func (m *Manager) markEnded(ctx context.Context, tj *teamJobs, id fescuebank.JobID) error {
 	if err := tj.lockLedger(ctx); err != nil {
 		return m.refusalOf(err)
 	}
 	defer tj.unlockLedger()
-	err = m.updateLedger(ctx, tj, func(l *persister.Ledger) bool {
+	err := m.updateLedger(ctx, tj, func(l *persister.Ledger) bool {
 		e := l.Find(id)
 		if e == nil || e.Ended {
 			return false
@@ -157,7 +189,7 @@
 		j.end()
 	}
 	go m.dropClosed()
-	m.Log.Info("Job ended by its caller.", "job", string(id), "team", string(team), "ledger", uint64(tj.version))
+	m.Log.Info("Job ended by its caller.", "job", string(id), "team", string(tj.team), "ledger", uint64(tj.version))
 	return nil
 }
 
--- /dev/null
+++ b/internal/batch/manager/decision_test.go
@@ -0,0 +1,150 @@
+package manager_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fescuebank/internal/standin/memorystorer"
+)
+
+const (
+	// cancelTime bounds how long items of a job run on after its end was acknowledged, startTime how long those of an accepted job wait.
+	cancelTime = 3 * time.Second
+	startTime  = 4 * time.Second
+	// callPause is the pause before a caller repeats a call that was not acknowledged.
+	callPause = 100 * time.Millisecond
+)
+
+// decision is a call that changes a job, made to the former owner of its team first.
+type decision struct {
+	name string
+	make func(ctx context.Context, p *ownerPair, owner int) error
+	// isEnd is set if the job is ended, else it is submitted.
+	isEnd bool
+}
+
+var decisions = []decision{
+	{"end", func(ctx context.Context, p *ownerPair, owner int) error {
+		return p.manager(owner).End(ctx, team, "job")
+	}, true},
+	{"submission", func(ctx context.Context, p *ownerPair, owner int) error {
+		return p.manager(owner).Submit(ctx, job("job", 2))
+	}, false},
+}
+
+// call makes a decision at a former owner, and at the newest one until it is acknowledged. It reports whether the former one did so.
+func (d decision) call(t *testing.T, p *ownerPair, former, attempts int) (byFormer bool) {
+	t.Helper()
+	for n := range 10 {
+		owner := former
+		if n >= attempts {
+			owner = 1 - former
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		err := d.make(ctx, p, owner)
+		cancel()
+		if err == nil {
+			return owner == former
+		}
+		time.Sleep(callPause)
+		p.store.SetFaults(memorystorer.Faults{})
+	}
+	t.Fatal("got no acknowledgement in ten calls, want one")
+	return false
+}
+
+// TestAcknowledgedDecisionsBindTheNewestOwner guards against a job whose items run after its end was acknowledged, and against an accepted
+// one that never runs, as a former owner acknowledged the call before it knew of the present one, which had read the ledger.
+func TestAcknowledgedDecisionsBindTheNewestOwner(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// former is the index of the former owner.
+		former int
+		// attempts is how often the caller calls the former owner.
+		attempts int
+		faults   memorystorer.Faults
+		// kill is set if the former owner is killed after the calls.
+		kill bool
+	}{
+		{"the first owner is the former one", 0, 1, memorystorer.Faults{}, false},
+		{"the second owner is the former one", 1, 1, memorystorer.Faults{}, false},
+		{"the caller repeats the call there", 0, 3, memorystorer.Faults{}, false},
+		{"the store loses the reply", 0, 1, memorystorer.Faults{LoseReplies: true}, false},
+		{"the former owner is killed", 0, 1, memorystorer.Faults{}, true},
+	} {
+		for _, d := range decisions {
+			t.Run(tt.name+", "+d.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					p := newOwnerPair()
+					newest := 1 - tt.former
+					if d.isEnd {
+						p.submit(tt.former, "job", 2)
+						if p.accepted["job"] == 0 {
+							p.submit(newest, "job", 2)
+						}
+					}
+					p.setOwns(tt.former, true)
+					p.load(tt.former)
+					p.become(newest)
+					p.load(newest)
+					p.store.SetFaults(tt.faults)
+					d.call(t, p, tt.former, tt.attempts)
+					if tt.kill {
+						p.kill(tt.former)
+						p.become(newest)
+					}
+					if d.isEnd {
+						time.Sleep(cancelTime)
+						if task := p.manager(newest).NextTask(func() {}, nil); task != nil {
+							t.Errorf("got item %s %v after the end of its job was acknowledged, want none", task.Request.ID, cancelTime)
+						}
+						return
+					}
+					time.Sleep(startTime)
+					if p.manager(newest).NextTask(func() {}, nil) == nil {
+						t.Errorf("got no item %v after its job was accepted, want one", startTime)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestAcknowledgedEndStopsAttemptsOfTheNewestOwner guards against attempts that run on after the end of their job was acknowledged by a
+// former owner.
+func TestAcknowledgedEndStopsAttemptsOfTheNewestOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newOwnerPair()
+		p.submit(1, "job", 1)
+		p.load(0)
+		p.become(1)
+		var stopped atomic.Bool
+		time.Sleep(time.Second)
+		if p.manager(1).NextTask(func() { stopped.Store(true) }, nil) == nil {
+			t.Fatal("got no item, want one")
+		}
+		decisions[0].call(t, p, 0, 1)
+		time.Sleep(cancelTime)
+		if !stopped.Load() {
+			t.Errorf("got no stop of the attempt within %v after the end of its job was acknowledged, want one", cancelTime)
+		}
+	})
+}
+
+// become makes a manager the owner by the newest list, which the other one doesn't know.
+func (p *ownerPair) become(i int) {
+	p.setOwns(i, true)
+	p.mu.Lock()
+	p.epoch++
+	p.epochs[i] = p.epoch
+	p.mu.Unlock()
+	p.manager(i).UpdateOwnership()
+}
+
+// load makes a manager read the team's ledger and open jobs.
+func (p *ownerPair) load(i int) {
+	_, _ = p.manager(i).Read(context.Background(), team, "job", 0, 0) // The job may not exist yet.
+}
--- a/internal/batch/manager/manager.go
+++ b/internal/batch/manager/manager.go
@@ -47,6 +47,9 @@
 	// Owns reports whether this incarnation owns a team, and under which epoch of
 	// the list of owners.
 	Owns func(fescuebank.TeamID) (fescuebank.FencingNumber, bool)
+	// ConfirmOwner reads the list of owners from the store, which calls back UpdateOwnership if it is a new one, and reports
+	// whether it names this incarnation as a team's owner.
+	ConfirmOwner func(ctx context.Context, team fescuebank.TeamID) (bool, error)
 	// TookOver reports whether the newest list of owners moved the team here from
 	// another incarnation.
 	TookOver  func(fescuebank.TeamID) bool
@@ -162,6 +165,12 @@
 	return tj.loaded
 }
 
+func (tj *teamJobs) isClosed() bool {
+	tj.mu.Lock()
+	defer tj.mu.Unlock()
+	return tj.closed
+}
+
 // Status summarizes the jobs that this incarnation owns.
 type Status struct {
 	Jobs    int `json:"jobs"`
--- a/internal/batch/manager/removedroute_test.go
+++ b/internal/batch/manager/removedroute_test.go
@@ -36,8 +36,9 @@
 	current := &fescuebank.RouteTable{Version: 1, Teams: map[fescuebank.TeamID]fescuebank.TeamSettings{team: {ID: team}}}
 	current.SetRoutes([]fescuebank.Route{batchRoute()})
 	m := manager.New(manager.Config{
-		Owns:     func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, true },
-		TookOver: func(fescuebank.TeamID) bool { return false }, Persister: p,
+		Owns:         func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, true },
+		ConfirmOwner: func(context.Context, fescuebank.TeamID) (bool, error) { return true, nil },
+		TookOver:     func(fescuebank.TeamID) bool { return false }, Persister: p,
 		Table: func() *fescuebank.RouteTable { return current }, ConfigAsOf: func() fescuebank.StoreVersion { return math.MaxInt64 }, Estimator: estimator.New(), Clock: clock, Log: hclog.NewNullLogger(),
 		OnItemEnd: func(fescuebank.TeamID, bool, bool) {}, OnItemsAvailable: func() {}, SendHandover: func(manager.ProgressHandover) {},
 	})
--- a/internal/batch/runner/version_test.go
+++ b/internal/batch/runner/version_test.go
@@ -71,8 +71,9 @@
 		t.Fatal(err)
 	}
 	m := manager.New(manager.Config{
-		Owns:     func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, true },
-		TookOver: func(fescuebank.TeamID) bool { return false }, Persister: store,
+		Owns:         func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, true },
+		ConfirmOwner: func(context.Context, fescuebank.TeamID) (bool, error) { return true, nil },
+		TookOver:     func(fescuebank.TeamID) bool { return false }, Persister: store,
 		Table: func() *fescuebank.RouteTable { return table }, ConfigAsOf: func() fescuebank.StoreVersion { return 0 }, RefreshConfig: func() {}, Estimator: estimator.New(), Clock: clock, Log: hclog.NewNullLogger(),
 		OnItemEnd: func(fescuebank.TeamID, bool, bool) {}, OnItemsAvailable: func() {}, SendHandover: func(manager.ProgressHandover) {},
 	})
--- a/internal/fleet/elector/authority.go
+++ b/internal/fleet/elector/authority.go
@@ -62,6 +62,16 @@
 	return e.isOwner(team)
 }
 
+// ConfirmOwner reads the list of owners from the store and reports whether this incarnation owned a team by the list that was in force
+// at some time during the call. Unlike IsOwner it doesn't depend on any clock.
+func (e *Elector) ConfirmOwner(ctx context.Context, team fescuebank.TeamID) (bool, error) {
+	if err := e.readList(ctx); err != nil {
+		return false, err
+	}
+	owner, ok := e.Owner(team)
+	return ok && owner == e.holder, nil
+}
+
 // isOwner reports whether the list names this incarnation as the owner of a team and its
 // lease is valid. The caller holds the lock.
 func (e *Elector) isOwner(team fescuebank.TeamID) bool {
--- a/internal/operate/server/build.go
+++ b/internal/operate/server/build.go
@@ -154,7 +154,7 @@
 	}
 	s.planner = planner.New(s.forecaster, s.allocator.BatchSlots, s.clock)
 	s.manager = manager.New(manager.Config{
-		Self: s.self.ID, Owns: s.owns, TookOver: s.elector.TookOver, FormerOwner: s.formerOwner,
+		Self: s.self.ID, Owns: s.owns, ConfirmOwner: s.elector.ConfirmOwner, TookOver: s.elector.TookOver, FormerOwner: s.formerOwner,
 		Persister: store, Table: s.table.Load, ConfigAsOf: s.config.AsOf, RefreshConfig: s.refreshConfig, Estimator: estimator.New(), TimeToEnd: s.planner.TimeToEnd, Clock: s.clock, Log: log,
 		OnItemEnd: s.serviceLevels.BatchItem, OnItemsAvailable: func() { s.runner.Wake() },
 		SendHandover: func(p manager.ProgressHandover) { s.sendHandover(caller, p) },
--- a/internal/operate/server/leave_test.go
+++ b/internal/operate/server/leave_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -81,8 +82,9 @@
 		Shares: []fescuebank.ServiceShare{{Service: "s", Weight: 1}},
 	}})
 	m := manager.New(manager.Config{
-		Owns:     func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, *owns },
-		TookOver: func(fescuebank.TeamID) bool { return false }, Persister: jobs, Estimator: estimator.New(),
+		Owns:         func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, *owns },
+		ConfirmOwner: func(context.Context, fescuebank.TeamID) (bool, error) { return true, nil },
+		TookOver:     func(fescuebank.TeamID) bool { return false }, Persister: jobs, Estimator: estimator.New(),
 		Table: func() *fescuebank.RouteTable { return table }, ConfigAsOf: func() fescuebank.StoreVersion { return 0 }, RefreshConfig: func() {}, Clock: clock, Log: hclog.NewNullLogger(), OnItemsAvailable: func() {},
 		SendHandover: send,
 	})
--- a/refusal.go
+++ b/refusal.go
@@ -49,6 +49,8 @@
 	CodeInternal      RefusalCode = "internal"
 	CodeConfigStale   RefusalCode = "configStale"
 	CodeEndpointError RefusalCode = "endpointError"
+	// CodeOwnerChanged means that another instance has become the owner of the team. The same call to that one is idempotent.
+	CodeOwnerChanged RefusalCode = "ownerChanged"
 	// CodeCannotResume means that the stream can't continue where it began.
 	CodeCannotResume RefusalCode = "cannotResume"
 )
