Keep what is known of a job that is sent again

What callers saw: a done job that is sent again at another owner reads as if it had no result, and its items run once more; an ended one runs.

Cause: an owner that doesn't know a job finds it in the ledger when its own write fails. It then took the job for the new one that it was about to add, unless it was open and so had just been loaded.

Evidence: TestJobSentAgainKeepsItsState is red before for a done and for an ended job.

Change: a job that the ledger lists already is left as it is. If it is open it was loaded when the ledger was read again, else it is loaded when a caller asks.

--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -40,8 +40,10 @@
 	if err != nil {
 		return err
 	}
+	// A job that is listed by another owner, or by an earlier write of this call, was loaded when the ledger was read again, or is closed.
+	isListed := false
 	err = m.updateLedger(ctx, tj, func(l *persister.Ledger) bool {
-		if l.Find(spec.ID) != nil {
+		if isListed = l.Find(spec.ID) != nil; isListed {
 			return false
 		}
 		l.Jobs = append(l.Jobs, persister.LedgerEntry{
@@ -52,11 +54,11 @@
 	if err != nil {
 		return err
 	}
-	tj.mu.Lock()
-	if tj.jobs[spec.ID] == nil {
+	if !isListed {
+		tj.mu.Lock()
 		tj.jobs[spec.ID] = newJob(tj, spec, name, listing{route: route, listedAt: tj.version}, m.Clock.Now())
+		tj.mu.Unlock()
 	}
-	tj.mu.Unlock()
 	m.Log.Info("Job accepted.", "job", string(spec.ID), "team", string(spec.Team), "items", len(spec.Items), "bodies", spec.BodyDigests(),
 		"tokens", int64(spec.Tokens()), "waiting", int64(tj.waiting(route)), "ledger", uint64(tj.version))
 	m.OnItemsAvailable()
--- a/internal/batch/manager/decision_test.go
+++ b/internal/batch/manager/decision_test.go
@@ -134,6 +134,47 @@
 	})
 }
 
+// TestJobSentAgainKeepsItsState guards against a job that begins anew, although it is done or ended, as it is sent again to an owner that
+// doesn't know it yet.
+func TestJobSentAgainKeepsItsState(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// close makes manager 0 complete or end the job.
+		close func(p *ownerPair)
+		// want is the number of results that the newest owner returns.
+		want int
+	}{
+		{"done", func(p *ownerPair) { p.finishAll(0, 1); time.Sleep(startTime) }, 1},
+		{"ended", func(p *ownerPair) { _ = p.manager(0).End(context.Background(), team, "job") }, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newOwnerPair()
+				p.load(0)
+				p.load(1)
+				p.setListUnreadable(true)
+				p.submit(0, "job", 1)
+				tt.close(p)
+				_ = p.manager(0).Submit(t.Context(), job("other", 1)) // Its write marks what is done.
+				p.setListUnreadable(false)
+				if err := p.manager(1).Submit(t.Context(), job("job", 1)); err != nil {
+					t.Fatal(err)
+				}
+				page, err := p.manager(1).Read(t.Context(), team, "job", 0, 0)
+				if err != nil || len(page.Results) != tt.want {
+					t.Errorf("got %+v, error %v, want %d results", page, err, tt.want)
+				}
+				time.Sleep(startTime)
+				for task := p.manager(1).NextTask(func() {}, nil); task != nil; task = p.manager(1).NextTask(func() {}, nil) {
+					if task.Request.ID == "job-0" {
+						t.Error("got the item of a closed job, want none")
+					}
+				}
+			})
+		})
+	}
+}
+
 // become makes a manager the owner by the newest list, which the other one doesn't know.
 func (p *ownerPair) become(i int) {
 	p.setOwns(i, true)
--- a/internal/batch/manager/fuzz_test.go
+++ b/internal/batch/manager/fuzz_test.go
@@ -51,6 +51,8 @@
 	// manager with the higher one is the owner by the newest list.
 	epochs [2]fescuebank.FencingNumber
 	epoch  fescuebank.FencingNumber
+	// listUnreadable is set while the list of owners can't be read from the store.
+	listUnreadable bool
 	// formerOwnerAlive is whether a manager knows that the other one lives and sends its progress.
 	formerOwnerAlive bool
 	tasks            [2][]*manager.Task
@@ -159,6 +161,9 @@
 	if _, err := p.store.Get(ctx, fescuebank.OwnerListKey); err != nil && !errors.Is(err, fescuebank.ErrAbsent) {
 		return false, err
 	}
+	if p.isListUnreadable() {
+		return false, fescuebank.ErrStoreDown
+	}
 	if p.newest() == i {
 		return true, nil
 	}
@@ -167,6 +172,19 @@
 	return false, nil
 }
 
+func (p *ownerPair) isListUnreadable() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listUnreadable
+}
+
+// setListUnreadable sets whether the list of owners can't be read from the store.
+func (p *ownerPair) setListUnreadable(unreadable bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listUnreadable = unreadable
+}
+
 // newest returns the index of the owner by the newest list.
 func (p *ownerPair) newest() int {
 	p.mu.Lock()
