Check the cap of waiting tokens again when the ledger has changed

What callers saw: a team's accepted jobs had up to twice the route's cap of waiting tokens, as two owners each accepted a job beside the other one.

Cause: an owner checked the cap before its write, by the jobs it knew. When the write met another owner's ledger it read that one, and added its job without another check.

Evidence: TestCapCountsJobsOfTheFormerOwner is red before: 16 waiting items of 1,600 tokens with a cap of 800.

Change: the check is part of the edit of the ledger, which runs again with each ledger that is read. If an earlier write may still take effect the caller gets 504 in place of 429.

--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -42,14 +42,17 @@
 	}
 	// A job that is listed by another owner, or by an earlier write of this call, was loaded when the ledger was read again, or is closed.
 	isListed := false
-	err = m.updateLedger(ctx, tj, func(l *persister.Ledger) bool {
+	err = m.updateLedger(ctx, tj, func(l *persister.Ledger) (bool, error) {
 		if isListed = l.Find(spec.ID) != nil; isListed {
-			return false
+			return false, nil
+		}
+		if err := m.checkCap(tj, spec); err != nil {
+			return false, err
 		}
 		l.Jobs = append(l.Jobs, persister.LedgerEntry{
 			Job: spec.ID, Route: route, SubmittedUnixMilli: spec.Submitted.UnixMilli(), Total: len(spec.Items), Tokens: spec.Tokens(),
 		})
-		return true
+		return true, nil
 	})
 	if err != nil {
 		return err
@@ -173,13 +176,13 @@
 		return m.refusalOf(err)
 	}
 	defer tj.unlockLedger()
-	err := m.updateLedger(ctx, tj, func(l *persister.Ledger) bool {
+	err := m.updateLedger(ctx, tj, func(l *persister.Ledger) (bool, error) {
 		e := l.Find(id)
 		if e == nil || e.Ended {
-			return false
+			return false, nil
 		}
 		e.Ended = true
-		return true
+		return true, nil
 	})
 	if err != nil {
 		return err
--- a/internal/batch/manager/decision_test.go
+++ b/internal/batch/manager/decision_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"fescuebank"
 	"fescuebank/internal/standin/memorystorer"
 )
 
@@ -175,6 +178,26 @@
 	}
 }
 
+// TestCapCountsJobsOfTheFormerOwner guards against a team with more waiting tokens than its cap, as its owner didn't know of a job that a
+// former one had listed.
+func TestCapCountsJobsOfTheFormerOwner(t *testing.T) {
+	const capItems = capTokens / itemTokens
+	synctest.Test(t, func(t *testing.T) {
+		p := newOwnerPair()
+		p.load(0)
+		p.load(1)
+		p.submit(0, "first", capItems)
+		err := p.manager(1).Submit(t.Context(), job("second", capItems))
+		var refusal *fescuebank.Refusal
+		if !errors.As(err, &refusal) || refusal.Status != http.StatusTooManyRequests || refusal.State != fescuebank.NotRun {
+			t.Errorf("got %v for a job beyond the cap, want status %d", err, http.StatusTooManyRequests)
+		}
+		if err := p.manager(1).Submit(t.Context(), job("first", capItems)); err != nil {
+			t.Errorf("got %v for the listed job sent again, want it accepted", err)
+		}
+	})
+}
+
 // become makes a manager the owner by the newest list, which the other one doesn't know.
 func (p *ownerPair) become(i int) {
 	p.setOwns(i, true)
--- a/internal/batch/manager/ledger.go
+++ b/internal/batch/manager/ledger.go
@@ -23,16 +23,24 @@
 	<-tj.ledgerLock
 }
 
+// ledgerEdit changes a ledger and reports whether it did, or refuses to. It is called again with a later ledger if another owner has
+// written one.
+type ledgerEdit func(*persister.Ledger) (changed bool, err error)
+
 // updateLedger applies edit to the ledger and writes it conditionally, until a write
-// succeeds or edit reports that there is nothing to change. If a write's outcome
+// succeeds or edit refuses or reports that there is nothing to change. If a write's outcome
 // stays unknown the refusal says that the change may have taken effect. The caller
 // holds ledgerLock.
-func (m *Manager) updateLedger(ctx context.Context, tj *teamJobs, edit func(*persister.Ledger) bool) error {
+func (m *Manager) updateLedger(ctx context.Context, tj *teamJobs, edit ledgerEdit) error {
 	outcomeUnknown := false
 	for range ledgerAttempts {
 		next := tj.nextLedger()
-		if !edit(&next) {
-			return nil
+		changed, err := edit(&next)
+		if err != nil && outcomeUnknown {
+			break
+		}
+		if err != nil || !changed {
+			return err
 		}
 		version, err := m.Persister.PutLedger(ctx, tj.team, next, tj.version)
 		if err == nil {
@@ -83,7 +91,7 @@
 		return // Another job that ended meanwhile has done it.
 	}
 	// A failure is logged there; the next job that ends tries again.
-	_ = m.updateLedger(ctx, tj, func(*persister.Ledger) bool { return true })
+	_ = m.updateLedger(ctx, tj, func(*persister.Ledger) (bool, error) { return true, nil })
 }
 
 // unmarkedDone returns the number of done jobs that the ledger lists as open, 0 if the team isn't owned any more.
