Read the ledger again after a takeover from an owner of the build before

Cause: that build acknowledges by the list of owners that it knows. Its present successor can't change what the former one does, but learned of it only if a write of its own to the ledger failed.

Change: the entry of an owner instance says whether it confirms changes. It costs one read for each such team, and none between two owners of this build. The other direction, an owner of this build that is replaced by one of the build before, is kept by the confirmation.

--- a/gossip.go
+++ b/gossip.go
@@ -199,6 +199,9 @@
 	// gossip from most other owners writes its entry periodically, to show through the
 	// store that it is alive.
 	Heartbeat uint64 `json:"beat,omitempty"`
+	// ConfirmsChanges is set by owner instances that acknowledge changes of batch jobs only while the store names them as the owner.
+	// Older builds don't have it.
+	ConfirmsChanges bool `json:"confirmsChanges,omitempty"`
 }
 
 // MemberPrefix is the store prefix of the instances' entries.
--- a/internal/batch/manager/decision_test.go
+++ b/internal/batch/manager/decision_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -116,6 +117,52 @@
 	}
 }
 
+// TestDecisionsOfOwnersOfTheBuildBefore guards against the same while builds are mixed: an owner of the build before acknowledges a call
+// although it has been replaced.
+func TestDecisionsOfOwnersOfTheBuildBefore(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// hasOther is set if the team has another open job, so that a handover is sent.
+		hasOther bool
+	}{
+		{"a handover is sent", true},
+		{"no handover is sent", false},
+	} {
+		for _, d := range decisions {
+			t.Run(tt.name+", "+d.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					p := newOwnerPair()
+					p.olderBuild[0] = true
+					p.setFormerOwnerAlive(true)
+					p.become(0)
+					if d.isEnd {
+						p.submit(0, "job", 2)
+					}
+					if tt.hasOther {
+						p.submit(0, "other", 1)
+					}
+					p.become(1)
+					p.load(1)
+					time.Sleep(callPause)
+					if !d.call(t, p, 0, 1) {
+						t.Fatal("got no acknowledgement of the owner of the build before, want one")
+					}
+					time.Sleep(callPause)
+					p.releaseTeam(0)
+					time.Sleep(startTime)
+					runs := false
+					for task := p.manager(1).NextTask(func() {}, nil); task != nil; task = p.manager(1).NextTask(func() {}, nil) {
+						runs = runs || strings.HasPrefix(string(task.Request.ID), "job-")
+					}
+					if runs == d.isEnd {
+						t.Errorf("got items of the job that run: %v, want %v", runs, !d.isEnd)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestAcknowledgedEndStopsAttemptsOfTheNewestOwner guards against attempts that run on after the end of their job was acknowledged by a
 // former owner.
 func TestAcknowledgedEndStopsAttemptsOfTheNewestOwner(t *testing.T) {
--- a/internal/batch/manager/fuzz_test.go
+++ b/internal/batch/manager/fuzz_test.go
@@ -51,6 +51,8 @@
 	// manager with the higher one is the owner by the newest list.
 	epochs [2]fescuebank.FencingNumber
 	epoch  fescuebank.FencingNumber
+	// olderBuild is set for a manager that confirms no change, as builds did before.
+	olderBuild [2]bool
 	// listUnreadable is set while the list of owners can't be read from the store.
 	listUnreadable bool
 	// formerOwnerAlive is whether a manager knows that the other one lives and sends its progress.
@@ -115,10 +117,10 @@
 		ConfigAsOf:    func() fescuebank.StoreVersion { return p.config.replica(i).asOf },
 		RefreshConfig: func() { p.config.refresh(i) },
 		Clock:         timekeeper.Timekeeper{}, Log: hclog.NewNullLogger(), OnItemsAvailable: func() {},
-		SendHandover: p.sendHandover, ClosedBudget: p.closedBudget, Self: managerID(i), FormerOwner: func(fescuebank.TeamID) (fescuebank.InstanceID, bool) {
+		SendHandover: p.sendHandover, ClosedBudget: p.closedBudget, Self: managerID(i), FormerOwner: func(fescuebank.TeamID) (manager.FormerOwner, bool) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			return managerID(1 - i), p.formerOwnerAlive
+			return manager.FormerOwner{ID: managerID(1 - i), ConfirmsChanges: !p.olderBuild[1-i]}, p.formerOwnerAlive
 		},
 	})
 	p.mu.Lock()
@@ -158,6 +160,9 @@
 
 // confirmOwner reads the newest list from the store, and has a manager apply it if it names the other one.
 func (p *ownerPair) confirmOwner(ctx context.Context, i int) (bool, error) {
+	if p.isOlderBuild(i) {
+		return true, nil
+	}
 	if _, err := p.store.Get(ctx, fescuebank.OwnerListKey); err != nil && !errors.Is(err, fescuebank.ErrAbsent) {
 		return false, err
 	}
@@ -172,6 +177,12 @@
 	return false, nil
 }
 
+func (p *ownerPair) isOlderBuild(i int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.olderBuild[i]
+}
+
 func (p *ownerPair) isListUnreadable() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/batch/manager/manager.go
+++ b/internal/batch/manager/manager.go
@@ -77,11 +77,19 @@
 	SendHandover func(ProgressHandover)
 	// FormerOwner returns the instance that owned a team by the list of owners before, if it is
 	// alive, so that it sends the progress of the team's items. Nil means that none is known.
-	FormerOwner func(fescuebank.TeamID) (fescuebank.InstanceID, bool)
+	FormerOwner func(fescuebank.TeamID) (FormerOwner, bool)
 	// ClosedBudget bounds the memory of loaded jobs that are done or ended, but one of them may exceed it; 0 sets no bound.
 	ClosedBudget fescuebank.Bytes
 }
 
+// FormerOwner is the instance that owned a team by the list of owners before.
+type FormerOwner struct {
+	ID fescuebank.InstanceID
+	// ConfirmsChanges is set if the instance acknowledges changes of jobs only while the store names it as the owner. Older builds
+	// don't.
+	ConfirmsChanges bool
+}
+
 // Manager holds the jobs of each owned team.
 type Manager struct {
 	Config
@@ -126,6 +134,8 @@
 	// are loaded meanwhile wait for it until expectedUntil.
 	expectedFrom  fescuebank.InstanceID
 	expectedUntil time.Time
+	// handedOver is closed when the expected handover has arrived.
+	handedOver chan struct{}
 }
 
 // New returns a manager without jobs.
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -217,7 +217,7 @@
 
 // newTeam adds a team without loaded jobs. The caller holds the lock.
 func (m *Manager) newTeam(team fescuebank.TeamID, epoch fescuebank.FencingNumber) *teamJobs {
-	tj := &teamJobs{team: team, epoch: epoch, jobs: make(map[fescuebank.JobID]*job), unreadable: make(map[fescuebank.JobID]time.Time), ledgerLock: make(chan struct{}, 1)}
+	tj := &teamJobs{team: team, epoch: epoch, jobs: make(map[fescuebank.JobID]*job), unreadable: make(map[fescuebank.JobID]time.Time), ledgerLock: make(chan struct{}, 1), handedOver: make(chan struct{})}
 	m.teams[team] = tj
 	m.expectHandover(tj)
 	return tj
--- a/internal/batch/manager/receive.go
+++ b/internal/batch/manager/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"fescuebank"
@@ -17,13 +18,16 @@
 )
 
 // expectHandover makes the items of the jobs that are loaded next wait for the progress from the
-// team's former owner: long if it is alive.
+// team's former owner: long if it is alive. If it may have acknowledged changes after the ledger is read here, the ledger is read again.
 func (m *Manager) expectHandover(tj *teamJobs) {
 	wait := handoverWait
 	var from fescuebank.InstanceID
 	if m.FormerOwner != nil && m.TookOver(tj.team) {
-		if id, alive := m.FormerOwner(tj.team); alive {
-			wait, from = maxHandoverWait, id
+		if former, alive := m.FormerOwner(tj.team); alive {
+			wait, from = maxHandoverWait, former.ID
+			if !former.ConfirmsChanges {
+				go m.readAfterHandover(tj)
+			}
 		}
 	}
 	tj.mu.Lock()
@@ -31,6 +35,33 @@
 	tj.expectedFrom, tj.expectedUntil = from, m.Clock.Now().Add(wait)
 }
 
+// readAfterHandover reads the ledger of a team once its former owner has handed over, or had the time to.
+func (m *Manager) readAfterHandover(tj *teamJobs) {
+	select {
+	case <-tj.handedOver:
+	case <-m.Clock.After(maxHandoverWait):
+	}
+	for !tj.isClosed() {
+		err := m.readAgain(tj)
+		if err == nil || errors.Is(err, fescuebank.ErrNotOwner) {
+			return
+		}
+		m.Log.Warn("Ledger not read.", "team", string(tj.team), "err", err.Error())
+		_ = fescuebank.Sleep(context.Background(), m.Clock, storeRetryAfter)
+	}
+}
+
+// readAgain reads the ledger of a team, and the jobs in it that are not loaded yet.
+func (m *Manager) readAgain(tj *teamJobs) error {
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	defer cancel()
+	if err := tj.lockLedger(ctx); err != nil {
+		return err
+	}
+	defer tj.unlockLedger()
+	return m.refresh(ctx, tj)
+}
+
 // itemsDelayedUntil returns when the items of a job that is loaded now may start without a handover.
 func (tj *teamJobs) itemsDelayedUntil(now time.Time) time.Time {
 	tj.mu.Lock()
@@ -50,6 +81,7 @@
 		j.endDelay(tj.expectedUntil)
 	}
 	tj.expectedFrom, tj.expectedUntil = "", time.Time{}
+	close(tj.handedOver)
 }
 
 // HandleProgressHandover applies the progress that a former owner sent.
--- a/internal/operate/server/leave.go
+++ b/internal/operate/server/leave.go
@@ -166,15 +166,16 @@
 
 // formerOwner returns the instance that owned a team by the list of owners before, if its
 // incarnation is alive.
-func (s *Server) formerOwner(team fescuebank.TeamID) (fescuebank.InstanceID, bool) {
+func (s *Server) formerOwner(team fescuebank.TeamID) (manager.FormerOwner, bool) {
 	l := s.elector.List()
 	if l == nil {
-		return "", false
+		return manager.FormerOwner{}, false
 	}
 	former, ok := l.PreviousOwner(team)
 	if !ok {
-		return "", false
+		return manager.FormerOwner{}, false
 	}
 	peer, known := s.gossiper.Find(former.ID)
-	return former.ID, known && peer.Reachable && peer.Incarnation == former.Incarnation
+	isAlive := known && peer.Reachable && peer.Incarnation == former.Incarnation
+	return manager.FormerOwner{ID: former.ID, ConfirmsChanges: peer.ConfirmsChanges}, isAlive
 }
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -178,7 +178,7 @@
 	settings.Listen.Peers = s.linker.Addr()
 	s.self = fescuebank.MemberEntry{
 		ID: settings.Instance.ID, Incarnation: fescuebank.Incarnation(fescuebank.NewRandomID("")), Zone: settings.Instance.Zone,
-		PeerAddr: settings.Listen.Peers, Owner: settings.Roles.Owner, Weight: settings.Instance.Weight,
+		PeerAddr: settings.Listen.Peers, Owner: settings.Roles.Owner, Weight: settings.Instance.Weight, ConfirmsChanges: settings.Roles.Owner,
 	}
 	if settings.Roles.Entry {
 		s.self.CallerAddr = settings.Listen.Callers
