Load a team's jobs until it succeeds, also if a call came first

What callers saw: accepted jobs whose items wait, and a batch route on which nothing happens until somebody calls about a job of the team.

Cause: a call that comes between the new list of owners and the takeover adds the team and loads its jobs itself. If the store fails then, nobody tries again: the takeover finds the team there already.

Evidence: found by the random model of owners that follows. The new test TestTakeoverGoesOnAfterACallThatFailed is red before.

Change: whoever adds a team starts the loading that goes on until it succeeds. TestTakeoverGoesOnWhereItFailed left its store down for good, so that the loading never ended; it brings the store back after its last check, all of which stay.

--- a/internal/batch/manager/manager.go
+++ b/internal/batch/manager/manager.go
@@ -150,12 +150,7 @@
 	if !owns {
 		return nil, fescuebank.ErrNotOwner
 	}
-	m.mu.Lock()
-	tj := m.teams[team]
-	if tj == nil {
-		tj = m.newTeam(team, epoch)
-	}
-	m.mu.Unlock()
+	tj := m.addTeam(team, epoch)
 	if tj.isLoaded() {
 		return tj, nil
 	}
--- a/internal/batch/manager/ownership.go
+++ b/internal/batch/manager/ownership.go
@@ -197,29 +197,24 @@
 		return
 	}
 	for team := range t.Teams {
-		if epoch, owns := m.Owns(team); owns && m.addTeam(team, epoch) {
-			go m.preload(team)
+		if epoch, owns := m.Owns(team); owns {
+			m.addTeam(team, epoch)
 		}
 	}
 }
 
-// addTeam adds a team that this incarnation owns now, and reports whether it was missing. The list of
-// owners that moved it here tells from whom a handover is expected, which the next one may not.
-func (m *Manager) addTeam(team fescuebank.TeamID, epoch fescuebank.FencingNumber) bool {
+// addTeam adds a team that this incarnation owns, unless it is there. Its jobs are loaded in the background, whoever asked for it first:
+// a call that does so may fail. The list of owners that moved it here tells from whom a handover is expected, which the next one may not.
+func (m *Manager) addTeam(team fescuebank.TeamID, epoch fescuebank.FencingNumber) *teamJobs {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.teams[team] != nil {
-		return false
+	if tj := m.teams[team]; tj != nil {
+		return tj
 	}
-	m.newTeam(team, epoch)
-	return true
-}
-
-// newTeam adds a team without loaded jobs. The caller holds the lock.
-func (m *Manager) newTeam(team fescuebank.TeamID, epoch fescuebank.FencingNumber) *teamJobs {
 	tj := &teamJobs{team: team, epoch: epoch, jobs: make(map[fescuebank.JobID]*job), unreadable: make(map[fescuebank.JobID]time.Time), ledgerLock: make(chan struct{}, 1), handedOver: make(chan struct{})}
 	m.teams[team] = tj
 	m.expectHandover(tj)
+	go m.preload(team)
 	return tj
 }
 
--- a/internal/batch/manager/takeover_test.go
+++ b/internal/batch/manager/takeover_test.go
@@ -112,5 +112,27 @@
 		if !p.manager(1).HasWaiting() {
 			t.Error("got no item of the jobs that were loaded, want one")
 		}
+		p.store.SetFaults(memorystorer.Faults{}) // The takeover goes on until then.
+		time.Sleep(time.Second)
+	})
+}
+
+// TestTakeoverGoesOnAfterACallThatFailed guards against a team whose jobs nobody loads, as a call that came before the takeover found the
+// store down.
+func TestTakeoverGoesOnAfterACallThatFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newOwnerPair()
+		p.submit(1, "job", 1)
+		p.kill(1)
+		p.store.SetFaults(memorystorer.Faults{Down: true})
+		if _, err := p.manager(1).Item(t.Context(), team, "job", "job-0"); err == nil {
+			t.Fatal("got no error while the store is down, want one")
+		}
+		p.manager(1).UpdateOwnership()
+		p.store.SetFaults(memorystorer.Faults{})
+		time.Sleep(5 * time.Second)
+		if !p.manager(1).HasWaiting() {
+			t.Error("got no item, want that of the open job")
+		}
 	})
 }
