Bound stated rates and release locks after a panic

The limiter held its lock without a deferred unlock, and the allocator waited for it with its own lock held. In an owner the panic ended the process.

Change: rates that are stated from outside are bounded where they come into force, and a random time within nothing is nothing. The limiter, the throttler and the allocator unlock with defer. The runner recovers from panics of an attempt and of a check, as handlers do.

--- a/clock.go
+++ b/clock.go
@@ -40,6 +40,14 @@
 	return d/2 + rand.N(d)
 }
 
+// RandomTime returns a random duration from 0 to below d, 0 if d isn't positive.
+func RandomTime(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return rand.N(d)
+}
+
 // Latest returns the later of two times.
 func Latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/batch/runner/attempt.go
+++ b/internal/batch/runner/attempt.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -102,13 +104,32 @@
 	return 0, nil
 }
 
+// errPanicked means that the code of an attempt panicked.
+var errPanicked = errors.New("attempt panicked")
+
+// attemptRecovering is attempt, but returns errPanicked after a panic.
+func (r *Runner) attemptRecovering(ctx context.Context, a *attempt, progress *fescuebank.Progress) (cause manager.Cause, err error) {
+	defer func() {
+		if panicked := recover(); panicked != nil {
+			r.logPanic(panicked, "request", string(a.task.Request.ID), "endpoint", string(a.slot.Endpoint.ID))
+			cause, err = manager.CauseInterrupted, errPanicked
+		}
+	}()
+	return r.attempt(ctx, a, progress)
+}
+
+// logPanic logs the cause of a panic and the stack.
+func (r *Runner) logPanic(cause any, fields ...any) {
+	r.Log.Error("Batch work panicked.", append(fields, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))...)
+}
+
 func (r *Runner) run(ctx context.Context, a *attempt) {
 	started := r.Clock.Now()
 	a.task.Progress = a.task.Progress.ContinuedAt(a.slot.Endpoint.Service, a.slot.Endpoint.Version)
 	progress := a.task.Progress
 	progress.Output = slices.Clip(progress.Output)
 	a.events.Store(int64(progress.Events))
-	cause, err := r.attempt(ctx, a, &progress)
+	cause, err := r.attemptRecovering(ctx, a, &progress)
 	a.cancel()
 	a.slot.Release()
 	r.mu.Lock()
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -100,9 +100,7 @@
 // Run starts, preempts and expires items until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		r.preempt()
-		r.startItems()
-		r.Manager.Expire()
+		r.check()
 		_ = fescuebank.Sleep(ctx, r.Clock, minCheckInterval)
 		select {
 		case <-ctx.Done():
@@ -112,6 +110,18 @@
 	}
 }
 
+// check starts, preempts and expires items once. A panic ends this check only.
+func (r *Runner) check() {
+	defer func() {
+		if panicked := recover(); panicked != nil {
+			r.logPanic(panicked)
+		}
+	}()
+	r.preempt()
+	r.startItems()
+	r.Manager.Expire()
+}
+
 // Stop cancels all running items and starts no more.
 func (r *Runner) Stop() {
 	r.mu.Lock()
--- a/internal/entry/allocator/allocator.go
+++ b/internal/entry/allocator/allocator.go
@@ -134,12 +134,24 @@
 // endpoint to wait for. While others wait, a request of a team above its share waits only until
 // it would be reconsidered, as what they leave can't be predicted.
 func (a *Allocator) Acquire(ctx context.Context, request SlotRequest) (*Slot, error) {
+	slot, w, err := a.assignOrQueue(request)
+	if err != nil {
+		return nil, err
+	}
+	a.onChange()
+	if slot != nil {
+		return slot, nil
+	}
+	return a.wait(ctx, w)
+}
+
+// assignOrQueue returns a slot if one is free now, or else a waiter that it has queued.
+func (a *Allocator) assignOrQueue(request SlotRequest) (*Slot, *waiter, error) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	now := a.clock.Now()
 	if slot := a.assignInTurn(request, now); slot != nil {
-		a.mu.Unlock()
-		a.onChange()
-		return slot, nil
+		return slot, nil, nil
 	}
 	if !request.ReconsiderAt.IsZero() && a.isBehind(request, now) && (a.othersWait(now) || a.mustYield(request, now)) {
 		request.Deadline = request.ReconsiderAt
@@ -147,31 +159,33 @@
 	w := &waiter{request: request, sequence: a.nextSequence, assigned: make(chan *Slot, 1)}
 	a.nextSequence++
 	wait, ok := a.predictWait(request, now, a.countAhead(w, now))
-	if !ok || now.Add(wait).After(request.Deadline) {
-		a.mu.Unlock()
-		if !ok {
-			return nil, ErrNoEndpoint
-		}
-		return nil, ErrFull
+	if !ok {
+		return nil, nil, ErrNoEndpoint
+	}
+	if now.Add(wait).After(request.Deadline) {
+		return nil, nil, ErrFull
 	}
 	a.waiting = append(a.waiting, w)
 	a.noteShortage(now)
-	a.mu.Unlock()
-	a.onChange()
-	return a.wait(ctx, w)
+	return nil, w, nil
 }
 
 // TryAcquire returns a slot if one is free now, else nil.
 func (a *Allocator) TryAcquire(request SlotRequest) *Slot {
-	a.mu.Lock()
-	slot := a.assign(request, a.clock.Now())
-	a.mu.Unlock()
+	slot := a.assignNow(request)
 	if slot != nil {
 		a.onChange()
 	}
 	return slot
 }
 
+// assignNow is assign with the lock.
+func (a *Allocator) assignNow(request SlotRequest) *Slot {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.assign(request, a.clock.Now())
+}
+
 // LogFields returns the state from which waits of a team's requests for the service are
 // predicted, as log fields.
 func (a *Allocator) LogFields(service fescuebank.ServiceName, team fescuebank.TeamID) []any {
--- a/internal/entry/allocator/batch.go
+++ b/internal/entry/allocator/batch.go
@@ -14,7 +14,17 @@
 // free slots would fall below the reserve, it returns one at an endpoint whose request limit this
 // instance has a part of, or nil.
 func (a *Allocator) AcquireBatch(service fescuebank.ServiceName, version string, reservedShare float64) *Slot {
+	slot := a.assignBatch(service, version, reservedShare)
+	if slot != nil {
+		a.onChange()
+	}
+	return slot
+}
+
+// assignBatch is AcquireBatch without telling of the change.
+func (a *Allocator) assignBatch(service fescuebank.ServiceName, version string, reservedShare float64) *Slot {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	now := a.clock.Now()
 	request := SlotRequest{Service: service, Version: version, batch: true, limitedOnly: a.unlimitedRoom(service, reservedShare, now) <= 0}
 	slot := a.assign(request, now)
@@ -22,10 +32,6 @@
 		request.Version = ""
 		slot = a.assign(request, now)
 	}
-	a.mu.Unlock()
-	if slot != nil {
-		a.onChange()
-	}
 	return slot
 }
 
--- a/internal/entry/allocator/slot.go
+++ b/internal/entry/allocator/slot.go
@@ -76,13 +76,17 @@
 // Release frees the slot.
 func (s *Slot) Release() {
 	s.once.Do(func() {
-		a := s.allocator
-		a.mu.Lock()
-		s.endpoint.ownRequests--
-		delete(a.heldSlots, s)
-		a.observeHold(s, a.clock.Now().Sub(s.acquiredAt))
-		a.assignReleased(s.endpoint.Service)
-		a.mu.Unlock()
-		a.onChange()
+		s.allocator.release(s)
+		s.allocator.onChange()
 	})
 }
+
+// release frees a slot that is held.
+func (a *Allocator) release(s *Slot) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s.endpoint.ownRequests--
+	delete(a.heldSlots, s)
+	a.observeHold(s, a.clock.Now().Sub(s.acquiredAt))
+	a.assignReleased(s.endpoint.Service)
+}
--- a/internal/limit/limiter/gossip.go
+++ b/internal/limit/limiter/gossip.go
@@ -55,7 +55,7 @@
 		at := now.Add(-age)
 		s := l.inForce(tag, now)
 		switch {
-		case s == nil && remote.Rate == 0:
+		case s == nil && !(remote.Rate > 0):
 		case s == nil, s.rate != remote.Rate && at.Sub(s.at) >= orderMargin, at.Sub(s.at) >= refreshMargin:
 			l.apply(tag, remote.Rate, at, now)
 		}
--- a/internal/limit/limiter/limiter.go
+++ b/internal/limit/limiter/limiter.go
@@ -4,7 +4,6 @@
 package limiter
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -78,30 +77,32 @@
 
 // Observe applies the limit that the endpoint states in a response, 0 for none.
 func (l *Limiter) Observe(id fescuebank.EndpointID, limit fescuebank.RequestRate) {
-	l.mu.Lock()
-	now := l.Clock.Now()
-	s := l.inForce(id.Tag(), now)
-	if s == nil && limit <= 0 {
-		l.mu.Unlock()
+	if !l.observe(id.Tag(), limit) {
 		return
 	}
-	changed := l.apply(id.Tag(), limit, now, now)
-	if changed {
-		l.statements[id.Tag()].observed = true
+	l.Log.Info("Endpoint states a request limit.", "endpoint", string(id), "ratePerS", float64(limit))
+	l.Announce()
+}
+
+// observe is Observe, and reports whether the endpoint stated another limit before.
+func (l *Limiter) observe(tag fescuebank.EndpointTag, limit fescuebank.RequestRate) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	if l.inForce(tag, now) == nil && !(limit > 0) {
+		return false
 	}
-	l.mu.Unlock()
-	if changed {
-		l.Log.Info("Endpoint states a request limit.", "endpoint", string(id), "ratePerS", float64(limit))
-		l.Announce()
+	if !l.apply(tag, limit, now, now) {
+		return false
 	}
+	l.statements[tag].observed = true
+	return true
 }
 
 // apply replaces the statement of an endpoint and reports whether its rate is another one. The
 // caller holds the lock.
 func (l *Limiter) apply(tag fescuebank.EndpointTag, limit fescuebank.RequestRate, at, now time.Time) (changed bool) {
-	if limit > 0 {
-		limit = max(limit, minRate)
-	}
+	limit = boundedRate(limit)
 	s := l.statements[tag]
 	if s == nil {
 		s = &statement{changedAt: now}
@@ -116,6 +117,14 @@
 	return true
 }
 
+// boundedRate returns the rate that is kept for a stated one, 0 for none.
+func boundedRate(stated fescuebank.RequestRate) fescuebank.RequestRate {
+	if stated > 0 {
+		return min(max(stated, minRate), fescuebank.MaxRequestRate)
+	}
+	return 0 // It isn't a number, or no limit.
+}
+
 // divide determines this instance's part of a limit. The caller holds the lock.
 func (l *Limiter) divide(tag fescuebank.EndpointTag, s *statement, now time.Time) {
 	if s.rate == 0 {
@@ -136,7 +145,7 @@
 	s.bucket = rate.NewLimiter(rate.Limit(s.share), burst)
 	// The holders start with different parts of a request, so that they don't all send at once.
 	interval, _ := s.share.TimeFor(1)
-	s.bucket.AllowN(now.Add(-rand.N(interval)), burst)
+	s.bucket.AllowN(now.Add(-fescuebank.RandomTime(interval)), burst)
 }
 
 // inForce returns the statement of an endpoint, or nil. The caller holds the lock.
--- a/internal/limit/throttler/part.go
+++ b/internal/limit/throttler/part.go
@@ -14,7 +14,7 @@
 	if limit <= 0 || len(members) == 0 {
 		return 0
 	}
-	shared, holders := divide(limit, bounds, len(members))
+	shared, holders := divide(min(limit, fescuebank.MaxRequestRate), bounds, len(members))
 	key := "cold/" + strconv.FormatUint(uint64(tag), 10) + "/"
 	if fescuebank.HashRank(key, self, members) >= holders {
 		return 0
--- a/internal/limit/throttler/state.go
+++ b/internal/limit/throttler/state.go
@@ -1,7 +1,6 @@
 package throttler
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -87,5 +86,5 @@
 	}
 	s.bucket = rate.NewLimiter(rate.Limit(part), 1)
 	interval, _ := part.TimeFor(1)
-	s.bucket.AllowN(now.Add(-rand.N(interval)), 1)
+	s.bucket.AllowN(now.Add(-fescuebank.RandomTime(interval)), 1)
 }
--- a/internal/limit/throttler/throttler.go
+++ b/internal/limit/throttler/throttler.go
@@ -125,21 +125,33 @@
 
 // ObserveCold applies how much longer the endpoint says in a response that it is cold.
 func (t *Throttler) ObserveCold(id fescuebank.EndpointID, left time.Duration) {
+	if !t.observeStated(id, left) {
+		return
+	}
+	t.Log.Info("Endpoint states that it is cold.", "endpoint", string(id), "leftMs", left.Milliseconds())
+	t.Announce()
+}
+
+// observeStated applies for how much longer an endpoint is cold, and reports whether it wasn't known as cold.
+func (t *Throttler) observeStated(id fescuebank.EndpointID, left time.Duration) (isNew bool) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	s := t.states[id]
-	isNew := s != nil && t.observe(s, left)
-	t.mu.Unlock()
-	if isNew {
-		t.Log.Info("Endpoint states that it is cold.", "endpoint", string(id), "leftMs", left.Milliseconds())
-		t.Announce()
-	}
+	return s != nil && t.observe(s, left)
 }
 
 // ObserveRefused marks the endpoint at an address that refused a connection: it starts again, and will be
 // cold then. confirmed is set if the refusal isn't the fault of this instance, so that others are told.
 func (t *Throttler) ObserveRefused(addr string, confirmed bool) {
+	if t.observeRefused(addr, confirmed) {
+		t.Announce()
+	}
+}
+
+// observeRefused is ObserveRefused, and reports whether this instance found out of an endpoint that is cold.
+func (t *Throttler) observeRefused(addr string, confirmed bool) (isNew bool) {
 	t.mu.Lock()
-	isNew := false
+	defer t.mu.Unlock()
 	for _, s := range t.states {
 		if s.endpoint.Addr != addr || t.coldTime(s) == 0 {
 			continue
@@ -151,10 +163,7 @@
 		}
 		t.markCold(s, left, t.Clock.Now())
 	}
-	t.mu.Unlock()
-	if isNew {
-		t.Announce()
-	}
+	return isNew
 }
 
 // observe applies what this instance itself found out and reports whether the endpoint wasn't known as
--- a/unit.go
+++ b/unit.go
@@ -14,6 +14,9 @@
 // RequestRate is a number of requests per second.
 type RequestRate float64
 
+// MaxRequestRate bounds a rate that an endpoint, another instance or the configuration states. No instance sends as much.
+const MaxRequestRate = RequestRate(1e6)
+
 // Bytes counts bytes.
 type Bytes int64
 
