Use only complete endpoint entries, and the last one for a moment

Cause: the decoder took an entry without a version for one of a service without versions, so that a stream that began by it was bound to none.

Change: an entry that lacks a field which endpoints write names no endpoint. As it may stand in place of a sound endpoint's entry until that one writes again, the last valid entry counts for 1.5 s more, unless the key is removed.

--- a/cmd/fescuebankd/objectplatform_test.go
+++ b/cmd/fescuebankd/objectplatform_test.go
@@ -75,7 +75,7 @@
 
 // testEntry returns the entry of an endpoint at an address.
 func testEntry(addr string) simulator.Entry {
-	return simulator.Entry{Service: "s", Address: addr, Zone: "z", Slots: 8, State: simulator.StateReady, Born: 1}
+	return simulator.Entry{Service: "s", Address: addr, Zone: "z", Version: "v1", Slots: 8, State: simulator.StateReady, Born: 1}
 }
 
 // putEntry writes the entry of an endpoint.
--- a/internal/operate/server/build.go
+++ b/internal/operate/server/build.go
@@ -13,6 +13,7 @@
 	"fescuebank/internal/endpoint/historian"
 	"fescuebank/internal/endpoint/isolator"
 	"fescuebank/internal/endpoint/profiler"
+	"fescuebank/internal/endpoint/retainer"
 	"fescuebank/internal/entry/allocator"
 	"fescuebank/internal/entry/relayer"
 	"fescuebank/internal/entry/resumer"
@@ -66,6 +67,7 @@
 		ReadThroughPeer: s.readOwnersThroughPeer, ReadMembers: s.readMembers,
 		MembersKnown: func() bool { return s.members.Listed() }, StoreState: s.platform.StoreState,
 	})
+	s.entries = retainer.New(s.clock, s.platform.DecodeEndpoint)
 	s.config = replicator.New(store, s.platform.ConfigPrefix, s.clock, s.logFor("config"), s.applyConfig)
 	s.endpoints = replicator.New(store, s.platform.EndpointPrefix, s.clock, s.logFor("endpoint"), func([]fescuebank.Object) { s.applyEndpoints() })
 	s.members = replicator.New(store, fescuebank.MemberPrefix, s.clock, s.logFor("fleet"), s.applyMembers)
--- a/internal/operate/server/server.go
+++ b/internal/operate/server/server.go
@@ -25,6 +25,7 @@
 	"fescuebank/internal/endpoint/historian"
 	"fescuebank/internal/endpoint/isolator"
 	"fescuebank/internal/endpoint/profiler"
+	"fescuebank/internal/endpoint/retainer"
 	"fescuebank/internal/endpoint/tunneler"
 	"fescuebank/internal/entry/acceptor"
 	"fescuebank/internal/entry/allocator"
@@ -161,6 +162,8 @@
 	loadObservedAt atomic.Int64
 	// applyingEndpoints is held while a list of endpoints is applied.
 	applyingEndpoints sync.Mutex
+	// entries decodes the endpoint entries.
+	entries *retainer.Retainer
 }
 
 // New returns a server and opens its addresses. It replaces port 0 in the settings by the
--- a/internal/operate/server/state.go
+++ b/internal/operate/server/state.go
@@ -47,16 +47,20 @@
 	}
 }
 
+// applyEndpointsAfter applies the entries again after a time, when some that are replaced by other objects count no more.
+func (s *Server) applyEndpointsAfter(wait time.Duration) {
+	<-s.clock.After(wait)
+	s.applyEndpoints()
+}
+
 // setEndpoints passes the valid ones of all endpoint entries on. The caller holds applyingEndpoints.
 func (s *Server) setEndpoints(objects []fescuebank.Object) {
-	var list []fescuebank.ServedEndpoint
-	for _, o := range objects {
-		e, err := s.platform.DecodeEndpoint(o)
-		if err != nil {
-			s.logFor("endpoint").Warn("Invalid endpoint entry skipped.", "key", o.Key, "err", err.Error())
-			continue
-		}
-		list = append(list, e)
+	list, faults, wait := s.entries.Endpoints(objects)
+	for _, f := range faults {
+		s.logFor("endpoint").Warn("Invalid endpoint entry skipped.", "key", f.Key, "err", f.Err.Error())
+	}
+	if wait > 0 {
+		go s.applyEndpointsAfter(wait)
 	}
 	s.profiler.SetEndpoints(list)
 	s.throttler.SetEndpoints(list)
