Read the list of owners again if a read for a confirmation fails

The store may lose a reply or turn one call away. One failed read made the caller repeat its submission or end, red before in TestConfirmationOutlivesAFailedRead. Two reads of 350 ms at most fit in the 900 ms that an instance gives the owner for the end of a job.

--- a/internal/batch/manager/calls.go
+++ b/internal/batch/manager/calls.go
@@ -72,7 +72,7 @@
 // ledger already said so. A later owner reads the ledger after it is on the list of owners, so it knows. Otherwise the present owner
 // may have read the ledger before, and the call has to be repeated there. Nothing is held while the list is read.
 func (m *Manager) confirm(ctx context.Context, tj *teamJobs, id fescuebank.JobID) error {
-	isOwner, err := m.ConfirmOwner(ctx, tj.team)
+	isOwner, err := m.confirmOwner(ctx, tj.team)
 	if err != nil {
 		m.Log.Warn("Change not confirmed: the list of owners was not read.", "job", string(id), "team", string(tj.team), "err", err.Error())
 		return fescuebank.Refuse(http.StatusGatewayTimeout, fescuebank.CodeStoreDown, "the store did not answer").WithState(fescuebank.MayHaveRun)
@@ -84,6 +84,19 @@
 	return nil
 }
 
+// confirmOwner calls ConfirmOwner until it succeeds, as the store may lose a reply.
+func (m *Manager) confirmOwner(ctx context.Context, team fescuebank.TeamID) (isOwner bool, err error) {
+	for range confirmAttempts {
+		attempt, cancel := context.WithTimeout(ctx, confirmTimeout)
+		isOwner, err = m.ConfirmOwner(attempt, team)
+		cancel()
+		if err == nil || fescuebank.Sleep(ctx, m.Clock, commitRetryPause/4) != nil {
+			break
+		}
+	}
+	return isOwner, err
+}
+
 // store stores a job and returns the stored one: that of an earlier attempt if there was one.
 func (m *Manager) store(ctx context.Context, spec *fescuebank.RoutedJob) (*fescuebank.RoutedJob, persister.StoredName, error) {
 	stored, name, err := m.Persister.PutJob(ctx, spec)
--- a/internal/batch/manager/decision_test.go
+++ b/internal/batch/manager/decision_test.go
@@ -184,6 +184,19 @@
 	})
 }
 
+// TestConfirmationOutlivesAFailedRead guards against an error for a caller because one read of the list of owners failed.
+func TestConfirmationOutlivesAFailedRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newOwnerPair()
+		p.load(1)
+		p.setListUnreadable(true)
+		time.AfterFunc(30*time.Millisecond, func() { p.setListUnreadable(false) })
+		if err := p.manager(1).Submit(t.Context(), job("job", 1)); err != nil {
+			t.Errorf("got %v, want the job accepted", err)
+		}
+	})
+}
+
 // TestJobSentAgainKeepsItsState guards against a job that begins anew, although it is done or ended, as it is sent again to an owner that
 // doesn't know it yet.
 func TestJobSentAgainKeepsItsState(t *testing.T) {
--- a/internal/batch/manager/manager.go
+++ b/internal/batch/manager/manager.go
@@ -25,6 +25,10 @@
 	loadTimeout = 8 * time.Second
 	// ledgerAttempts bounds the conditional writes of one ledger update.
 	ledgerAttempts = 6
+	// confirmAttempts and confirmTimeout bound the reads of the list of owners for one call. All of them fit in the time that an
+	// instance gives the owner for the end of a job.
+	confirmAttempts = 2
+	confirmTimeout  = 350 * time.Millisecond
 	// capRetryAfter is the Retry-After of a job that exceeds the route's cap of
 	// waiting tokens.
 	capRetryAfter = time.Second
