--- a/internal/entry/allocator/unevenload_test.go
+++ b/internal/entry/allocator/unevenload_test.go
@@ -62,6 +62,24 @@
 	totals    []time.Duration
 }
 
+// add adds the counts of another run.
+func (r *unevenResult) add(other *unevenResult) {
+	r.requests += other.requests
+	r.inTime += other.inTime
+	r.late += other.late
+	r.refused += other.refused
+	r.full += other.full
+	r.fast += other.fast
+	r.ownZone += other.ownZone
+	r.reused += other.reused
+	r.itemsDone += other.itemsDone
+	r.preempted += other.preempted
+	for m, n := range other.atTurning {
+		r.atTurning[m] += n
+	}
+	r.totals = append(r.totals, other.totals...)
+}
+
 func (r *unevenResult) share(n int) float64 {
 	return float64(n) / float64(max(1, r.requests))
 }
