--- a/internal/batch/manager/ownermodel_test.go
+++ b/internal/batch/manager/ownermodel_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,7 +47,7 @@
 	task    *manager.Task
 	job     fescuebank.JobID
 	began   time.Time
-	stopped bool
+	stopped atomic.Bool
 }
 
 // TestOwnersKeepWhatTheyAcknowledge guards against items that run after the end of their job was acknowledged, and against accepted jobs that
@@ -171,7 +172,7 @@
 // takeItem has a manager hand out an item.
 func (m *ownerModel) takeItem(t *rapid.T, i int) {
 	a := &modelAttempt{owner: i, began: time.Now()}
-	a.task = m.manager(i).NextTask(func() { a.stopped = true }, nil)
+	a.task = m.manager(i).NextTask(func() { a.stopped.Store(true) }, nil)
 	if a.task == nil {
 		return
 	}
@@ -187,7 +188,7 @@
 	kept := m.attempts[:0]
 	for _, a := range m.attempts {
 		switch {
-		case a.stopped:
+		case a.stopped.Load():
 			m.manager(a.owner).Requeue(a.task, manager.CausePreempted, a.task.Progress)
 		case time.Since(a.began) >= runTime:
 			m.manager(a.owner).Finish(a.task, false, []byte("text"))
@@ -205,7 +206,7 @@
 	defer m.mu.Unlock()
 	for _, a := range m.attempts {
 		endedAt, isEnded := m.endedAt[a.job]
-		if isEnded && !a.stopped && time.Since(endedAt) > cancelTime {
+		if isEnded && !a.stopped.Load() && time.Since(endedAt) > cancelTime {
 			t.Fatalf("item %s: got an attempt at owner %d %v after the end of its job was acknowledged, want none", a.task.Request.ID, a.owner, time.Since(endedAt))
 		}
 	}
--- a/internal/operate/server/leave_test.go
+++ b/internal/operate/server/leave_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,7 +70,7 @@
 }
 
 // newBatchManager returns a manager that owns a team with one job of one item, as long as owns is true.
-func newBatchManager(t *testing.T, owns *bool, send func(manager.ProgressHandover)) *manager.Manager {
+func newBatchManager(t *testing.T, owns *atomic.Bool, send func(manager.ProgressHandover)) *manager.Manager {
 	t.Helper()
 	clock := timekeeper.Timekeeper{}
 	jobs, err := persister.New(&memorystorer.MemoryStorer{}, clock)
@@ -82,7 +83,7 @@
 		Shares: []fescuebank.ServiceShare{{Service: "s", Weight: 1}},
 	}})
 	m := manager.New(manager.Config{
-		Owns:         func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, *owns },
+		Owns:         func(fescuebank.TeamID) (fescuebank.FencingNumber, bool) { return 1, owns.Load() },
 		ConfirmOwner: func(context.Context, fescuebank.TeamID) (bool, error) { return true, nil },
 		TookOver:     func(fescuebank.TeamID) bool { return false }, Persister: jobs, Estimator: estimator.New(),
 		Table: func() *fescuebank.RouteTable { return table }, ConfigAsOf: func() fescuebank.StoreVersion { return 0 }, RefreshConfig: func() {}, Clock: clock, Log: hclog.NewNullLogger(), OnItemsAvailable: func() {},
@@ -99,7 +100,8 @@
 // team back to its former owner before that one has sent it.
 func TestProgressComesBackWithTheTeam(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		owns := true
+		var owns atomic.Bool
+		owns.Store(true)
 		m := newBatchManager(t, &owns, nil)
 		clock := timekeeper.Timekeeper{}
 		self := fescuebank.MemberEntry{ID: "owner-1", Incarnation: "first", Owner: true}
@@ -128,13 +130,15 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		clock := timekeeper.Timekeeper{}
-		owns, sent := true, make(chan struct{})
+		var owns atomic.Bool
+		owns.Store(true)
+		sent := make(chan struct{})
 		m := newBatchManager(t, &owns, func(manager.ProgressHandover) {
 			time.Sleep(sending)
 			close(sent)
 		})
 		s := &Server{clock: clock, manager: m, elector: elector.New(elector.Config{Clock: clock})}
-		owns = false
+		owns.Store(false)
 		m.UpdateOwnership()
 		s.awaitHandover(t.Context(), clock.Now().Add(grace))
 		select {
