--- a/internal/batch/manager/takeover_test.go
+++ b/internal/batch/manager/takeover_test.go
@@ -102,12 +102,17 @@
 		// Each takeover writes one segment for each open job. A handover would begin another one beside the test.
 		p.kill(1)
 		p.store.SetFaults(memorystorer.Faults{DownAfterWrites: jobs / 2})
-		if _, err := p.manager(1).Item(t.Context(), team, "job0", "job0-0"); err == nil {
-			t.Fatal("got no error while the store is down, want one")
+		p.manager(1).UpdateOwnership()
+		synctest.Wait()
+		if got := p.manager(1).Status().Open; got != jobs/2 {
+			t.Errorf("got %d jobs loaded before the store failed, want %d", got, jobs/2)
 		}
 		if p.manager(1).HasWaiting() {
 			t.Error("got an item at once, want the wait for a handover")
 		}
+		if _, err := p.manager(1).Item(t.Context(), team, "job0", "job0-0"); err == nil {
+			t.Fatal("got no error while the store is down, want one")
+		}
 		time.Sleep(5 * time.Second)
 		if !p.manager(1).HasWaiting() {
 			t.Error("got no item of the jobs that were loaded, want one")
